--- /dev/null
+++ b/cmd/currantknot/operators.go
@@ -0,0 +1,481 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/user"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pmezard/go-difflib/difflib"
+
+	"currantknot.dev/currantknot/internal/operator"
+	"currantknot.dev/currantknot/internal/settings"
+	"currantknot.dev/currantknot/pkg/document"
+)
+
+// waitEvery is the time between two looks at whether an edit is in force.
+const waitEvery = 100 * time.Millisecond
+
+// argumentError reports arguments that don't fit together.
+type argumentError struct {
+	reason string
+}
+
+func (e *argumentError) Error() string { return e.reason }
+
+func exitCodeOfStatus(s int) int {
+	switch s {
+	case http.StatusBadRequest, http.StatusNotFound:
+		return exitInput
+	case http.StatusConflict:
+		return exitConflict
+	case http.StatusGatewayTimeout:
+		return exitUnknown
+	default:
+		return exitFailed
+	}
+}
+
+func client(s *settings.Operator) (*operator.Client, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	return &operator.Client{Base: strings.TrimSuffix(s.Instance, "/"), Token: s.Token, Timeout: s.Timeout}, nil
+}
+
+func author() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
+
+func printJSON(out io.Writer, v any) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// table prints rows of tab-separated cells.
+func table(out io.Writer, rows ...string) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, r := range rows {
+		if _, err := fmt.Fprintln(w, r); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+type documentCommand struct {
+	Get   *documentGet   `arg:"subcommand:get" help:"print the document"`
+	Diff  *documentDiff  `arg:"subcommand:diff" help:"compare a file with the document"`
+	Edit  *documentEdit  `arg:"subcommand:edit" help:"replace sections by those of a file"`
+	Check *documentCheck `arg:"subcommand:check" help:"print the findings that an edit would have"`
+	Log   *documentLog   `arg:"subcommand:log" help:"print the latest changes"`
+}
+
+func (c *documentCommand) selected() command {
+	switch {
+	case c.Get != nil:
+		return c.Get
+	case c.Diff != nil:
+		return c.Diff
+	case c.Edit != nil:
+		return c.Edit
+	case c.Check != nil:
+		return c.Check
+	case c.Log != nil:
+		return c.Log
+	}
+	return nil
+}
+
+type documentGet struct {
+	settings.Operator
+	Section string `arg:"--section" help:"only this section"`
+}
+
+func (c *documentGet) run(ctx context.Context, out io.Writer) error {
+	o, err := client(&c.Operator)
+	if err != nil {
+		return err
+	}
+	d, err := o.Document(ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, d)
+	}
+	n := 0
+	for _, s := range d.Sections {
+		if c.Section != "" && s.Section != c.Section {
+			continue
+		}
+		if n > 0 {
+			fmt.Fprintln(out, "---")
+		}
+		n++
+		fmt.Fprintf(out, "# revision %d\n%s", s.Revision, s.Text)
+	}
+	return nil
+}
+
+// fileEdit is a file of sections that an edit is made from.
+type fileEdit struct {
+	File   string `arg:"positional,required" help:"YAML file with sections, - for standard input"`
+	Base   uint64 `arg:"--base" help:"revision that the edit is based on, for a file with one section; the current one by default"`
+	Author string `arg:"--author" help:"who edits; the system's user by default"`
+	Reason string `arg:"--reason" help:"why"`
+}
+
+// request returns the edit and the current document.
+func (f *fileEdit) request(ctx context.Context, o *operator.Client) (operator.EditRequest, operator.DocumentAnswer, error) {
+	q := operator.EditRequest{Author: f.Author, Reason: f.Reason}
+	if q.Author == "" {
+		q.Author = author()
+	}
+	ss, err := readSections(f.File)
+	if err != nil {
+		return q, operator.DocumentAnswer{}, err
+	}
+	if f.Base != 0 && len(ss) != 1 {
+		return q, operator.DocumentAnswer{}, &argumentError{"--base needs a file with exactly one section"}
+	}
+	d, err := o.Document(ctx)
+	if err != nil {
+		return q, d, err
+	}
+	r := make(map[string]uint64)
+	for _, s := range d.Sections {
+		r[s.Section] = s.Revision
+	}
+	for _, s := range ss {
+		b := r[s.Section]
+		if f.Base != 0 {
+			b = f.Base
+		}
+		q.Sections = append(q.Sections, operator.SectionEdit{Section: s.Section, Base: b, Text: string(document.Render(s))})
+	}
+	return q, d, nil
+}
+
+func readSections(file string) ([]*document.Section, error) {
+	b, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	ss, err := document.Parse(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return ss, nil
+}
+
+func readFile(file string) ([]byte, error) {
+	if file == "-" {
+		b, err := io.ReadAll(os.Stdin)
+		if err != nil {
+			return nil, fmt.Errorf("read standard input: %w", err)
+		}
+		return b, nil
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read document: %w", err)
+	}
+	return b, nil
+}
+
+type documentDiff struct {
+	settings.Operator
+	fileEdit
+}
+
+func (c *documentDiff) run(ctx context.Context, out io.Writer) error {
+	o, err := client(&c.Operator)
+	if err != nil {
+		return err
+	}
+	q, d, err := c.request(ctx, o)
+	if err != nil {
+		return err
+	}
+	old := make(map[string]operator.SectionText)
+	for _, s := range d.Sections {
+		old[s.Section] = s
+	}
+	var b bytes.Buffer
+	for _, s := range q.Sections {
+		err := difflib.WriteUnifiedDiff(&b, difflib.UnifiedDiff{
+			A: difflib.SplitLines(old[s.Section].Text), B: difflib.SplitLines(s.Text),
+			FromFile: fmt.Sprintf("%s (revision %d)", s.Section, old[s.Section].Revision), ToFile: s.Section + " (" + c.File + ")", Context: 3,
+		})
+		if err != nil {
+			return fmt.Errorf("compare section %s: %w", s.Section, err)
+		}
+	}
+	_, err = b.WriteTo(out)
+	return err
+}
+
+type documentEdit struct {
+	settings.Operator
+	fileEdit
+	Wait bool `arg:"--wait" help:"wait until the edit is in force on all instances"`
+}
+
+func (c *documentEdit) run(ctx context.Context, out io.Writer) error {
+	o, err := client(&c.Operator)
+	if err != nil {
+		return err
+	}
+	q, _, err := c.request(ctx, o)
+	if err != nil {
+		return err
+	}
+	a, err := o.Edit(ctx, q)
+	if err != nil {
+		return err
+	}
+	return reportEdit(ctx, out, o, a, c.Wait, c.JSON)
+}
+
+// reportEdit prints on how many instances an edit is in force, after a wait for all if that was asked for.
+func reportEdit(ctx context.Context, out io.Writer, o *operator.Client, a operator.EditAnswer, wait, asJSON bool) error {
+	end := time.Now().Add(o.Timeout)
+	for wait && len(a.InForce) < a.Instances && time.Now().Before(end) {
+		time.Sleep(waitEvery)
+		s, err := o.Status(ctx)
+		if err != nil {
+			return err
+		}
+		a.InForce, a.Instances = nil, len(s.Instances)
+		for _, i := range s.Instances {
+			if i.DocumentNext >= a.Next {
+				a.InForce = append(a.InForce, i.Name)
+			}
+		}
+	}
+	if asJSON {
+		return printJSON(out, a)
+	}
+	_, err := fmt.Fprintf(out, "accepted at offset %d, in force on %d of %d instances\n", a.Next-1, len(a.InForce), a.Instances)
+	return err
+}
+
+type documentCheck struct {
+	settings.Operator
+	fileEdit
+}
+
+func (c *documentCheck) run(ctx context.Context, out io.Writer) error {
+	o, err := client(&c.Operator)
+	if err != nil {
+		return err
+	}
+	q, _, err := c.request(ctx, o)
+	if err != nil {
+		return err
+	}
+	if err := o.Check(ctx, q); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(out, "no findings")
+	return err
+}
+
+type documentLog struct {
+	settings.Operator
+}
+
+func (c *documentLog) run(ctx context.Context, out io.Writer) error {
+	o, err := client(&c.Operator)
+	if err != nil {
+		return err
+	}
+	h, err := o.Log(ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, h)
+	}
+	rows := []string{"REVISION\tAT\tSECTION\tAUTHOR\tREASON"}
+	for _, x := range h {
+		rows = append(rows, fmt.Sprintf("%d\t%s\t%s\t%s\t%s", x.Offset+1, x.At.UTC().Format(time.RFC3339), x.Section, x.Author, x.Reason))
+	}
+	return table(out, rows...)
+}
+
+type domainCommand struct {
+	Drain   *domainDrain   `arg:"subcommand:drain" help:"take a failure domain out of service"`
+	Restore *domainRestore `arg:"subcommand:restore" help:"bring a failure domain back into service"`
+	List    *domainList    `arg:"subcommand:list" help:"list the failure domains"`
+}
+
+func (c *domainCommand) selected() command {
+	switch {
+	case c.Drain != nil:
+		return c.Drain
+	case c.Restore != nil:
+		return c.Restore
+	case c.List != nil:
+		return c.List
+	}
+	return nil
+}
+
+// domainChange is what draining and restoring have in common.
+type domainChange struct {
+	settings.Operator
+	Name   string `arg:"positional,required" help:"failure domain"`
+	Author string `arg:"--author" help:"who acts; the system's user by default"`
+	Reason string `arg:"--reason" help:"why"`
+	Wait   bool   `arg:"--wait" help:"wait until the change is in force on all instances"`
+}
+
+func (c *domainChange) change(ctx context.Context, out io.Writer, outOfService bool) error {
+	o, err := client(&c.Operator)
+	if err != nil {
+		return err
+	}
+	q := operator.DomainRequest{Name: c.Name, OutOfService: outOfService, Author: c.Author, Reason: c.Reason}
+	if q.Author == "" {
+		q.Author = author()
+	}
+	a, err := o.SetDomain(ctx, q)
+	if err != nil {
+		return err
+	}
+	return reportEdit(ctx, out, o, a, c.Wait, c.JSON)
+}
+
+type domainDrain struct {
+	domainChange
+}
+
+func (c *domainDrain) run(ctx context.Context, out io.Writer) error { return c.change(ctx, out, true) }
+
+type domainRestore struct {
+	domainChange
+}
+
+func (c *domainRestore) run(ctx context.Context, out io.Writer) error {
+	return c.change(ctx, out, false)
+}
+
+type domainList struct {
+	settings.Operator
+}
+
+func (c *domainList) run(ctx context.Context, out io.Writer) error {
+	o, err := client(&c.Operator)
+	if err != nil {
+		return err
+	}
+	s, err := o.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, s.Domains)
+	}
+	return table(out, domainRows(s)...)
+}
+
+func domainRows(s operator.Status) []string {
+	rows := []string{"FAILURE DOMAIN\tREGION\tINSTANCES\tSTATE\tREASON"}
+	for _, d := range s.Domains {
+		st := "in service"
+		if d.OutOfService {
+			st = "out of service"
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%s\t%s", d.Name, d.Region, d.Instances, st, d.Reason))
+	}
+	return rows
+}
+
+type statusCommand struct {
+	settings.Operator
+}
+
+func (c *statusCommand) run(ctx context.Context, out io.Writer) error {
+	o, err := client(&c.Operator)
+	if err != nil {
+		return err
+	}
+	s, err := o.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, s)
+	}
+	return printStatus(out, s)
+}
+
+func printStatus(out io.Writer, s operator.Status) error {
+	fmt.Fprintf(out, "answered by %s, document at offset %d, confirmed %s ago", s.Instance, s.DocumentNext, s.ConfirmedAgo)
+	if s.Blocked != "" {
+		fmt.Fprintf(out, ", BLOCKED: %s", s.Blocked)
+	}
+	fmt.Fprintln(out)
+	fmt.Fprintln(out)
+	rows := []string{"INSTANCE\tFAILURE DOMAIN\tDOCUMENT\tSEEN\tLEAVING\tSHARDS"}
+	for _, i := range s.Instances {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%s ago\t%v\t%v", i.Name, i.Domain, i.DocumentNext, i.SeenAgo, i.Leaving, i.Shards))
+	}
+	rows = append(append(rows, ""), domainRows(s)...)
+	rows = append(rows, "", "SERVICE OR JOB\tCLASS\tRUNNING\tWAITING\tFINISHED\tGIVEN UP\tREASON")
+	for _, g := range s.Groups {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%s", g.Group, g.Class, g.Running, g.Waiting, g.Finished, g.GivenUp, g.Reason))
+	}
+	if len(s.Quarantined) > 0 {
+		rows = append(rows, "", "quarantined workers: "+strings.Join(s.Quarantined, ", "))
+	}
+	return table(out, rows...)
+}
+
+type explainCommand struct {
+	settings.Operator
+	Subject string `arg:"positional,required" help:"request, task, service or job with generation, worker, upstream, section or shard stream"`
+}
+
+func (c *explainCommand) run(ctx context.Context, out io.Writer) error {
+	o, err := client(&c.Operator)
+	if err != nil {
+		return err
+	}
+	a, err := o.Explain(ctx, c.Subject)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, a)
+	}
+	rows := []string{"AT\tINSTANCE\tDECISION\tSUBJECTS\tREASON\tREJECTED"}
+	for _, e := range a.Entries {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s", e.At.UTC().Format(time.RFC3339Nano), e.Instance, e.Kind, strings.Join(e.Subjects, " "), e.Reason, e.Rejected))
+	}
+	if len(a.Silent) > 0 {
+		rows = append(rows, "no answer from "+strings.Join(a.Silent, ", "))
+	}
+	return table(out, rows...)
+}
+
+type versionCommand struct{}
+
+func (c *versionCommand) run(_ context.Context, out io.Writer) error {
+	_, err := fmt.Fprintln(out, "currantknot", version)
+	return err
+}
--- /dev/null
+++ b/internal/decision/doc.go
@@ -0,0 +1,2 @@
+// Package decision keeps the latest decisions of an instance and logs each in one line.
+package decision
--- /dev/null
+++ b/internal/decision/ring.go
@@ -0,0 +1,64 @@
+package decision
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Entry is one decision on routing, placement or membership.
+type Entry struct {
+	At       time.Time
+	Instance string
+	Kind     string
+	// Subjects lists what the decision is about: a request, task, group, worker, upstream or failure domain.
+	Subjects []string
+	Reason   string
+	Rejected string
+}
+
+// Ring keeps the latest decisions.
+type Ring struct {
+	instance string
+	logger   zerolog.Logger
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	entries []Entry
+	next    int
+}
+
+// NewRing returns a ring that keeps the given number of decisions.
+func NewRing(instance string, size int, l zerolog.Logger) *Ring {
+	return &Ring{instance: instance, logger: l, entries: make([]Entry, 0, size)}
+}
+
+// Add logs and keeps a decision.
+func (r *Ring) Add(e Entry) {
+	e.Instance = r.instance
+	r.logger.Info().Str("Kind", e.Kind).Strs("Subjects", e.Subjects).Str("Reason", e.Reason).Str("Rejected", e.Rejected).Msg("decision")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.entries) < cap(r.entries) {
+		r.entries = append(r.entries, e)
+		return
+	}
+	r.entries[r.next] = e
+	r.next = (r.next + 1) % len(r.entries)
+}
+
+// Find returns the decisions about the subject, the oldest first.
+func (r *Ring) Find(subject string) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var a []Entry
+	for i := range r.entries {
+		e := r.entries[(r.next+i)%len(r.entries)]
+		if slices.Contains(e.Subjects, subject) {
+			a = append(a, e)
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,105 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"currantknot.dev/currantknot/internal/docstore"
+)
+
+// Client calls the operators' address of an instance.
+type Client struct {
+	Base    string
+	Token   string
+	Timeout time.Duration
+}
+
+// Document returns the document.
+func (c *Client) Document(ctx context.Context) (DocumentAnswer, error) {
+	var a DocumentAnswer
+	err := c.call(ctx, http.MethodGet, "/document", nil, &a)
+	return a, err
+}
+
+// Edit commits an edit.
+func (c *Client) Edit(ctx context.Context, q EditRequest) (EditAnswer, error) {
+	var a EditAnswer
+	err := c.call(ctx, http.MethodPost, "/document", q, &a)
+	return a, err
+}
+
+// Check returns the findings that an edit would have.
+func (c *Client) Check(ctx context.Context, q EditRequest) error {
+	return c.call(ctx, http.MethodPost, "/document/check", q, &EditAnswer{})
+}
+
+// Log returns the latest changes of the document.
+func (c *Client) Log(ctx context.Context) ([]docstore.Change, error) {
+	var a []docstore.Change
+	err := c.call(ctx, http.MethodGet, "/document/log", nil, &a)
+	return a, err
+}
+
+// SetDomain takes a failure domain out of service or brings it back.
+func (c *Client) SetDomain(ctx context.Context, q DomainRequest) (EditAnswer, error) {
+	var a EditAnswer
+	err := c.call(ctx, http.MethodPost, "/domains/"+url.PathEscape(q.Name), q, &a)
+	return a, err
+}
+
+// Status returns the state of the system.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var a Status
+	err := c.call(ctx, http.MethodGet, "/status", nil, &a)
+	return a, err
+}
+
+// Explain returns the decisions about a subject.
+func (c *Client) Explain(ctx context.Context, subject string) (ExplainAnswer, error) {
+	var a ExplainAnswer
+	err := c.call(ctx, http.MethodGet, "/explain?Subject="+url.QueryEscape(subject), nil, &a)
+	return a, err
+}
+
+// call makes one request, or returns a *FailedError for a failed answer.
+func (c *Client) call(ctx context.Context, method, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	b, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode request: %w", err)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(b))
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	if c.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	s, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return fmt.Errorf("call instance %s: %w", c.Base, err)
+	}
+	defer s.Body.Close()
+	d, err := io.ReadAll(s.Body)
+	if err != nil {
+		return fmt.Errorf("read answer of instance %s: %w", c.Base, err)
+	}
+	if s.StatusCode != http.StatusOK {
+		e := &FailedError{Status: s.StatusCode}
+		if json.Unmarshal(d, &e.Failure) != nil {
+			e.Message = string(d)
+		}
+		return e
+	}
+	if err := json.Unmarshal(d, answer); err != nil {
+		return fmt.Errorf("decode answer of instance %s: %w", c.Base, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/document.go
@@ -0,0 +1,149 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/go-kit/kit/endpoint"
+
+	"currantknot.dev/currantknot/internal/docstore"
+	"currantknot.dev/currantknot/internal/record"
+	"currantknot.dev/currantknot/pkg/document"
+)
+
+// SectionText is one section with its revision.
+type SectionText struct {
+	Section  string
+	Owner    string
+	Revision uint64
+	Text     string
+}
+
+// DocumentAnswer is the whole document.
+type DocumentAnswer struct {
+	Next     uint64
+	Sections []SectionText
+}
+
+func getDocument(b Backend) endpoint.Endpoint {
+	return func(context.Context, any) (any, error) { return documentOf(b.View()), nil }
+}
+
+func documentOf(v *docstore.View) DocumentAnswer {
+	a := DocumentAnswer{Next: v.Next, Sections: []SectionText{}}
+	for _, s := range v.Document.All() {
+		a.Sections = append(a.Sections, SectionText{s.Section, s.Owner, v.Revisions[s.Section], string(document.Render(s))})
+	}
+	return a
+}
+
+// EditRequest replaces sections, all of them or none.
+type EditRequest struct {
+	Sections []SectionEdit
+	Author   string
+	Reason   string
+}
+
+// SectionEdit replaces one section; an empty text removes it.
+type SectionEdit struct {
+	Section string
+	Base    uint64
+	Text    string
+}
+
+// EditAnswer tells what became of an edit.
+type EditAnswer struct {
+	// Next is the first offset after the edit.
+	Next uint64
+	// InForce lists the instances that have applied the edit, and Instances counts all.
+	InForce   []string
+	Instances int
+}
+
+func decodeEdit(_ context.Context, r *http.Request) (any, error) {
+	var q EditRequest
+	if err := decodeJSON(r, &q); err != nil {
+		return nil, err
+	}
+	if len(q.Sections) == 0 {
+		return nil, &InputError{Reason: "an edit needs at least one section"}
+	}
+	return &q, nil
+}
+
+func (q *EditRequest) record() *record.Edit {
+	e := &record.Edit{Author: q.Author, Reason: q.Reason}
+	for _, s := range q.Sections {
+		e.Sections = append(e.Sections, record.SectionEdit{Section: s.Section, Base: s.Base, Text: []byte(s.Text)})
+	}
+	return e
+}
+
+func editDocument(b Backend) endpoint.Endpoint {
+	return func(ctx context.Context, v any) (any, error) {
+		q := v.(*EditRequest) //nolint:forcetypeassert // decodeEdit returns nothing else
+		e := q.record()
+		if err := authorize(ctx, b, e); err != nil {
+			return nil, err
+		}
+		// A fault that is visible now is told now; the log decides on what races.
+		if err := b.View().Check(e); err != nil {
+			return nil, err
+		}
+		n, err := b.Edit(ctx, e)
+		if err != nil {
+			return nil, err
+		}
+		in, t := b.InForce(n)
+		return EditAnswer{Next: n, InForce: in, Instances: t}, nil
+	}
+}
+
+func checkDocument(b Backend) endpoint.Endpoint {
+	return func(_ context.Context, v any) (any, error) {
+		q := v.(*EditRequest) //nolint:forcetypeassert // decodeEdit returns nothing else
+		if err := b.View().Check(q.record()); err != nil {
+			return nil, err
+		}
+		return EditAnswer{Next: b.View().Next}, nil
+	}
+}
+
+// authorize lets a team edit the sections that it owns before and after the edit.
+func authorize(ctx context.Context, b Backend, e *record.Edit) error {
+	t := b.Team(tokenOf(ctx))
+	if t == "" {
+		return &ForbiddenError{}
+	}
+	if t == "*" {
+		return nil
+	}
+	v := b.View()
+	for _, x := range e.Sections {
+		if s := v.Document.Sections[x.Section]; s != nil && s.Owner != t {
+			return &ForbiddenError{t, x.Section, s.Owner}
+		}
+		a, err := document.Parse(x.Text)
+		if err == nil && len(a) == 1 && a[0].Owner != t {
+			return &ForbiddenError{t, x.Section, a[0].Owner}
+		}
+	}
+	return nil
+}
+
+func documentLog(b Backend) endpoint.Endpoint {
+	return func(context.Context, any) (any, error) {
+		h := b.View().History
+		if h == nil {
+			h = []docstore.Change{}
+		}
+		return h, nil
+	}
+}
+
+// isConflict reports whether an edit lost a race and may be tried again.
+func isConflict(err error) bool {
+	var c *docstore.ConflictError
+	return errors.As(err, &c)
+}
--- /dev/null
+++ b/internal/operator/domain.go
@@ -0,0 +1,80 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/go-kit/kit/endpoint"
+
+	"currantknot.dev/currantknot/internal/docstore"
+	"currantknot.dev/currantknot/internal/record"
+	"currantknot.dev/currantknot/pkg/document"
+)
+
+// maxRaces bounds how often a lost race for a section is run again.
+const maxRaces = 10
+
+// DomainRequest takes a failure domain out of service or brings it back.
+type DomainRequest struct {
+	Name         string
+	OutOfService bool
+	Author       string
+	Reason       string
+}
+
+func decodeDomain(_ context.Context, r *http.Request) (any, error) {
+	var q DomainRequest
+	if err := decodeJSON(r, &q); err != nil {
+		return nil, err
+	}
+	q.Name = r.PathValue("name")
+	return &q, nil
+}
+
+// setDomain edits the section that holds the failure domain, again after each lost race.
+func setDomain(b Backend) endpoint.Endpoint {
+	return func(ctx context.Context, v any) (any, error) {
+		q := v.(*DomainRequest) //nolint:forcetypeassert // decodeDomain returns nothing else
+		for n := 1; ; n++ {
+			a, err := tryDomain(ctx, b, q)
+			if err == nil || !isConflict(err) || n >= maxRaces {
+				return a, err
+			}
+		}
+	}
+}
+
+func tryDomain(ctx context.Context, b Backend, q *DomainRequest) (any, error) {
+	e, err := domainEdit(b.View(), q)
+	if err != nil {
+		return nil, err
+	}
+	if err := authorize(ctx, b, e); err != nil {
+		return nil, err
+	}
+	n, err := b.Edit(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	in, t := b.InForce(n)
+	return EditAnswer{Next: n, InForce: in, Instances: t}, nil
+}
+
+func domainEdit(v *docstore.View, q *DomainRequest) (*record.Edit, error) {
+	s, i, ok := v.Document.FindFailureDomain(q.Name)
+	if !ok {
+		return nil, &NotFoundError{"failure domain", q.Name}
+	}
+	c := *s
+	c.FailureDomains = slices.Clone(s.FailureDomains)
+	c.FailureDomains[i].OutOfService = q.OutOfService
+	c.FailureDomains[i].Reason = ""
+	if q.OutOfService {
+		c.FailureDomains[i].Reason = q.Reason
+	}
+	return &record.Edit{
+		Author: q.Author, Reason: q.Reason,
+		Sections: []record.SectionEdit{{Section: c.Section, Base: v.Revisions[c.Section], Text: document.Render(&c)}},
+	}, nil
+}
--- /dev/null
+++ b/internal/placement/preempt.go
@@ -0,0 +1,107 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"currantknot.dev/currantknot/internal/record"
+	"currantknot.dev/currantknot/pkg/document"
+)
+
+// preempt makes room for a task by evicting tasks of lower classes from one worker.
+func (o *Owner) preempt(p *pass, t *task) {
+	if o.hasReservation(t) {
+		return
+	}
+	var best *worker
+	var victims []*task
+	for _, w := range p.open {
+		if w.reservedFor != "" || w.health.isQuarantined() || !t.spec.Size.Fits(w.capacity) {
+			continue
+		}
+		v, ok := o.victims(p, w, t)
+		if ok && (best == nil || evictionCost(v) < evictionCost(victims)) {
+			best, victims = w, v
+		}
+	}
+	if best == nil {
+		return
+	}
+	best.reserved, best.reservedFor, best.reservedUntil = t.spec.Size, t.name, p.now.Add(reserveFor)
+	for _, v := range victims {
+		o.end(v, record.ReleaseEvicted, "Evict", "room for "+t.spec.Class.String()+" task "+t.name)
+	}
+}
+
+func (o *Owner) hasReservation(t *task) bool {
+	for _, w := range o.workers {
+		if w.reservedFor == t.name {
+			return true
+		}
+	}
+	return false
+}
+
+// victims returns the cheapest tasks on the worker whose end makes room for the task.
+func (o *Owner) victims(p *pass, w *worker, t *task) ([]*task, bool) {
+	var a []*task
+	for _, b := range w.bound {
+		if b.stop == "" && o.canEvict(p, t.spec, b.spec) {
+			a = append(a, b)
+		}
+	}
+	slices.SortFunc(a, func(x, y *task) int {
+		return cmp.Or(-cmp.Compare(x.spec.Class, y.spec.Class), -o.boundAt(x, y), cmp.Compare(x.name, y.name))
+	})
+	free := p.free[w.name].Add(o.stopping(w))
+	for i, v := range a {
+		if t.spec.Size.Fits(free) {
+			return a[:i], true
+		}
+		free = free.Add(v.size)
+	}
+	return a, t.spec.Size.Fits(free)
+}
+
+// canEvict reports whether a task may take the room of another.
+//
+// Services and urgent tasks evict batch of lower classes. A team within its quota
+// takes back what a team beyond its own has borrowed, from its own class downwards.
+func (o *Owner) canEvict(p *pass, s, victim *Spec) bool {
+	if victim.Class == ClassService {
+		return false
+	}
+	if s.Class <= ClassUrgent && victim.Class > ClassUrgent {
+		return true
+	}
+	return victim.Class >= s.Class && victim.Team != s.Team && p.withinQuota(o, s) && !p.used[victim.Team].Fits(o.quotas[victim.Team])
+}
+
+// boundAt compares the ages of two attempts; the youngest has the least work to lose.
+func (o *Owner) boundAt(x, y *task) int {
+	return cmp.Compare(o.shard.Attempts[x.name].BoundAt, o.shard.Attempts[y.name].BoundAt)
+}
+
+// stopping returns the size that attempts under way to their end will free.
+func (o *Owner) stopping(w *worker) document.Size {
+	var s document.Size
+	for _, b := range w.bound {
+		if b.stop != "" {
+			s = s.Add(b.size)
+		}
+	}
+	return s
+}
+
+// evictionCost weighs the victims: a normal task costs as much as four patient ones.
+func evictionCost(v []*task) int {
+	c := 0
+	for _, t := range v {
+		if t.spec.Class == ClassPatient {
+			c++
+			continue
+		}
+		c += 4
+	}
+	return c
+}
--- /dev/null
+++ b/internal/placement/shard.go
@@ -0,0 +1,284 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"currantknot.dev/currantknot/internal/record"
+	"currantknot.dev/currantknot/pkg/document"
+)
+
+// RefusedError reports a record that the shard's state does not allow.
+type RefusedError struct {
+	Record string
+	Task   string
+	Reason string
+}
+
+// Error names the record, the task and the reason.
+func (e *RefusedError) Error() string {
+	if e.Task == "" {
+		return fmt.Sprintf("%s refused: %s", e.Record, e.Reason)
+	}
+	return fmt.Sprintf("%s of task %s refused: %s", e.Record, e.Task, e.Reason)
+}
+
+// Attempt is the log's knowledge of a task that has been committed at least once and is not finished.
+type Attempt struct {
+	Attempt int
+	// Worker is empty while the task waits in the queue.
+	Worker      string
+	Size        document.Size
+	StartBefore time.Time
+	// BoundAt is the offset of the commitment.
+	BoundAt    uint64
+	Checkpoint string
+	Failures   int
+	Evictions  int
+}
+
+// IsBound reports whether the attempt is committed to a worker.
+func (a *Attempt) IsBound() bool { return a.Worker != "" }
+
+// Shard is the deterministic state of one shard's stream.
+type Shard struct {
+	Epoch    uint64
+	Owner    string
+	Resigned bool
+	// ActiveAt is the writer's time of the owner's latest record.
+	ActiveAt time.Time
+	Attempts map[string]*Attempt
+	// Committed holds the size committed on each worker.
+	Committed map[string]document.Size
+	// Finished holds the indexes of finished tasks by group.
+	Finished map[string]*indexSet
+}
+
+// NewShard returns the state of an empty stream.
+func NewShard() *Shard {
+	return &Shard{
+		Attempts:  make(map[string]*Attempt),
+		Committed: make(map[string]document.Size),
+		Finished:  make(map[string]*indexSet),
+	}
+}
+
+// Apply changes the state by one record, or returns a *RefusedError.
+func (s *Shard) Apply(offset uint64, e *record.Envelope, r *record.Record) error {
+	switch {
+	case r.Claim != nil:
+		return s.claim(offset, e, r.Claim)
+	case r.Renew != nil:
+		return s.renew(e, r.Renew)
+	case r.Bind != nil:
+		return s.bind(offset, e, r.Bind)
+	case r.Release != nil:
+		return s.release(e, r.Release)
+	case r.Finish != nil:
+		return s.finish(e, r.Finish)
+	case r.Forget != nil:
+		return s.forget(e, r.Forget)
+	}
+	return nil
+}
+
+func (s *Shard) claim(offset uint64, e *record.Envelope, c *record.Claim) error {
+	if c.Previous != s.Epoch {
+		return &RefusedError{"Claim", "", fmt.Sprintf("epoch is %d, the claim supersedes %d", s.Epoch, c.Previous)}
+	}
+	s.Epoch = offset + 1
+	s.Owner = c.Owner
+	s.Resigned = false
+	s.ActiveAt = e.At
+	return nil
+}
+
+// checkEpoch refuses records of a superseded owner and notes that the current one is alive.
+func (s *Shard) checkEpoch(name, task string, epoch uint64, e *record.Envelope) error {
+	if epoch != s.Epoch {
+		return &RefusedError{name, task, fmt.Sprintf("epoch %d is superseded by %d", epoch, s.Epoch)}
+	}
+	s.ActiveAt = e.At
+	return nil
+}
+
+func (s *Shard) renew(e *record.Envelope, r *record.Renew) error {
+	if err := s.checkEpoch("Renew", "", r.Epoch, e); err != nil {
+		return err
+	}
+	s.Resigned = r.Resigned
+	return nil
+}
+
+func (s *Shard) bind(offset uint64, e *record.Envelope, b *record.Bind) error {
+	if err := s.checkEpoch("Bind", b.Task, b.Epoch, e); err != nil {
+		return err
+	}
+	a := s.Attempts[b.Task]
+	if a == nil {
+		a = &Attempt{}
+	}
+	if a.IsBound() || a.Attempt+1 != b.Attempt || s.IsFinished(b.Task) {
+		return &RefusedError{"Bind", b.Task, fmt.Sprintf("attempt %d does not follow attempt %d on %q", b.Attempt, a.Attempt, a.Worker)}
+	}
+	n := s.Committed[b.Worker].Add(b.Size)
+	if !n.Fits(b.Capacity) {
+		return &RefusedError{"Bind", b.Task, fmt.Sprintf("worker %s would hold %+v of %+v", b.Worker, n, b.Capacity)}
+	}
+	s.Committed[b.Worker] = n
+	a.Attempt = b.Attempt
+	a.Worker = b.Worker
+	a.Size = b.Size
+	a.StartBefore = b.StartBefore
+	a.BoundAt = offset
+	s.Attempts[b.Task] = a
+	return nil
+}
+
+// bound returns the task's attempt if it is the named one and is committed.
+func (s *Shard) bound(name, task string, attempt int) (*Attempt, error) {
+	a := s.Attempts[task]
+	if a == nil || a.Attempt != attempt || !a.IsBound() {
+		return nil, &RefusedError{name, task, fmt.Sprintf("attempt %d is not committed", attempt)}
+	}
+	return a, nil
+}
+
+// uncommit returns the attempt's size to its worker.
+func (s *Shard) uncommit(a *Attempt) {
+	n := s.Committed[a.Worker].Sub(a.Size)
+	if n == (document.Size{}) {
+		delete(s.Committed, a.Worker)
+	} else {
+		s.Committed[a.Worker] = n
+	}
+	a.Worker = ""
+}
+
+func (s *Shard) release(e *record.Envelope, r *record.Release) error {
+	if err := s.checkEpoch("Release", r.Task, r.Epoch, e); err != nil {
+		return err
+	}
+	a, err := s.bound("Release", r.Task, r.Attempt)
+	if err != nil {
+		return err
+	}
+	s.uncommit(a)
+	if r.Checkpoint != "" {
+		a.Checkpoint = r.Checkpoint
+	}
+	switch r.Reason {
+	case record.ReleaseFailed:
+		a.Failures++
+	case record.ReleaseEvicted, record.ReleaseLeaseEnded:
+		a.Evictions++
+	case record.ReleaseNotStarted, record.ReleaseCancelled:
+	}
+	return nil
+}
+
+func (s *Shard) finish(e *record.Envelope, r *record.Finish) error {
+	if err := s.checkEpoch("Finish", r.Task, r.Epoch, e); err != nil {
+		return err
+	}
+	a, err := s.bound("Finish", r.Task, r.Attempt)
+	if err != nil {
+		return err
+	}
+	s.uncommit(a)
+	delete(s.Attempts, r.Task)
+	g, i := SplitTask(r.Task)
+	if s.Finished[g] == nil {
+		s.Finished[g] = &indexSet{}
+	}
+	s.Finished[g].add(i)
+	return nil
+}
+
+func (s *Shard) forget(e *record.Envelope, r *record.Forget) error {
+	if err := s.checkEpoch("Forget", "", r.Epoch, e); err != nil {
+		return err
+	}
+	delete(s.Finished, r.Group)
+	for _, t := range slices.Sorted(maps.Keys(s.Attempts)) {
+		if g, _ := SplitTask(t); g == r.Group && !s.Attempts[t].IsBound() {
+			delete(s.Attempts, t)
+		}
+	}
+	return nil
+}
+
+// IsFinished reports whether the task has finished for good.
+func (s *Shard) IsFinished(task string) bool {
+	g, i := SplitTask(task)
+	f := s.Finished[g]
+	return f != nil && f.has(i)
+}
+
+// Save returns the whole state.
+func (s *Shard) Save() ([]byte, error) {
+	b, err := msgpack.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode shard: %w", err)
+	}
+	return b, nil
+}
+
+// Load replaces the whole state.
+func (s *Shard) Load(state []byte) error {
+	n := NewShard()
+	if err := msgpack.Unmarshal(state, n); err != nil {
+		return fmt.Errorf("decode shard: %w", err)
+	}
+	*s = *n
+	return nil
+}
+
+// Group returns the identity of a service or job: its name and generation.
+func Group(name string, generation uint64) string {
+	return name + "@" + strconv.FormatUint(generation, 36)
+}
+
+// TaskName returns the identity of one task of a group.
+func TaskName(group string, index int) string {
+	return group + "/" + strconv.Itoa(index)
+}
+
+// SplitTask returns the group and the index of a task.
+func SplitTask(task string) (group string, index int) {
+	g, t, _ := strings.Cut(task, "/")
+	i, err := strconv.Atoi(t)
+	if err != nil {
+		return g, 0
+	}
+	return g, i
+}
+
+// indexSet is a set of small whole numbers.
+type indexSet struct {
+	Bits  []uint64
+	Count int
+}
+
+const wordBits = 64
+
+func (x *indexSet) add(i int) {
+	if x.has(i) {
+		return
+	}
+	for len(x.Bits) <= i/wordBits {
+		x.Bits = append(x.Bits, 0)
+	}
+	x.Bits[i/wordBits] |= 1 << (i % wordBits)
+	x.Count++
+}
+
+func (x *indexSet) has(i int) bool {
+	return i/wordBits < len(x.Bits) && x.Bits[i/wordBits]&(1<<(i%wordBits)) != 0
+}
--- /dev/null
+++ b/internal/placement/spec.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"currantknot.dev/currantknot/internal/docstore"
+	"currantknot.dev/currantknot/pkg/document"
+)
+
+// Class orders tasks: a lower class is placed first and may evict a higher one.
+type Class int
+
+// The classes from the first to be placed to the first to be evicted.
+const (
+	ClassService Class = iota
+	ClassUrgent
+	ClassNormal
+	ClassPatient
+)
+
+// String returns the name of the class.
+func (c Class) String() string {
+	return [...]string{"Service", "Urgent", "Normal", "Patient"}[c]
+}
+
+func classOf(p document.Priority) Class {
+	switch p {
+	case document.PriorityUrgent:
+		return ClassUrgent
+	case document.PriorityNormal:
+		return ClassNormal
+	default:
+		return ClassPatient
+	}
+}
+
+// Spec is what the document wants of the tasks of one group.
+type Spec struct {
+	Group string
+	Name  string
+	// Service is the name of the service, empty for a job.
+	Service       string
+	ClientAccount string
+	Team          string
+	Class         Class
+	Count         int
+	Size          document.Size
+	RunTime       time.Duration
+	// MaxFailures is the number of failed attempts after which a task is given up, 0 for no limit.
+	MaxFailures int
+}
+
+// specsOf lists the groups of the document.
+func specsOf(v *docstore.View) []*Spec {
+	var a []*Spec
+	for _, s := range v.Document.All() {
+		for _, x := range s.Services {
+			a = append(a, &Spec{
+				Group: Group(x.Name, v.Generations[x.Name]), Name: x.Name, Service: x.Name,
+				ClientAccount: x.ClientAccount, Team: x.Team, Class: ClassService, Count: x.Replicas, Size: x.Size,
+			})
+		}
+		for _, x := range s.Jobs {
+			a = append(a, &Spec{
+				Group: Group(x.Name, v.Generations[x.Name]), Name: x.Name,
+				ClientAccount: x.ClientAccount, Team: x.Team, Class: classOf(x.Priority), Count: x.Tasks, Size: x.Size,
+				RunTime: x.RunTime, MaxFailures: x.MaxAttempts,
+			})
+		}
+	}
+	return a
+}
+
+// HomeShard returns the shard that a task belongs to.
+func HomeShard(group string, index, shards int) int {
+	if shards <= 1 {
+		return 0
+	}
+	return int(xxhash.Sum64String(group+"/"+strconv.Itoa(index)) % uint64(shards))
+}
--- /dev/null
+++ b/internal/serve/instance.go
@@ -0,0 +1,323 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"currantknot.dev/currantknot/internal/caller"
+	"currantknot.dev/currantknot/internal/decision"
+	"currantknot.dev/currantknot/internal/docstore"
+	"currantknot.dev/currantknot/internal/peer"
+	"currantknot.dev/currantknot/internal/placement"
+	"currantknot.dev/currantknot/internal/platform"
+	"currantknot.dev/currantknot/internal/routing"
+	"currantknot.dev/currantknot/internal/settings"
+	"currantknot.dev/currantknot/internal/stream"
+	"currantknot.dev/currantknot/internal/upstream"
+	"currantknot.dev/currantknot/pkg/document"
+)
+
+const (
+	// documentStream is the stream that holds the operators' document.
+	documentStream = "document"
+	// pollWait bounds one read of a stream, and so the age of what was confirmed.
+	pollWait = 300 * time.Millisecond
+	// decisionsKept is the number of decisions kept for explain.
+	decisionsKept = 20_000
+	// readHeaderTimeout bounds the time in which a caller sends its header.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout ends idle connections of callers.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	// finishTimeout bounds the time that requests in flight have at a shutdown.
+	finishTimeout = 5 * time.Minute
+	// expireEvery is the time between two looks at deadlines of waiting requests.
+	expireEvery = 20 * time.Millisecond
+)
+
+// Instance is one running daemon.
+type Instance struct {
+	settings.Serve
+
+	// Self is the name with the incarnation, unique among all processes ever.
+	Self        string
+	incarnation int64
+	logger      zerolog.Logger
+	ring        *decision.Ring
+	platform    *platform.Client
+	store       *docstore.Store
+	document    *stream.Follower
+	router      *routing.Router
+	front       *caller.Front
+	sender      *upstream.Client
+	mesh        *peer.Mesh
+	metrics     *instanceMetrics
+	leaving     atomic.Bool
+	pool        *pool
+	keys        *keys
+
+	// mu guards the fields below.
+	mu        sync.Mutex
+	runners   map[int]*runner
+	upstreams []platform.Upstream
+	entries   []platform.Entry
+	entriesAt time.Time
+	workers   []placement.Worker
+	// known holds every other instance that may own shards, by name.
+	known map[string]knownInstance
+}
+
+// New returns an instance that is not running yet.
+func New(s settings.Serve, l zerolog.Logger) (*Instance, error) {
+	n := time.Now().UnixNano()
+	i := &Instance{
+		Serve: s, Self: s.Name + "~" + strconv.FormatInt(n, 36), incarnation: n, logger: l,
+		ring:     decision.NewRing(s.Name, decisionsKept, l),
+		platform: platform.NewClient(s.Platform, s.PlatformTimeout),
+		store:    docstore.NewStore(),
+		sender:   upstream.NewClient(),
+		metrics:  newMetrics(),
+		runners:  make(map[int]*runner),
+		known:    make(map[string]knownInstance),
+		pool:     newPool(),
+	}
+	r := rand.New(rand.NewPCG(uint64(n), 0)) //nolint:gosec // no secret is drawn
+	var err error
+	if i.router, err = routing.NewRouter(s.Name, s.RoutingPolicy, r); err != nil {
+		return nil, err
+	}
+	i.document = stream.NewFollower(i.platform, i.store, stream.Config{
+		Stream: documentStream, Writer: i.Self, PollWait: pollWait, Logger: l,
+	})
+	if err := i.newMesh(); err != nil {
+		return nil, err
+	}
+	i.front = &caller.Front{
+		Router: i.router, Sender: i.sender, Keys: i.newKeys(), Ring: i.ring, Metrics: i.metrics.caller(),
+		Services: i.services, Prefix: i.Self,
+	}
+	return i, nil
+}
+
+// services returns the services of the current document.
+func (i *Instance) services() []document.Service {
+	var a []document.Service
+	for _, s := range i.store.View().Document.All() {
+		a = append(a, s.Services...)
+	}
+	return a
+}
+
+// listeners holds the open listeners of an instance.
+type listeners struct {
+	caller   net.Listener
+	operator net.Listener
+	peer     net.Listener
+}
+
+func (i *Instance) listen(ctx context.Context) (*listeners, error) {
+	var l listeners
+	var errs []error
+	for _, x := range []struct {
+		to      *net.Listener
+		address string
+		name    string
+	}{
+		{&l.caller, i.CallerListen, "callers"},
+		{&l.operator, i.OperatorListen, "operators"},
+		{&l.peer, i.PeerListen, "peers"},
+	} {
+		var err error
+		*x.to, err = (&net.ListenConfig{}).Listen(ctx, "tcp", x.address)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("listen for %s at %s: %w", x.name, x.address, err))
+		}
+	}
+	return &l, errors.Join(errs...)
+}
+
+// Run serves until the context ends, and then shuts down gracefully.
+func (i *Instance) Run(ctx context.Context) error {
+	l, err := i.listen(ctx)
+	if err != nil {
+		return err
+	}
+	// The parts outlive the context: they go on until the last request is answered.
+	x, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, x := errgroup.WithContext(x)
+	front := newServer(i.front.Handler())
+	operators := newServer(i.operatorHandler())
+	g.Go(func() error { return serveHTTP(front, l.caller) })
+	g.Go(func() error { return serveHTTP(operators, l.operator) })
+	g.Go(func() error { return i.mesh.Run(x, l.peer) })
+	g.Go(func() error { return i.document.Run(x) })
+	g.Go(func() error { return i.followDocument(x) })
+	g.Go(func() error { return i.followLists(x) })
+	g.Go(func() error { return i.runShards(x) })
+	g.Go(func() error { return i.expire(x) })
+	g.Go(func() error { return i.checkpointDocument(x) })
+	g.Go(func() error { return i.bootstrap(x) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-x.Done():
+		}
+		err := i.shutDown(context.WithoutCancel(x), front)
+		_ = operators.Close()
+		cancel()
+		return err
+	})
+	i.logger.Info().Str("Instance", i.Self).Str("Callers", l.caller.Addr().String()).
+		Str("Operators", l.operator.Addr().String()).Str("Peers", l.peer.Addr().String()).Msg("instance started")
+	err = g.Wait()
+	i.pool.close()
+	i.platform.Close()
+	i.sender.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func serveHTTP(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve at %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+// shutDown fails readiness, hands the shards over, and ends when no request is in flight.
+func (i *Instance) shutDown(ctx context.Context, front *http.Server) error {
+	i.leaving.Store(true)
+	i.logger.Info().Msg("instance leaves")
+	t := time.NewTimer(i.DrainDelay)
+	defer t.Stop()
+	i.resignShards(ctx)
+	<-t.C
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		return fmt.Errorf("finish requests in flight: %w", err)
+	}
+	return nil
+}
+
+// followDocument hands each new view of the document to router and shards.
+func (i *Instance) followDocument(ctx context.Context) error {
+	for {
+		c := i.document.Changed()
+		i.applyView()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c:
+		}
+	}
+}
+
+func (i *Instance) applyView() {
+	v := i.store.View()
+	i.router.SetServices(i.services())
+	i.refreshUpstreams()
+	for _, r := range i.currentRunners() {
+		r.owner.SetView(v, time.Now())
+	}
+}
+
+// followLists reads the platform's lists again and again; an old list goes on to be used while reads fail.
+func (i *Instance) followLists(ctx context.Context) error {
+	t := time.NewTicker(i.ListEvery)
+	defer t.Stop()
+	for {
+		i.readLists(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+func (i *Instance) readLists(ctx context.Context) {
+	if u, err := i.platform.Upstreams(ctx); err == nil {
+		i.mu.Lock()
+		i.upstreams = u
+		i.mu.Unlock()
+		i.refreshUpstreams()
+	}
+	if e, err := i.platform.Entries(ctx); err == nil {
+		i.mu.Lock()
+		i.entries, i.entriesAt = e, time.Now()
+		i.mu.Unlock()
+		i.mesh.SetAddresses(i.peerAddresses(e))
+	}
+	if w, err := i.platform.Workers(ctx); err == nil {
+		i.mu.Lock()
+		i.workers = w
+		i.mu.Unlock()
+		for _, r := range i.currentRunners() {
+			r.owner.SetWorkers(w)
+		}
+	}
+}
+
+// peerAddresses returns the addresses of settings and list without this instance's own.
+func (i *Instance) peerAddresses(es []platform.Entry) []string {
+	a := append([]string(nil), i.Peers...)
+	for _, e := range es {
+		if !e.Leaving && e.Name != i.Name {
+			a = append(a, e.PeerAddress)
+		}
+	}
+	return a
+}
+
+// refreshUpstreams hands list and failure domains to the router.
+func (i *Instance) refreshUpstreams() {
+	v := i.store.View()
+	i.mu.Lock()
+	l := i.upstreams
+	i.mu.Unlock()
+	us := make([]routing.Upstream, 0, len(l))
+	for _, u := range l {
+		s, n, ok := v.Document.FindFailureDomain(u.FailureDomain)
+		us = append(us, routing.Upstream{
+			Name: u.Name, Service: u.Service, Address: u.Address, FailureDomain: u.FailureDomain,
+			Closed: u.Leaving || ok && s.FailureDomains[n].OutOfService,
+		})
+	}
+	caller.Deliver(i.router.SetUpstreams(us, time.Now()))
+}
+
+// expire refuses waiting requests whose deadline has come.
+func (i *Instance) expire(ctx context.Context) error {
+	t := time.NewTicker(expireEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			caller.Deliver(i.router.Expire(time.Now()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/members.go
@@ -0,0 +1,145 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"currantknot.dev/currantknot/internal/caller"
+	"currantknot.dev/currantknot/internal/peer"
+	"currantknot.dev/currantknot/internal/routing"
+	"currantknot.dev/currantknot/internal/stream"
+)
+
+// callTimeout bounds a call to another instance.
+const callTimeout = time.Second
+
+// knownInstance is an instance that may own shards, as its latest heartbeat told.
+type knownInstance struct {
+	peer.Heartbeat
+
+	seenAt time.Time
+}
+
+func (i *Instance) newMesh() error {
+	c := peer.Config{
+		Name: i.Name, Incarnation: i.incarnation, Advertise: i.PeerAdvertise,
+		BeatEvery: i.HeartbeatEvery, Logger: i.logger,
+	}
+	if c.Advertise == "" {
+		c.Advertise = i.PeerListen
+	}
+	t, err := i.peerTLS()
+	if err != nil {
+		return err
+	}
+	c.TLS = t
+	i.mesh = peer.NewMesh(c, i)
+	i.mesh.SetAddresses(i.Peers)
+	return nil
+}
+
+// Beat implements peer.Handler.
+func (i *Instance) Beat(now time.Time) peer.Heartbeat {
+	p := i.document.Position()
+	h := peer.Heartbeat{
+		Domain: i.FailureDomain, DocumentNext: p.Next, At: now, LogAt: p.ConfirmedAt,
+		Shards: make(map[int]uint64), Leaving: i.leaving.Load(), Demands: make(map[string]float32),
+	}
+	for _, r := range i.currentRunners() {
+		if _, e, resigned, _ := r.owner.Ownership(); r.owner.IsOwner() && !resigned {
+			h.Shards[r.number] = e
+		}
+	}
+	for n, d := range i.router.Demands(now) {
+		h.Demands[n] = float32(d)
+	}
+	if i.RoutingPolicy == routing.PolicyTwoChoices {
+		h.InFlight = i.router.InFlight()
+	}
+	return h
+}
+
+// OnMembers implements peer.Handler.
+func (i *Instance) OnMembers(now time.Time) {
+	d := make(map[string][]routing.Demand)
+	remote := make(map[string]int)
+	ms := i.mesh.Live(now)
+	for _, s := range i.services() {
+		for _, m := range ms {
+			if !m.Leaving {
+				d[s.Name] = append(d[s.Name], routing.Demand{Entry: m.Name, Slots: float64(m.Demands[s.Name])})
+			}
+		}
+	}
+	for _, m := range ms {
+		for u, n := range m.InFlight {
+			remote[u] += n
+		}
+	}
+	caller.Deliver(i.router.SetDemands(d, remote, now))
+	i.noteKnown(ms)
+}
+
+func (i *Instance) noteKnown(ms []peer.Member) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, m := range ms {
+		i.known[m.Name] = knownInstance{m.Heartbeat, m.SeenAt}
+		if m.Leaving && len(m.Shards) == 0 {
+			delete(i.known, m.Name)
+		}
+	}
+}
+
+// Handle implements peer.Handler.
+func (i *Instance) Handle(ctx context.Context, m *peer.Message) *peer.Message {
+	switch {
+	case m.State != nil && m.State.Stream == documentStream:
+		n, b, err := i.document.State()
+		if err != nil {
+			return &peer.Message{State: &peer.State{Stream: documentStream}}
+		}
+		return &peer.Message{State: &peer.State{Stream: documentStream, Covers: n, Data: b}}
+	case m.Explain != nil:
+		return &peer.Message{Explain: &peer.Explain{Subject: m.Explain.Subject, Entries: i.ring.Find(m.Explain.Subject)}}
+	case m.Key != nil:
+		return &peer.Message{Key: i.handleKey(ctx, m.Key)}
+	}
+	return &peer.Message{}
+}
+
+// bootstrap takes the document from another instance while the log can't give it.
+func (i *Instance) bootstrap(ctx context.Context) error {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case n := <-t.C:
+			if p := i.document.Position(); p.ConfirmedAt.IsZero() || p.Blocked != "" {
+				i.restoreFromPeers(ctx, n, p)
+			}
+		}
+	}
+}
+
+func (i *Instance) restoreFromPeers(ctx context.Context, now time.Time, p stream.Position) {
+	for _, m := range i.mesh.Live(now) {
+		if m.DocumentNext <= p.Next {
+			continue
+		}
+		x, cancel := context.WithTimeout(ctx, callTimeout)
+		a, err := i.mesh.Call(x, m.Name, &peer.Message{State: &peer.State{Stream: documentStream}})
+		cancel()
+		if err != nil || a.State == nil || len(a.State.Data) == 0 {
+			continue
+		}
+		if err := i.document.Restore(a.State.Covers, a.State.Data); err != nil {
+			i.logger.Warn().Err(err).Str("From", m.Name).Msg("document not restored")
+			continue
+		}
+		i.logger.Info().Str("From", m.Name).Uint64("Offset", a.State.Covers).Msg("document taken from another instance")
+		return
+	}
+}
--- /dev/null
+++ b/internal/serve/runner.go
@@ -0,0 +1,283 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"currantknot.dev/currantknot/internal/decision"
+	"currantknot.dev/currantknot/internal/placement"
+	"currantknot.dev/currantknot/internal/record"
+	"currantknot.dev/currantknot/internal/stream"
+)
+
+const (
+	// tickEvery is the time between two plans of a shard.
+	tickEvery = 100 * time.Millisecond
+	// flushEvery is the least time between two appends to a shard's stream.
+	flushEvery = 50 * time.Millisecond
+	// renewAfter is the time after which an owner that had nothing to write shows that it is alive.
+	renewAfter = time.Second
+	// claimAfter is the time without a sign of life after which a shard may be claimed.
+	claimAfter = 4 * time.Second
+	// handOverAfter is the time for which another instance must be preferred before the owner resigns.
+	handOverAfter = 3 * time.Second
+	// commitTimeout bounds the wait for the outcome of a record.
+	commitTimeout = 5 * time.Second
+	// checkpointAfter is the number of entries after which a stream gets a new checkpoint.
+	checkpointAfter = 2000
+	// checkpointEvery is the time after which a stream gets a new checkpoint, far below any retention.
+	checkpointEvery = 10 * time.Minute
+)
+
+// runner follows one shard while this instance owns it or should.
+type runner struct {
+	instance *Instance
+	number   int
+	stream   string
+	owner    *placement.Owner
+	follower *stream.Follower
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+	// committing bounds the commits under way.
+	committing sync.WaitGroup
+
+	claiming atomic.Bool
+
+	// The fields below belong to the goroutine that runs the shard.
+
+	// activeAt is the writer's time of the owner's latest record, and seenAt when it was noticed.
+	activeAt time.Time
+	seenAt   time.Time
+	epoch    uint64
+	// unwantedAt is the time since which another instance is preferred, zero where none is.
+	unwantedAt time.Time
+	renewedAt  time.Time
+}
+
+func newRunner(i *Instance, number int) *runner {
+	l := placement.DefaultLimits()
+	l.Lease, l.SyncEvery = i.Lease, i.SyncEvery
+	r := &runner{instance: i, number: number, stream: fmt.Sprintf("shard-%d", number)}
+	r.owner = placement.NewOwner(number, i.Self, l, i.newPolicy())
+	r.follower = stream.NewFollower(i.platform, r.owner, stream.Config{
+		Stream: r.stream, Writer: i.Self, PollWait: pollWait, FlushEvery: flushEvery, Logger: i.logger,
+	})
+	r.owner.SetView(i.store.View(), time.Now())
+	i.mu.Lock()
+	w := i.workers
+	i.mu.Unlock()
+	r.owner.SetWorkers(w)
+	return r
+}
+
+// start follows the stream until close is called.
+func (r *runner) start(ctx context.Context) {
+	ctx, r.stop = context.WithCancel(ctx)
+	r.done.Go(func() { _ = r.follower.Run(ctx) })
+	r.done.Go(func() { r.run(ctx) })
+}
+
+func (r *runner) close() {
+	r.stop()
+	r.done.Wait()
+	r.committing.Wait()
+}
+
+func (r *runner) run(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		c := r.follower.Changed()
+		r.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-c:
+		}
+	}
+}
+
+// step does what is due now.
+func (r *runner) step(ctx context.Context, now time.Time) {
+	r.observe(now)
+	if !r.owner.IsOwner() {
+		r.considerClaim(ctx, now)
+		return
+	}
+	r.considerHandOver(ctx, now)
+	c := r.clock(now)
+	if rs := r.owner.Plan(c); len(rs) > 0 {
+		r.commit(ctx, rs)
+	}
+	r.send(ctx, r.owner.Orders(c))
+	r.keepAlive(ctx, now)
+	r.logDecisions()
+}
+
+// clock returns the instants that a decision now rests on.
+func (r *runner) clock(now time.Time) placement.Clock {
+	s := r.follower.Position().ConfirmedAt
+	return placement.Clock{
+		Now: now, ShardAt: s, LeaseAt: r.instance.leaseBasis(r.number, r.epoch, s, now),
+		DocumentAt: r.instance.document.Position().ConfirmedAt,
+	}
+}
+
+// observe notes signs of life of the owner.
+func (r *runner) observe(now time.Time) {
+	_, e, _, a := r.owner.Ownership()
+	if e != r.epoch || !a.Equal(r.activeAt) || r.seenAt.IsZero() {
+		r.epoch, r.activeAt, r.seenAt = e, a, now
+	}
+	if !r.follower.IsFresh(now.Add(-time.Second)) {
+		// Without the log nothing is known of the owner; the silence counts from its return.
+		r.seenAt = now
+	}
+}
+
+// considerClaim claims the shard if this instance is the preferred one and the owner is gone.
+func (r *runner) considerClaim(ctx context.Context, now time.Time) {
+	o, e, resigned, _ := r.owner.Ownership()
+	if r.claiming.Load() || r.instance.leaving.Load() || !r.follower.IsFresh(now.Add(-time.Second)) || r.instance.preferred(r.number, now) != r.instance.Name {
+		return
+	}
+	if o != "" && !resigned && now.Sub(r.seenAt) < claimAfter {
+		return
+	}
+	r.claiming.Store(true)
+	c := record.Record{Claim: &record.Claim{Owner: r.instance.Self, Previous: e}}
+	r.committing.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+		defer cancel()
+		err := r.follower.Commit(ctx, c)
+		d := decision.Entry{At: time.Now(), Kind: "Claim", Subjects: []string{r.stream}, Reason: fmt.Sprintf("previous owner %q of epoch %d", o, e)}
+		if err != nil {
+			d.Rejected = err.Error()
+		}
+		r.instance.ring.Add(d)
+		r.claiming.Store(false)
+	})
+}
+
+// considerHandOver resigns when another live instance has been preferred for a while.
+func (r *runner) considerHandOver(ctx context.Context, now time.Time) {
+	if r.instance.preferred(r.number, now) == r.instance.Name {
+		r.unwantedAt = time.Time{}
+		return
+	}
+	if r.unwantedAt.IsZero() {
+		r.unwantedAt = now
+	}
+	if now.Sub(r.unwantedAt) > handOverAfter {
+		r.unwantedAt = time.Time{}
+		r.resign(ctx)
+	}
+}
+
+// resign lets the shard be claimed at once.
+func (r *runner) resign(ctx context.Context) {
+	_, e, _, _ := r.owner.Ownership()
+	r.commit(ctx, []record.Record{{Renew: &record.Renew{Epoch: e, Resigned: true}}})
+}
+
+// keepAlive writes a sign of life if nothing else was written for a while.
+func (r *runner) keepAlive(ctx context.Context, now time.Time) {
+	_, e, resigned, a := r.owner.Ownership()
+	if resigned || now.Sub(a) < renewAfter || now.Sub(r.renewedAt) < renewAfter {
+		return
+	}
+	r.renewedAt = now
+	r.commit(ctx, []record.Record{{Renew: &record.Renew{Epoch: e}}})
+}
+
+// commit appends records in the background and reports unknown outcomes to the owner.
+func (r *runner) commit(ctx context.Context, rs []record.Record) {
+	r.committing.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+		defer cancel()
+		var u []record.Record
+		for i, err := range r.follower.CommitAll(ctx, rs...) {
+			if x := (*stream.UnknownError)(nil); errors.As(err, &x) {
+				u = append(u, rs[i])
+			}
+		}
+		r.owner.OnUnknown(u)
+	})
+}
+
+// send carries out orders on the pool; an order without room is sent again by the owner.
+func (r *runner) send(ctx context.Context, o placement.Orders) {
+	p := r.instance.platform
+	for _, s := range o.Starts {
+		r.instance.pool.try(func() {
+			// An instance that was paused since the order was made checks the deadline again.
+			if !time.Now().Before(s.StartBefore) {
+				return
+			}
+			a, err := p.Start(ctx, s)
+			r.onTask(ctx, s.Worker, a, err)
+		})
+	}
+	for _, s := range o.Stops {
+		r.instance.pool.try(func() {
+			a, err := p.Stop(ctx, s)
+			r.onTask(ctx, s.Worker, a, err)
+		})
+	}
+	for _, s := range o.Syncs {
+		r.instance.pool.try(func() { r.sync(ctx, s) })
+	}
+}
+
+func (r *runner) onTask(ctx context.Context, worker string, t placement.TaskReport, err error) {
+	if err != nil {
+		return
+	}
+	if rs := r.owner.OnTask(worker, t, time.Now()); len(rs) > 0 {
+		r.commit(ctx, rs)
+	}
+}
+
+func (r *runner) sync(ctx context.Context, s placement.SyncOrder) {
+	a := time.Now()
+	w, err := r.instance.platform.Sync(ctx, s)
+	if err != nil {
+		r.owner.OnSilence(s)
+		return
+	}
+	if rs := r.owner.OnReport(w, a, time.Now()); len(rs) > 0 {
+		r.commit(ctx, rs)
+	}
+}
+
+func (r *runner) logDecisions() {
+	for _, d := range r.owner.TakeDecisions() {
+		at := d.At
+		if at.IsZero() {
+			at = time.Now()
+		}
+		g, _ := placement.SplitTask(d.Task)
+		r.instance.ring.Add(decision.Entry{
+			At: at, Kind: d.Kind, Subjects: []string{d.Task, g, d.Worker}, Reason: d.Reason, Rejected: d.Rejected,
+		})
+	}
+}
+
+// considerCheckpoint writes a checkpoint of an owned shard when it is due.
+func (r *runner) considerCheckpoint(ctx context.Context, now time.Time) {
+	if r.owner.IsOwner() && isCheckpointDue(r.follower.Position(), now) {
+		if err := r.follower.WriteCheckpoint(ctx); err != nil {
+			r.instance.logger.Warn().Err(err).Str("Stream", r.stream).Msg("checkpoint not written")
+		}
+	}
+}
+
+func isCheckpointDue(p stream.Position, now time.Time) bool {
+	return p.SinceCheckpoint >= checkpointAfter || p.SinceCheckpoint > 0 && now.Sub(p.CheckpointAt) > checkpointEvery && !p.CheckpointAt.IsZero() ||
+		p.CheckpointAt.IsZero() && p.SinceCheckpoint > checkpointAfter/10
+}
--- /dev/null
+++ b/internal/serve/shards.go
@@ -0,0 +1,169 @@
+package serve
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"currantknot.dev/currantknot/internal/placement"
+)
+
+// assignEvery is the time between two looks at which shards this instance should follow.
+const assignEvery = 200 * time.Millisecond
+
+func (i *Instance) newPolicy() placement.Policy {
+	n := uint64(i.incarnation) //nolint:gosec // a seed
+	p, err := placement.NewPolicy(i.PlacementPolicy, rand.New(rand.NewPCG(n, 1)))
+	if err != nil {
+		// The settings were checked against the list of policies.
+		panic(err)
+	}
+	return p
+}
+
+func (i *Instance) currentRunners() []*runner {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	a := make([]*runner, 0, len(i.runners))
+	for _, r := range i.runners {
+		a = append(a, r)
+	}
+	slices.SortFunc(a, func(x, y *runner) int { return cmp.Compare(x.number, y.number) })
+	return a
+}
+
+// runShards follows the shards that this instance owns or should own.
+func (i *Instance) runShards(ctx context.Context) error {
+	t := time.NewTicker(assignEvery)
+	defer t.Stop()
+	defer func() {
+		for _, r := range i.currentRunners() {
+			r.close()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case n := <-t.C:
+			i.assign(ctx, n)
+		}
+	}
+}
+
+func (i *Instance) assign(ctx context.Context, now time.Time) {
+	v := i.store.View()
+	if v.Next == 0 {
+		return
+	}
+	m := v.Document.Shards()
+	for s := range m {
+		if i.preferred(s, now) == i.Name && !i.leaving.Load() {
+			i.follow(ctx, s)
+		}
+	}
+	for _, r := range i.currentRunners() {
+		r.considerCheckpoint(ctx, now)
+		if r.number >= m || i.preferred(r.number, now) != i.Name && !r.owner.IsOwner() {
+			i.unfollow(r)
+		}
+	}
+}
+
+func (i *Instance) follow(ctx context.Context, shard int) {
+	i.mu.Lock()
+	_, ok := i.runners[shard]
+	i.mu.Unlock()
+	if ok {
+		return
+	}
+	r := newRunner(i, shard)
+	i.mu.Lock()
+	i.runners[shard] = r
+	i.mu.Unlock()
+	r.start(ctx)
+}
+
+func (i *Instance) unfollow(r *runner) {
+	i.mu.Lock()
+	delete(i.runners, r.number)
+	i.mu.Unlock()
+	r.close()
+}
+
+// preferred returns the live instance that should own the shard: rendezvous hashing with bounded load.
+func (i *Instance) preferred(shard int, now time.Time) string {
+	var names []string
+	if !i.leaving.Load() {
+		names = append(names, i.Name)
+	}
+	for _, m := range i.mesh.Live(now) {
+		if !m.Leaving {
+			names = append(names, m.Name)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	return assignShards(names, i.store.View().Document.Shards())[shard]
+}
+
+// assignShards gives each shard to the instance with the highest hash that has room.
+func assignShards(names []string, shards int) []string {
+	room := (shards + len(names) - 1) / len(names)
+	load := make(map[string]int, len(names))
+	a := make([]string, shards)
+	for s := range shards {
+		k := strconv.Itoa(s)
+		var best string
+		var high uint64
+		for _, n := range names {
+			if h := xxhash.Sum64String(k + "|" + n); load[n] < room && (best == "" || h > high) {
+				best, high = n, h
+			}
+		}
+		a[s] = best
+		load[best]++
+	}
+	return a
+}
+
+// resignShards hands all owned shards over at a planned stop.
+func (i *Instance) resignShards(ctx context.Context) {
+	for _, r := range i.currentRunners() {
+		if r.owner.IsOwner() {
+			r.resign(ctx)
+		}
+	}
+}
+
+// checkpointDocument writes checkpoints of the document; the preferred owner of shard 0 goes first.
+func (i *Instance) checkpointDocument(ctx context.Context) error {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case n := <-t.C:
+			i.considerDocumentCheckpoint(ctx, n)
+		}
+	}
+}
+
+func (i *Instance) considerDocumentCheckpoint(ctx context.Context, now time.Time) {
+	p := i.document.Position()
+	if !isCheckpointDue(p, now) || !i.document.IsFresh(now.Add(-time.Second)) || i.preferred(0, now) != i.Name {
+		return
+	}
+	x, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if err := i.document.WriteCheckpoint(x); err != nil {
+		i.logger.Warn().Err(err).Msg("checkpoint of the document not written")
+	}
+}
