--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -111,7 +111,7 @@
 	x, cancel := context.WithCancel(ctx)
 	// The deadline ends the wait for the answer's header; a body that has begun may take its time.
 	d := time.AfterFunc(time.Until(c.Deadline), cancel)
-	s, err := f.Sender.Send(x, outgoing(x, c, t))
+	s, err := f.Sender.Send(x, outgoing(x, c, t)) //nolint:bodyclose // encode and try close it
 	late := !d.Stop()
 	done := func(failed, ignored bool) {
 		f.deliver(f.Router.Done(routing.Result{
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -114,11 +114,15 @@
 }
 
 // OnReport takes over a worker's answer to a sync that was sent at the given time.
-func (o *Owner) OnReport(r WorkerReport, sentAt, now time.Time) []record.Record {
+//
+// An answer counts only within the epoch of its sync: a worker that has seen a
+// later epoch reports nothing, and that must not pass for a worker without tasks
+// when this instance owns the shard again.
+func (o *Owner) OnReport(s SyncOrder, r WorkerReport, sentAt, now time.Time) []record.Record {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	w := o.workers[r.Worker]
-	if w == nil || !o.isOwner() || r.Epoch > o.shard.Epoch {
+	if w == nil || !o.isOwner() || s.Epoch != o.shard.Epoch || r.Epoch != s.Epoch {
 		return nil
 	}
 	w.sentAt = time.Time{}
--- a/internal/placement/spec.go
+++ b/internal/placement/spec.go
@@ -79,5 +79,5 @@
 	if shards <= 1 {
 		return 0
 	}
-	return int(xxhash.Sum64String(group+"/"+strconv.Itoa(index)) % uint64(shards))
+	return int(xxhash.Sum64String(group+"/"+strconv.Itoa(index)) % uint64(shards)) //nolint:gosec // below shards
 }
--- a/internal/platform/standin/faults.go
+++ b/internal/platform/standin/faults.go
@@ -41,7 +41,7 @@
 }
 
 func newFaultBox(seed uint64) *faultBox {
-	return &faultBox{random: rand.New(rand.NewPCG(seed, seed))} //nolint:gosec // seeded on purpose
+	return &faultBox{random: rand.New(rand.NewPCG(seed, seed))}
 }
 
 func (b *faultBox) get() Faults {
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -93,7 +93,7 @@
 		known:    make(map[string]knownInstance),
 		pool:     newPool(),
 	}
-	r := rand.New(rand.NewPCG(uint64(n), 0)) //nolint:gosec // no secret is drawn
+	r := rand.New(rand.NewPCG(uint64(n), 0))
 	var err error
 	if i.router, err = routing.NewRouter(s.Name, s.RoutingPolicy, r); err != nil {
 		return nil, err
--- a/internal/serve/keys.go
+++ b/internal/serve/keys.go
@@ -230,12 +230,7 @@
 			continue
 		}
 		g.Go(func() error {
-			a, err := i.mesh.Call(ctx, m, &peer.Message{Key: &peer.Key{Verb: peer.KeyQuery, Key: q.Key, Entry: q.Entry, Deadline: q.Deadline}})
-			if err != nil || a.Key == nil {
-				as[n] = &peer.Key{State: peer.KeyRefused, Reason: "instance " + m + " can't be asked about the key"}
-				return nil
-			}
-			as[n] = a.Key
+			as[n] = k.askOne(ctx, m, q)
 			return nil
 		})
 	}
@@ -247,3 +242,12 @@
 	}
 	return nil
 }
+
+func (k *keys) askOne(ctx context.Context, name string, q *peer.Key) *peer.Key {
+	m := &peer.Message{Key: &peer.Key{Verb: peer.KeyQuery, Key: q.Key, Entry: q.Entry, Deadline: q.Deadline}}
+	a, err := k.instance.mesh.Call(ctx, name, m)
+	if err != nil || a.Key == nil {
+		return &peer.Key{State: peer.KeyRefused, Reason: "instance " + name + " can't be asked about the key"}
+	}
+	return a.Key
+}
--- a/internal/serve/pool.go
+++ b/internal/serve/pool.go
@@ -23,13 +23,11 @@
 	return p
 }
 
-// try queues a job and reports whether there was room.
-func (p *pool) try(job func()) bool {
+// try queues a job, or drops it where there is no room.
+func (p *pool) try(job func()) {
 	select {
 	case p.jobs <- job:
-		return true
 	default:
-		return false
 	}
 }
 
--- a/internal/serve/runner.go
+++ b/internal/serve/runner.go
@@ -250,7 +250,7 @@
 		r.owner.OnSilence(s)
 		return
 	}
-	if rs := r.owner.OnReport(w, a, time.Now()); len(rs) > 0 {
+	if rs := r.owner.OnReport(s, w, a, time.Now()); len(rs) > 0 {
 		r.commit(ctx, rs)
 	}
 }
