--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -67,6 +67,17 @@
 	return New, nil
 }
 
+// Peek returns what is known of a key and its request, New where that is nothing.
+func (t *Table) Peek(key string, now time.Time) (State, *Answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.get(key, now)
+	if e == nil || e.state == Asking {
+		return New, nil
+	}
+	return e.state, e.answer
+}
+
 // Run notes that the request may run at an instance from now on.
 func (t *Table) Run(key, at string, deadline time.Time) {
 	t.mu.Lock()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -62,6 +62,8 @@
 const (
 	// KeyBegin asks the home whether a request may run.
 	KeyBegin KeyVerb = "Begin"
+	// KeyNote tells the witness of a home that a request may run there.
+	KeyNote KeyVerb = "Note"
 	// KeyEnd tells the home what became of the request.
 	KeyEnd KeyVerb = "End"
 	// KeyQuery asks any instance whether it knows the key.
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -65,6 +65,8 @@
 	mesh        *peer.Mesh
 	metrics     *instanceMetrics
 	leaving     atomic.Bool
+	killed      chan struct{}
+	killOnce    sync.Once
 	pool        *pool
 	keys        *keys
 
@@ -92,6 +94,7 @@
 		runners:  make(map[int]*runner),
 		known:    make(map[string]knownInstance),
 		pool:     newPool(),
+		killed:   make(chan struct{}),
 	}
 	r := rand.New(rand.NewPCG(uint64(n), 0))
 	var err error
@@ -171,14 +174,15 @@
 	g.Go(func() error { return i.checkpointDocument(x) })
 	g.Go(func() error { return i.bootstrap(x) })
 	g.Go(func() error {
+		defer cancel()
+		defer operators.Close()
 		select {
+		case <-i.killed:
+			return front.Close()
 		case <-ctx.Done():
 		case <-x.Done():
 		}
-		err := i.shutDown(context.WithoutCancel(x), front)
-		_ = operators.Close()
-		cancel()
-		return err
+		return i.shutDown(context.WithoutCancel(x), front)
 	})
 	i.logger.Info().Str("Instance", i.Self).Str("Callers", l.caller.Addr().String()).
 		Str("Operators", l.operator.Addr().String()).Str("Peers", l.peer.Addr().String()).Msg("instance started")
@@ -192,6 +196,9 @@
 	return err
 }
 
+// Kill ends the instance at once, as the death of its process would.
+func (i *Instance) Kill() { i.killOnce.Do(func() { close(i.killed) }) }
+
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/internal/serve/keys.go
+++ b/internal/serve/keys.go
@@ -1,7 +1,9 @@
 package serve
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,49 +60,64 @@
 	return names
 }
 
-// home returns the instance that decides on a key, and whether that may have been another one lately.
-func (k *keys) home(key string, now time.Time) (name string, young bool) {
+// ranked returns the instances that may hold keys, the home of the key first, and whether that set is young.
+func (k *keys) ranked(key string, now time.Time) (names []string, young bool) {
 	ms := k.members(now)
-	var high uint64
 	var set uint64
+	h := make(map[string]uint64, len(ms))
 	for _, m := range ms {
-		if h := xxhash.Sum64String(key + "|" + m); name == "" || h > high {
-			name, high = m, h
-		}
+		h[m] = xxhash.Sum64String(key + "|" + m)
 		set ^= xxhash.Sum64String(m)
 	}
+	slices.SortFunc(ms, func(a, b string) int { return -cmp.Compare(h[a], h[b]) })
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if set != k.homes {
 		k.homes, k.homesSince = set, now
 	}
-	return name, now.Sub(k.homesSince) < idempotency.Memory
+	return ms, now.Sub(k.homesSince) < idempotency.Memory
 }
 
 // Begin implements caller.Keys.
 func (k *keys) Begin(ctx context.Context, key string, deadline time.Time) error {
 	now := time.Now()
 	i := k.instance
-	h, _ := k.home(key, now)
 	q := &peer.Key{Verb: peer.KeyBegin, Key: key, Entry: i.Name, Deadline: deadline}
-	var a *peer.Key
-	if h == i.Name {
-		a = k.begin(ctx, q, now)
-	} else {
-		x, cancel := context.WithTimeout(ctx, 2*keyCallTimeout)
-		defer cancel()
-		m, err := i.mesh.Call(x, h, &peer.Message{Key: q})
-		if err != nil || m.Key == nil {
-			k.tell(h, peer.Key{Verb: peer.KeyEnd, Key: key, Entry: i.Name, State: peer.KeyNew})
-			return &caller.KeyError{Outcome: outcome.NotRun, Reason: "the home of the key can't be reached", RetryAt: now.Add(keyRetry)}
+	if s, a := k.table.Peek(key, now); s != idempotency.New {
+		return keyError(keyAnswer(q, s, a), now)
+	}
+	ms, _ := k.ranked(key, now)
+	a := k.askHome(ctx, ms, q, now)
+	if a.State != peer.KeyNew {
+		return keyError(a, now)
+	}
+	k.table.Run(key, i.Name, deadline)
+	return nil
+}
+
+// askHome asks the home of the key whether the request may run; two instances know the key when it may.
+func (k *keys) askHome(ctx context.Context, ms []string, q *peer.Key, now time.Time) *peer.Key {
+	i := k.instance
+	if ms[0] != i.Name {
+		a := k.askOne(ctx, ms[0], q)
+		if a.State == peer.KeyRefused {
+			k.tell(ms[0], peer.Key{Verb: peer.KeyEnd, Key: q.Key, Entry: i.Name, State: peer.KeyNew})
 		}
-		a = m.Key
+		return a
 	}
-	if a.State == peer.KeyNew {
-		k.table.Run(key, i.Name, deadline)
-		return nil
+	a := k.begin(ctx, q, now)
+	if a.State != peer.KeyNew || len(ms) == 1 {
+		return a
 	}
-	return keyError(a, now)
+	n := *q
+	n.Verb = peer.KeyNote
+	for _, m := range ms[1:] {
+		if w := k.askOne(ctx, m, &n); w.State == peer.KeyNew {
+			return a
+		}
+	}
+	k.forgetAsked(q, now)
+	return &peer.Key{State: peer.KeyRefused, Reason: "no other instance can note the key"}
 }
 
 func keyError(a *peer.Key, now time.Time) error {
@@ -120,7 +137,7 @@
 func (k *keys) End(key string, o outcome.Outcome, answer *caller.Recorded) {
 	now := time.Now()
 	i := k.instance
-	h, _ := k.home(key, now)
+	ms, _ := k.ranked(key, now)
 	m := peer.Key{Verb: peer.KeyEnd, Key: key, Entry: i.Name, State: peer.KeyDone}
 	if o == outcome.NotRun {
 		m.State = peer.KeyNew
@@ -129,8 +146,10 @@
 		m.Status, m.Header, m.Body = answer.Status, answer.Header, answer.Body
 	}
 	k.end(&m, now)
-	if h != i.Name {
-		k.tell(h, m)
+	for _, n := range ms[:min(2, len(ms))] {
+		if n != i.Name {
+			k.tell(n, m)
+		}
 	}
 }
 
@@ -149,6 +168,9 @@
 	switch q.Verb {
 	case peer.KeyBegin:
 		return i.keys.begin(ctx, q, now)
+	case peer.KeyNote:
+		i.keys.table.Run(q.Key, q.Entry, q.Deadline)
+		return &peer.Key{Verb: q.Verb, Key: q.Key, State: peer.KeyNew}
 	case peer.KeyEnd:
 		i.keys.end(q, now)
 		return &peer.Key{Verb: q.Verb, Key: q.Key}
@@ -166,7 +188,7 @@
 	if s != idempotency.New {
 		return keyAnswer(q, s, a)
 	}
-	if h, young := k.home(q.Key, now); young || h != i.Name {
+	if ms, young := k.ranked(q.Key, now); young || ms[0] != i.Name {
 		if r := k.askAll(ctx, q, now); r != nil {
 			k.forgetAsked(q, now)
 			return r
@@ -219,18 +241,18 @@
 // askAll asks every other instance about the key and returns what forbids the request, nil where nothing does.
 func (k *keys) askAll(ctx context.Context, q *peer.Key, now time.Time) *peer.Key {
 	i := k.instance
-	g, ctx := errgroup.WithContext(ctx)
-	ctx, cancel := context.WithTimeout(ctx, keyCallTimeout)
-	defer cancel()
+	var g errgroup.Group
 	ms := k.members(now)
 	as := make([]*peer.Key, len(ms))
+	x := *q
+	x.Verb = peer.KeyQuery
 	for n, m := range ms {
-		// The instance that sends the request waits for this answer and has not run it.
+		// The instance that sends the request has looked at its own table first.
 		if m == i.Name || m == q.Entry {
 			continue
 		}
 		g.Go(func() error {
-			as[n] = k.askOne(ctx, m, q)
+			as[n] = k.askOne(ctx, m, &x)
 			return nil
 		})
 	}
@@ -243,9 +265,11 @@
 	return nil
 }
 
+// askOne sends a message about a key and returns the answer, KeyRefused where none comes.
 func (k *keys) askOne(ctx context.Context, name string, q *peer.Key) *peer.Key {
-	m := &peer.Message{Key: &peer.Key{Verb: peer.KeyQuery, Key: q.Key, Entry: q.Entry, Deadline: q.Deadline}}
-	a, err := k.instance.mesh.Call(ctx, name, m)
+	ctx, cancel := context.WithTimeout(ctx, keyCallTimeout)
+	defer cancel()
+	a, err := k.instance.mesh.Call(ctx, name, &peer.Message{Key: q})
 	if err != nil || a.Key == nil {
 		return &peer.Key{State: peer.KeyRefused, Reason: "instance " + name + " can't be asked about the key"}
 	}
