Test stream, document, peers, upstreams and callers; mend what they found

Found by the new tests, each before and after: - A read that met a refused connection first failed on an entry without history: the retry budget began at 0. It begins at 10. - A write whose first upstream refused the connection failed at the second as Unknown, 'invalid Read on closed Body': the transport closes a body that it never read. The body now ignores that close. - With 8 slots hung, 9 of 12 writes reached the upstream: the ninth was bound when the first deadline freed a slot, a moment before its own. Requests with less than a quarter of the mean latency left are refused as not run, and failures slower than the mean count towards it.

http.Transport replays 5 of 7 shapes of request on a stale connection (3 requests seen for 2 sent); Client replays none.

--- a/internal/caller/budget.go
+++ b/internal/caller/budget.go
@@ -10,6 +10,8 @@
 	retryShare = 0.2
 	// maxRetryCredit bounds the retries that may follow each other at once.
 	maxRetryCredit = 50.0
+	// startCredit lets an entry retry before it has served many requests.
+	startCredit = 10.0
 	// retriesPerSecond lets an idle entry retry.
 	retriesPerSecond = 5.0
 )
@@ -33,7 +35,9 @@
 func (b *retryBudget) take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.at.IsZero() {
+	if b.at.IsZero() {
+		b.credit += startCredit
+	} else {
 		b.credit = min(b.credit+retriesPerSecond*now.Sub(b.at).Seconds(), maxRetryCredit)
 	}
 	b.at = now
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -45,6 +45,9 @@
 	}
 	if c.in.ContentLength == 0 {
 		q.Body = http.NoBody
+	} else {
+		// The transport closes a body that it never read, and another attempt would find it closed.
+		q.Body = io.NopCloser(c.in.Body)
 	}
 	return q
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -177,7 +177,7 @@
 	if err != nil {
 		return "", fmt.Errorf("find a free address: %w", err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().String(), nil
 }
 
@@ -350,7 +350,9 @@
 		if m.up {
 			continue
 		}
-		<-m.done
+		if err := <-m.done; err != nil {
+			d.say("the killed instance ended: %v", err)
+		}
 		return d.startMember(ctx, m)
 	}
 	return nil
--- a/internal/placement/model_test.go
+++ b/internal/placement/model_test.go
@@ -80,8 +80,6 @@
 	logDown bool
 	entries []*entry
 	workers map[string]*modelWorker
-	views   []*docstore.View
-	viewAt  []time.Time
 	store   *docstore.Store
 	net     []message
 	late    []message
--- a/internal/placement/shard_test.go
+++ b/internal/placement/shard_test.go
@@ -19,9 +19,9 @@
 	return s, s.Epoch
 }
 
-func bindRecord(epoch uint64, task string, attempt, processors int) *record.Record {
+func bindRecord(epoch uint64, task string, processors int) *record.Record {
 	return &record.Record{Bind: &record.Bind{
-		Epoch: epoch, Task: task, Attempt: attempt, Worker: "w",
+		Epoch: epoch, Task: task, Attempt: 1, Worker: "w",
 		Size:        document.Size{Processors: processors, MemoryMiB: 1},
 		Capacity:    document.Size{Processors: 4, MemoryMiB: 8},
 		StartBefore: time.Unix(1, 0),
@@ -30,9 +30,9 @@
 
 func TestShardRefusesCommitmentBeyondCapacity(t *testing.T) {
 	s, e := claimed(t)
-	require.NoError(t, s.Apply(1, &record.Envelope{}, bindRecord(e, "j@1/0", 1, 3)))
+	require.NoError(t, s.Apply(1, &record.Envelope{}, bindRecord(e, "j@1/0", 3)))
 	var r *placement.RefusedError
-	require.ErrorAs(t, s.Apply(2, &record.Envelope{}, bindRecord(e, "j@1/1", 1, 2)), &r)
+	require.ErrorAs(t, s.Apply(2, &record.Envelope{}, bindRecord(e, "j@1/1", 2)), &r)
 	require.Equal(t, 3, s.Committed["w"].Processors)
 }
 
@@ -40,14 +40,14 @@
 	s, e := claimed(t)
 	require.NoError(t, s.Apply(1, &record.Envelope{}, &record.Record{Claim: &record.Claim{Owner: "b", Previous: e}}))
 	var r *placement.RefusedError
-	require.ErrorAs(t, s.Apply(2, &record.Envelope{}, bindRecord(e, "j@1/0", 1, 1)), &r)
+	require.ErrorAs(t, s.Apply(2, &record.Envelope{}, bindRecord(e, "j@1/0", 1)), &r)
 	require.ErrorAs(t, s.Apply(3, &record.Envelope{}, &record.Record{Claim: &record.Claim{Owner: "a", Previous: e}}), &r)
 	require.Equal(t, "b", s.Owner)
 }
 
 func TestShardRefusesRepeatedRecords(t *testing.T) {
 	s, e := claimed(t)
-	b := bindRecord(e, "j@1/0", 1, 1)
+	b := bindRecord(e, "j@1/0", 1)
 	f := &record.Record{Finish: &record.Finish{Epoch: e, Task: "j@1/0", Attempt: 1}}
 	var r *placement.RefusedError
 	require.NoError(t, s.Apply(1, &record.Envelope{}, b))
@@ -60,8 +60,8 @@
 
 func TestShardIsTheSameAfterSaveAndLoad(t *testing.T) {
 	s, e := claimed(t)
-	require.NoError(t, s.Apply(1, &record.Envelope{}, bindRecord(e, "j@1/0", 1, 1)))
-	require.NoError(t, s.Apply(2, &record.Envelope{}, bindRecord(e, "j@1/70", 1, 1)))
+	require.NoError(t, s.Apply(1, &record.Envelope{}, bindRecord(e, "j@1/0", 1)))
+	require.NoError(t, s.Apply(2, &record.Envelope{}, bindRecord(e, "j@1/70", 1)))
 	require.NoError(t, s.Apply(3, &record.Envelope{}, &record.Record{Finish: &record.Finish{Epoch: e, Task: "j@1/70", Attempt: 1}}))
 	b, err := s.Save()
 	require.NoError(t, err)
@@ -81,7 +81,7 @@
 		require.NoError(t, o.Apply(offset, &record.Envelope{}, r))
 	}
 	apply(0, &record.Record{Claim: &record.Claim{Owner: "a"}})
-	apply(1, bindRecord(1, "j@1/0", 1, 1))
+	apply(1, bindRecord(1, "j@1/0", 1))
 	old := placement.SyncOrder{Fence: placement.Fence{Epoch: 1}, Worker: "w"}
 	apply(2, &record.Record{Claim: &record.Claim{Owner: "b", Previous: 1}})
 	apply(3, &record.Record{Claim: &record.Claim{Owner: "a", Previous: 3}})
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -22,6 +22,8 @@
 	demandMemory = 2 * time.Second
 	// minRetryAfter is the least time after which a refused caller is asked to come back.
 	minRetryAfter = 100 * time.Millisecond
+	// leastServiceShare is the part of the mean latency that a request must have left to be bound.
+	leastServiceShare = 0.25
 	// limitBurst is the time for which an account may use its limit at once.
 	limitBurst = 500 * time.Millisecond
 )
@@ -274,6 +276,11 @@
 	return time.Duration(s.latency * float64(time.Second))
 }
 
+// leastService is the time below which a request has little chance to be answered.
+func (s *service) leastService() time.Duration {
+	return time.Duration(leastServiceShare * s.latency * float64(time.Second))
+}
+
 // Result is what became of a request at its upstream.
 type Result struct {
 	Upstream string
@@ -303,7 +310,8 @@
 
 func (s *service) learn(u *upstream, d Result, now time.Time) {
 	u.onResult(d.Failed, d.Took)
-	if !d.Failed {
+	// A failure that took longer than an answer shows that answers take at least as long now.
+	if !d.Failed || d.Took.Seconds() > s.latency {
 		s.latency = average(s.latency, d.Took.Seconds())
 	}
 	if u.isOutlier(s.latency) && s.mayEject(now) && !u.isEjected(now) {
@@ -329,7 +337,7 @@
 // drain binds waiting requests to free slots.
 func (r *Router) drain(s *service, now time.Time) []Verdict {
 	var vs []Verdict
-	for _, q := range s.queue.expired(now) {
+	for _, q := range s.queue.expired(now.Add(s.leastService())) {
 		vs = append(vs, *refuse(q, RefusedDeadline, now.Add(minRetryAfter)))
 	}
 	for s.queue.size > 0 {
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -175,7 +175,7 @@
 	g.Go(func() error { return i.bootstrap(x) })
 	g.Go(func() error {
 		defer cancel()
-		defer operators.Close()
+		defer func() { _ = operators.Close() }()
 		select {
 		case <-i.killed:
 			return front.Close()
--- /dev/null
+++ b/internal/stream/follower_test.go
@@ -0,0 +1,261 @@
+package stream_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"currantknot.dev/currantknot/internal/record"
+	"currantknot.dev/currantknot/internal/stream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var errLost = errors.New("reply lost")
+
+// fakeLog is a log with one stream and faults.
+type fakeLog struct {
+	mu      sync.Mutex
+	first   uint64
+	entries [][]byte
+	down    bool
+	// lose is the number of append replies to lose after the effect.
+	lose    int
+	appends int
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, data []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	if l.down {
+		return errors.New("down")
+	}
+	l.entries = append(l.entries, data)
+	if l.lose > 0 {
+		l.lose--
+		return errLost
+	}
+	return nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, until time.Time) (record.Page, error) {
+	for {
+		l.mu.Lock()
+		p := record.Page{First: l.first, Next: l.first + uint64(len(l.entries))}
+		if l.down {
+			l.mu.Unlock()
+			return p, errors.New("down")
+		}
+		for i := from; i >= l.first && i < p.Next; i++ {
+			p.Entries = append(p.Entries, record.Entry{Offset: i, Data: l.entries[i-l.first]})
+		}
+		l.mu.Unlock()
+		if len(p.Entries) > 0 || from < p.First || !time.Now().Before(until) {
+			return p, ctx.Err()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (l *fakeLog) set(do func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	do()
+}
+
+// expire drops the oldest entries.
+func (l *fakeLog) expire(n int) {
+	l.set(func() {
+		l.first += uint64(n)
+		l.entries = l.entries[n:]
+	})
+}
+
+// counter accepts a release whose attempt is the next number, and so keeps a compare-and-set like all real records.
+type counter struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (c *counter) Apply(_ uint64, _ *record.Envelope, r *record.Record) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Release == nil || r.Release.Attempt != c.n+1 {
+		return fmt.Errorf("at %d", c.n)
+	}
+	c.n++
+	return nil
+}
+
+func (c *counter) Save() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return []byte(strconv.Itoa(c.n)), nil
+}
+
+func (c *counter) Load(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := strconv.Atoi(string(b))
+	c.n = n
+	return err
+}
+
+func (c *counter) value() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n
+}
+
+func next(n int) record.Record { return record.Record{Release: &record.Release{Attempt: n}} }
+
+func follow(t *testing.T, l stream.Log) (*stream.Follower, *counter) {
+	t.Helper()
+	c := &counter{}
+	f := stream.NewFollower(l, c, stream.Config{Stream: "s", Writer: "w", PollWait: 5 * time.Millisecond, Logger: zerolog.Nop()})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return f, c
+}
+
+func within(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, 20*time.Second, time.Millisecond)
+}
+
+func TestCommitDecidesByWhatIsReadBack(t *testing.T) {
+	l := &fakeLog{}
+	f, _ := follow(t, l)
+	g, _ := follow(t, l)
+	ctx := within(t)
+	errs := make(chan error, 2)
+	go func() { errs <- f.Commit(ctx, next(1)) }()
+	go func() { errs <- g.Commit(ctx, next(1)) }()
+	a, b := <-errs, <-errs
+	require.True(t, (a == nil) != (b == nil), "exactly one of two equal records is accepted: %v, %v", a, b)
+}
+
+func TestLostAppendReplyTakesEffectOnce(t *testing.T) {
+	l := &fakeLog{lose: 3}
+	f, c := follow(t, l)
+	require.NoError(t, f.Commit(within(t), next(1)))
+	require.NoError(t, f.Commit(within(t), next(2)))
+	eventually(t, func() bool { return f.Position().Next == uint64(len(l.entries)) })
+	require.Equal(t, 2, c.value())
+}
+
+func TestCommitDuringOutageIsUnknownAndGoesOnAfterwards(t *testing.T) {
+	l := &fakeLog{down: true}
+	f, c := follow(t, l)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	var u *stream.UnknownError
+	require.ErrorAs(t, f.Commit(ctx, next(1)), &u)
+	require.False(t, f.IsFresh(time.Now().Add(-time.Hour)))
+	l.set(func() { l.down = false })
+	require.NoError(t, f.Commit(within(t), next(1)))
+	require.Equal(t, 1, c.value())
+}
+
+func TestGroupCommitPutsWaitingRecordsIntoOneAppend(t *testing.T) {
+	l := &fakeLog{}
+	f, _ := follow(t, l)
+	var rs []record.Record
+	for n := range 100 {
+		rs = append(rs, next(n+1))
+	}
+	for _, err := range f.CommitAll(within(t), rs...) {
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, l.appends, 2)
+}
+
+func TestReaderBehindRetentionTakesTheCheckpoint(t *testing.T) {
+	l := &fakeLog{}
+	f, _ := follow(t, l)
+	for n := range 5 {
+		require.NoError(t, f.Commit(within(t), next(n+1)))
+	}
+	require.NoError(t, f.WriteCheckpoint(within(t)))
+	require.NoError(t, f.Commit(within(t), next(6)))
+	l.expire(5)
+	g, c := follow(t, l)
+	eventually(t, func() bool { return c.value() == 6 })
+	require.Empty(t, g.Position().Blocked)
+}
+
+func TestReaderBehindRetentionWithoutCheckpointSaysSoAndTakesAPeersState(t *testing.T) {
+	l := &fakeLog{}
+	f, _ := follow(t, l)
+	for n := range 3 {
+		require.NoError(t, f.Commit(within(t), next(n+1)))
+	}
+	l.expire(2)
+	g, c := follow(t, l)
+	eventually(t, func() bool { return g.Position().Blocked != "" })
+	n, b, err := f.State()
+	require.NoError(t, err)
+	require.NoError(t, g.Restore(n, b))
+	require.NoError(t, g.Commit(within(t), next(4)))
+	require.Equal(t, 4, c.value())
+}
+
+// TestCheckpointThatRetentionOvertookIsNotUsed has a checkpoint whose tail is gone in part.
+func TestCheckpointThatRetentionOvertookIsNotUsed(t *testing.T) {
+	l := &fakeLog{}
+	f, _ := follow(t, l)
+	n, b, err := f.State()
+	require.NoError(t, err)
+	require.NoError(t, f.Commit(within(t), next(1)))
+	require.NoError(t, f.Commit(within(t), record.Record{Checkpoint: &record.Checkpoint{Covers: n, State: b}}))
+	l.expire(1)
+	g, _ := follow(t, l)
+	eventually(t, func() bool { return g.Position().Blocked != "" })
+}
+
+func TestCheckpointNeverTakesARunningReaderBack(t *testing.T) {
+	l := &fakeLog{}
+	f, c := follow(t, l)
+	require.NoError(t, f.Commit(within(t), next(1)))
+	require.NoError(t, f.Restore(0, []byte("0")))
+	require.NoError(t, f.Commit(within(t), record.Record{Checkpoint: &record.Checkpoint{State: []byte("0")}}))
+	require.Equal(t, 1, c.value())
+	require.NoError(t, f.Commit(within(t), next(2)))
+}
+
+func TestCorruptEntryIsSkippedAndCounted(t *testing.T) {
+	l := &fakeLog{entries: [][]byte{[]byte("garbage that is long enough")}}
+	f, _ := follow(t, l)
+	require.NoError(t, f.Commit(within(t), next(1)))
+	require.Equal(t, 1, f.Position().Corrupt)
+}
+
+func TestNewerFormatBlocksWithoutSkipping(t *testing.T) {
+	b, err := record.Encode(&record.Envelope{Records: []record.Record{next(1)}})
+	require.NoError(t, err)
+	b[0] = record.Version + 1
+	l := &fakeLog{entries: [][]byte{b}}
+	f, c := follow(t, l)
+	eventually(t, func() bool { return f.Position().Blocked != "" })
+	require.Zero(t, f.Position().Next)
+	require.Zero(t, c.value())
+	require.False(t, f.IsFresh(time.Time{}))
+}
--- a/pkg/document/render.go
+++ b/pkg/document/render.go
@@ -26,7 +26,7 @@
 	for i := range v.NumField() {
 		f := v.Type().Field(i)
 		e := v.Field(i)
-		if !f.IsExported() || e.IsZero() {
+		if !f.IsExported() || e.IsZero() || e.Kind() == reflect.Slice && e.Len() == 0 {
 			continue
 		}
 		if f.Anonymous {
@@ -58,6 +58,10 @@
 	fmt.Fprintf(b, "%s%s:", prefix, name)
 	switch v.Kind() {
 	case reflect.Pointer:
+		if v.Elem().IsZero() {
+			b.WriteString(" {}\n")
+			return
+		}
 		b.WriteString("\n")
 		renderStruct(b, v.Elem(), indent+"  ")
 	case reflect.Slice:
