Prefer instances that reach the log; tell each commit its offset

Cause: the preferred owner of a shard was the rendezvous choice of all that send heartbeats. An owner that was cut off from the platform only went on to be preferred, so that nobody claimed its shard and its tasks waited for it.

--- a/cmd/currantknot/operators.go
+++ b/cmd/currantknot/operators.go
@@ -261,7 +261,7 @@
 		}
 		a.InForce, a.Instances = nil, len(s.Instances)
 		for _, i := range s.Instances {
-			if i.DocumentNext >= a.Next {
+			if i.DocumentNext >= a.Revision {
 				a.InForce = append(a.InForce, i.Name)
 			}
 		}
@@ -269,7 +269,7 @@
 	if asJSON {
 		return printJSON(out, a)
 	}
-	_, err := fmt.Fprintf(out, "accepted at offset %d, in force on %d of %d instances\n", a.Next-1, len(a.InForce), a.Instances)
+	_, err := fmt.Fprintf(out, "accepted as revision %d, in force on %d of %d instances\n", a.Revision, len(a.InForce), a.Instances)
 	return err
 }
 
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -69,8 +69,9 @@
 	CutShort int
 	NotRun   int
 	Unknown  int
-	// Broken counts tries that ended with a broken connection.
+	// Broken counts tries that ended with a broken connection, and Breaks describes some of them.
 	Broken int
+	Breaks []string
 	// Faults describes some of what went wrong.
 	Faults []string
 	P50    time.Duration
@@ -172,14 +173,14 @@
 	}
 	s, err := l.client.Do(q)
 	if err != nil {
-		l.count(func(x *LoadResult) { x.Broken++ })
+		l.broken(id, err)
 		f.unknown = f.unknown || write
 		return false, true, retryPause
 	}
 	defer s.Body.Close()
 	b, err := io.ReadAll(s.Body)
 	if err != nil {
-		l.count(func(x *LoadResult) { x.Broken++ })
+		l.broken(id, err)
 		f.unknown = f.unknown || write
 		return false, true, retryPause
 	}
@@ -222,6 +223,15 @@
 	do(&l.result)
 }
 
+func (l *Load) broken(id string, err error) {
+	l.count(func(x *LoadResult) {
+		x.Broken++
+		if len(x.Breaks) < maxFaults {
+			x.Breaks = append(x.Breaks, id+": "+err.Error())
+		}
+	})
+}
+
 func (l *Load) fault(format string, args ...any) {
 	l.count(func(x *LoadResult) {
 		if len(x.Faults) < maxFaults {
--- /dev/null
+++ b/internal/integration/requests_test.go
@@ -0,0 +1,137 @@
+package integration_test
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantknot.dev/currantknot/internal/demo"
+	"currantknot.dev/currantknot/internal/platform/standin"
+)
+
+// balancer is the platform's balancer: it sends to the instances that are in its list.
+type balancer struct {
+	mu sync.Mutex
+	up []string
+}
+
+func (b *balancer) entries() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.up...)
+}
+
+func (b *balancer) set(ms ...*member) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.up = nil
+	for _, m := range ms {
+		b.up = append(b.up, m.caller)
+	}
+}
+
+// load runs clients while the function brings about faults, and checks what they were told.
+func (c *cluster) load(b *balancer, faults func()) demo.LoadResult {
+	c.t.Helper()
+	l := &demo.Load{Entries: b.entries, Paths: []string{"/search"}, Clients: 12, Pause: 2 * time.Millisecond, Seed: 3}
+	ctx, cancel := context.WithCancel(c.t.Context())
+	done := make(chan demo.LoadResult, 1)
+	go func() { done <- l.Run(ctx) }()
+	faults()
+	cancel()
+	r := <-done
+	require.Empty(c.t, l.Check(c.stand.Audit()))
+	require.Empty(c.t, r.Faults)
+	require.Zero(c.t, r.CutShort)
+	require.Zero(c.t, r.Lost)
+	require.Positive(c.t, r.Answered)
+	return r
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	c := newCluster(t, 3)
+	b := &balancer{}
+	b.set(c.members...)
+	r := c.load(b, func() {
+		time.Sleep(time.Second)
+		m := c.members[0]
+		m.signal(syscall.SIGTERM)
+		// The balancer sees readiness fail and stops before the listener does.
+		c.eventually("readiness fails", func() bool { return m.ready() != 200 })
+		b.set(c.members[1:]...)
+		require.NoError(t, <-m.exited)
+		time.Sleep(500 * time.Millisecond)
+	})
+	require.Zero(t, r.Broken, r.Breaks)
+	require.Zero(t, r.Unknown)
+	c.sound()
+}
+
+func TestKilledEntryDoublesNoWrite(t *testing.T) {
+	c := newCluster(t, 3)
+	b := &balancer{}
+	b.set(c.members...)
+	c.load(b, func() {
+		for _, m := range c.members {
+			time.Sleep(700 * time.Millisecond)
+			m.kill()
+			time.Sleep(300 * time.Millisecond)
+			m.start()
+			c.eventually("the replacement is ready", func() bool { return m.ready() == 200 })
+		}
+		time.Sleep(time.Second)
+	})
+	c.sound()
+}
+
+func TestPausedAndCutEntriesDoubleNoWrite(t *testing.T) {
+	c := newCluster(t, 3)
+	b := &balancer{}
+	b.set(c.members...)
+	c.load(b, func() {
+		m := c.members[1]
+		time.Sleep(500 * time.Millisecond)
+		m.signal(syscall.SIGSTOP)
+		time.Sleep(2 * time.Second)
+		m.signal(syscall.SIGCONT)
+		time.Sleep(500 * time.Millisecond)
+		cut(t, c.members[2].toPeer)
+		time.Sleep(2 * time.Second)
+		mend(t, c.members[2].toPeer)
+		time.Sleep(500 * time.Millisecond)
+	})
+	c.sound()
+}
+
+func TestDrainedFailureDomainCutsNoRequest(t *testing.T) {
+	c := newCluster(t, 2)
+	b := &balancer{}
+	b.set(c.members...)
+	r := c.load(b, func() {
+		for _, out := range []bool{true, false, true} {
+			time.Sleep(1500 * time.Millisecond)
+			c.setDomain("north", out)
+		}
+		time.Sleep(6 * time.Second)
+	})
+	require.Zero(t, r.Broken, r.Breaks)
+	require.Zero(t, r.Unknown)
+	c.sound()
+}
+
+func TestFaultyUpstreamsLoseNothing(t *testing.T) {
+	c := newCluster(t, 2)
+	b := &balancer{}
+	b.set(c.members...)
+	c.load(b, func() {
+		time.Sleep(500 * time.Millisecond)
+		c.stand.SetFaults(standin.Faults{SlowUpstreams: []string{"north-1"}, FailingUpstreams: []string{"south-1"}, TruncatingUpstreams: []string{"west-1"}})
+		time.Sleep(3 * time.Second)
+		c.stand.SetFaults(standin.Faults{})
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -13,7 +13,7 @@
 type Backend interface {
 	// View returns the document as this instance knows it.
 	View() *docstore.View
-	// Edit commits an edit and returns the first offset after it.
+	// Edit commits an edit and returns the revision that it made.
 	Edit(ctx context.Context, e *record.Edit) (uint64, error)
 	// InForce returns which instances have applied the document up to the offset, and how many there are.
 	InForce(next uint64) (in []string, total int)
--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -54,8 +54,8 @@
 
 // EditAnswer tells what became of an edit.
 type EditAnswer struct {
-	// Next is the first offset after the edit.
-	Next uint64
+	// Revision is the revision of the edited sections, and the first offset after the edit.
+	Revision uint64
 	// InForce lists the instances that have applied the edit, and Instances counts all.
 	InForce   []string
 	Instances int
@@ -96,7 +96,7 @@
 			return nil, err
 		}
 		in, t := b.InForce(n)
-		return EditAnswer{Next: n, InForce: in, Instances: t}, nil
+		return EditAnswer{Revision: n, InForce: in, Instances: t}, nil
 	}
 }
 
@@ -106,7 +106,7 @@
 		if err := b.View().Check(q.record()); err != nil {
 			return nil, err
 		}
-		return EditAnswer{Next: b.View().Next}, nil
+		return EditAnswer{Revision: b.View().Next}, nil
 	}
 }
 
--- a/internal/operator/domain.go
+++ b/internal/operator/domain.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	in, t := b.InForce(n)
-	return EditAnswer{Next: n, InForce: in, Instances: t}, nil
+	return EditAnswer{Revision: n, InForce: in, Instances: t}, nil
 }
 
 func domainEdit(v *docstore.View, q *DomainRequest) (*record.Edit, error) {
--- a/internal/serve/operators.go
+++ b/internal/serve/operators.go
@@ -31,12 +31,12 @@
 func (i *Instance) Edit(ctx context.Context, e *record.Edit) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if err := i.document.Commit(ctx, record.Record{Edit: e}); err != nil {
+	n, err := i.document.Commit(ctx, record.Record{Edit: e})
+	if err != nil {
 		return 0, err
 	}
-	v := i.store.View()
 	i.ring.Add(decision.Entry{At: time.Now(), Kind: "Edit", Subjects: editSubjects(e), Reason: e.Author + ": " + e.Reason})
-	return v.Next, nil
+	return n + 1, nil
 }
 
 func editSubjects(e *record.Edit) []string {
--- a/internal/serve/runner.go
+++ b/internal/serve/runner.go
@@ -154,7 +154,7 @@
 	r.committing.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
-		err := r.follower.Commit(ctx, c)
+		_, err := r.follower.Commit(ctx, c)
 		d := decision.Entry{At: time.Now(), Kind: "Claim", Subjects: []string{r.stream}, Reason: fmt.Sprintf("previous owner %q of epoch %d", o, e)}
 		if err != nil {
 			d.Rejected = err.Error()
@@ -201,8 +201,8 @@
 		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
 		var u []record.Record
-		for i, err := range r.follower.CommitAll(ctx, rs...) {
-			if x := (*stream.UnknownError)(nil); errors.As(err, &x) {
+		for i, o := range r.follower.CommitAll(ctx, rs...) {
+			if x := (*stream.UnknownError)(nil); errors.As(o.Err, &x) {
 				u = append(u, rs[i])
 			}
 		}
--- a/internal/serve/shards.go
+++ b/internal/serve/shards.go
@@ -13,6 +13,9 @@
 	"currantknot.dev/currantknot/internal/placement"
 )
 
+// cutOffAfter is the age of its latest contact with the log from which on an instance should own nothing.
+const cutOffAfter = 3 * time.Second
+
 // assignEvery is the time between two looks at which shards this instance should follow.
 const assignEvery = 200 * time.Millisecond
 
@@ -98,19 +101,34 @@
 
 // preferred returns the live instance that should own the shard: rendezvous hashing with bounded load.
 func (i *Instance) preferred(shard int, now time.Time) string {
-	var names []string
+	names := i.candidates(now)
+	if len(names) == 0 {
+		return ""
+	}
+	return assignShards(names, i.store.View().Document.Shards())[shard]
+}
+
+// candidates returns the live instances that reach the log, or all live ones where none does.
+func (i *Instance) candidates(now time.Time) []string {
+	var reach, live []string
+	add := func(name string, sinceLog time.Duration) {
+		live = append(live, name)
+		if sinceLog < cutOffAfter {
+			reach = append(reach, name)
+		}
+	}
 	if !i.leaving.Load() {
-		names = append(names, i.Name)
+		add(i.Name, now.Sub(i.document.Position().ConfirmedAt))
 	}
 	for _, m := range i.mesh.Live(now) {
 		if !m.Leaving {
-			names = append(names, m.Name)
+			add(m.Name, m.At.Sub(m.LogAt))
 		}
 	}
-	if len(names) == 0 {
-		return ""
+	if len(reach) > 0 {
+		return reach
 	}
-	return assignShards(names, i.store.View().Document.Shards())[shard]
+	return live
 }
 
 // assignShards gives each shard to the instance with the highest hash that has room.
--- a/internal/stream/checkpoint.go
+++ b/internal/stream/checkpoint.go
@@ -103,5 +103,6 @@
 	if err != nil {
 		return err
 	}
-	return f.Commit(ctx, record.Record{Checkpoint: &record.Checkpoint{Covers: n, State: b}})
+	_, err = f.Commit(ctx, record.Record{Checkpoint: &record.Checkpoint{Covers: n, State: b}})
+	return err
 }
--- a/internal/stream/commit.go
+++ b/internal/stream/commit.go
@@ -24,18 +24,25 @@
 // Unwrap returns the cause.
 func (e *UnknownError) Unwrap() error { return e.Cause }
 
-// Commit appends the record and returns the machine's verdict once it was read back.
-//
-// An *UnknownError tells that the context ended before the outcome was known.
-func (f *Follower) Commit(ctx context.Context, r record.Record) error {
-	return f.CommitAll(ctx, r)[0]
+// Outcome is what became of a record.
+type Outcome struct {
+	// Offset is the place of the record in the stream, where its outcome is known.
+	Offset uint64
+	// Err is the machine's refusal, or an *UnknownError where the context ended before the outcome was known.
+	Err error
 }
 
-// CommitAll appends the records, in one envelope where possible, and returns a verdict for each.
-func (f *Follower) CommitAll(ctx context.Context, rs ...record.Record) []error {
+// Commit appends the record and returns its offset once it was read back and accepted.
+func (f *Follower) Commit(ctx context.Context, r record.Record) (uint64, error) {
+	o := f.CommitAll(ctx, r)[0]
+	return o.Offset, o.Err
+}
+
+// CommitAll appends the records, in one envelope where possible, and returns what became of each.
+func (f *Follower) CommitAll(ctx context.Context, rs ...record.Record) []Outcome {
 	q := make([]*commit, len(rs))
 	for i, r := range rs {
-		q[i] = &commit{ctx: ctx, record: r, done: make(chan error, 1)}
+		q[i] = &commit{ctx: ctx, record: r, done: make(chan Outcome, 1)}
 	}
 	f.mu.Lock()
 	f.queue = append(f.queue, q...)
@@ -44,24 +51,24 @@
 	case f.wake <- struct{}{}:
 	default:
 	}
-	o := make([]error, len(rs))
+	o := make([]Outcome, len(rs))
 	for i, c := range q {
 		o[i] = f.await(ctx, c)
 	}
 	return o
 }
 
-func (f *Follower) await(ctx context.Context, c *commit) error {
+func (f *Follower) await(ctx context.Context, c *commit) Outcome {
 	select {
-	case err := <-c.done:
-		return err
+	case o := <-c.done:
+		return o
 	case <-ctx.Done():
 	}
 	select {
-	case err := <-c.done:
-		return err
+	case o := <-c.done:
+		return o
 	default:
-		return &UnknownError{Stream: f.Stream, Cause: ctx.Err()}
+		return Outcome{Err: &UnknownError{Stream: f.Stream, Cause: ctx.Err()}}
 	}
 }
 
--- a/internal/stream/follower.go
+++ b/internal/stream/follower.go
@@ -85,7 +85,7 @@
 type commit struct {
 	ctx    context.Context
 	record record.Record
-	done   chan error
+	done   chan Outcome
 }
 
 // NewFollower returns a follower at the start of the stream.
@@ -200,7 +200,7 @@
 		f.block(x.Error())
 		return x
 	}
-	var o []error
+	var o []Outcome
 	if err == nil {
 		o = f.applyRecords(e.Offset, v)
 	}
@@ -211,11 +211,12 @@
 	return nil
 }
 
-func (f *Follower) applyRecords(offset uint64, v *record.Envelope) []error {
-	o := make([]error, len(v.Records))
+func (f *Follower) applyRecords(offset uint64, v *record.Envelope) []Outcome {
+	o := make([]Outcome, len(v.Records))
 	for i := range v.Records {
+		o[i].Offset = offset
 		if v.Records[i].Checkpoint == nil {
-			o[i] = f.machine.Apply(offset, v, &v.Records[i])
+			o[i].Err = f.machine.Apply(offset, v, &v.Records[i])
 		}
 	}
 	return o
@@ -264,7 +265,7 @@
 }
 
 // resolve answers those who wait for the envelope; its first occurrence decides.
-func (f *Follower) resolve(id ulid.ULID, outcomes []error) {
+func (f *Follower) resolve(id ulid.ULID, outcomes []Outcome) {
 	f.mu.Lock()
 	w := f.waiting[id]
 	delete(f.waiting, id)
--- a/internal/stream/follower_test.go
+++ b/internal/stream/follower_test.go
@@ -129,6 +129,11 @@
 	return f, c
 }
 
+func commit(ctx context.Context, f *stream.Follower, r record.Record) error {
+	_, err := f.Commit(ctx, r)
+	return err
+}
+
 func within(t *testing.T) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
@@ -147,8 +152,8 @@
 	g, _ := follow(t, l)
 	ctx := within(t)
 	errs := make(chan error, 2)
-	go func() { errs <- f.Commit(ctx, next(1)) }()
-	go func() { errs <- g.Commit(ctx, next(1)) }()
+	go func() { errs <- commit(ctx, f, next(1)) }()
+	go func() { errs <- commit(ctx, g, next(1)) }()
 	a, b := <-errs, <-errs
 	require.True(t, (a == nil) != (b == nil), "exactly one of two equal records is accepted: %v, %v", a, b)
 }
@@ -156,8 +161,8 @@
 func TestLostAppendReplyTakesEffectOnce(t *testing.T) {
 	l := &fakeLog{lose: 3}
 	f, c := follow(t, l)
-	require.NoError(t, f.Commit(within(t), next(1)))
-	require.NoError(t, f.Commit(within(t), next(2)))
+	require.NoError(t, commit(within(t), f, next(1)))
+	require.NoError(t, commit(within(t), f, next(2)))
 	eventually(t, func() bool { return f.Position().Next == uint64(len(l.entries)) })
 	require.Equal(t, 2, c.value())
 }
@@ -168,10 +173,10 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	var u *stream.UnknownError
-	require.ErrorAs(t, f.Commit(ctx, next(1)), &u)
+	require.ErrorAs(t, commit(ctx, f, next(1)), &u)
 	require.False(t, f.IsFresh(time.Now().Add(-time.Hour)))
 	l.set(func() { l.down = false })
-	require.NoError(t, f.Commit(within(t), next(1)))
+	require.NoError(t, commit(within(t), f, next(1)))
 	require.Equal(t, 1, c.value())
 }
 
@@ -182,8 +187,8 @@
 	for n := range 100 {
 		rs = append(rs, next(n+1))
 	}
-	for _, err := range f.CommitAll(within(t), rs...) {
-		require.NoError(t, err)
+	for _, o := range f.CommitAll(within(t), rs...) {
+		require.NoError(t, o.Err)
 	}
 	require.LessOrEqual(t, l.appends, 2)
 }
@@ -192,10 +197,10 @@
 	l := &fakeLog{}
 	f, _ := follow(t, l)
 	for n := range 5 {
-		require.NoError(t, f.Commit(within(t), next(n+1)))
+		require.NoError(t, commit(within(t), f, next(n+1)))
 	}
 	require.NoError(t, f.WriteCheckpoint(within(t)))
-	require.NoError(t, f.Commit(within(t), next(6)))
+	require.NoError(t, commit(within(t), f, next(6)))
 	l.expire(5)
 	g, c := follow(t, l)
 	eventually(t, func() bool { return c.value() == 6 })
@@ -206,7 +211,7 @@
 	l := &fakeLog{}
 	f, _ := follow(t, l)
 	for n := range 3 {
-		require.NoError(t, f.Commit(within(t), next(n+1)))
+		require.NoError(t, commit(within(t), f, next(n+1)))
 	}
 	l.expire(2)
 	g, c := follow(t, l)
@@ -214,7 +219,7 @@
 	n, b, err := f.State()
 	require.NoError(t, err)
 	require.NoError(t, g.Restore(n, b))
-	require.NoError(t, g.Commit(within(t), next(4)))
+	require.NoError(t, commit(within(t), g, next(4)))
 	require.Equal(t, 4, c.value())
 }
 
@@ -224,8 +229,8 @@
 	f, _ := follow(t, l)
 	n, b, err := f.State()
 	require.NoError(t, err)
-	require.NoError(t, f.Commit(within(t), next(1)))
-	require.NoError(t, f.Commit(within(t), record.Record{Checkpoint: &record.Checkpoint{Covers: n, State: b}}))
+	require.NoError(t, commit(within(t), f, next(1)))
+	require.NoError(t, commit(within(t), f, record.Record{Checkpoint: &record.Checkpoint{Covers: n, State: b}}))
 	l.expire(1)
 	g, _ := follow(t, l)
 	eventually(t, func() bool { return g.Position().Blocked != "" })
@@ -234,17 +239,17 @@
 func TestCheckpointNeverTakesARunningReaderBack(t *testing.T) {
 	l := &fakeLog{}
 	f, c := follow(t, l)
-	require.NoError(t, f.Commit(within(t), next(1)))
+	require.NoError(t, commit(within(t), f, next(1)))
 	require.NoError(t, f.Restore(0, []byte("0")))
-	require.NoError(t, f.Commit(within(t), record.Record{Checkpoint: &record.Checkpoint{State: []byte("0")}}))
+	require.NoError(t, commit(within(t), f, record.Record{Checkpoint: &record.Checkpoint{State: []byte("0")}}))
 	require.Equal(t, 1, c.value())
-	require.NoError(t, f.Commit(within(t), next(2)))
+	require.NoError(t, commit(within(t), f, next(2)))
 }
 
 func TestCorruptEntryIsSkippedAndCounted(t *testing.T) {
 	l := &fakeLog{entries: [][]byte{[]byte("garbage that is long enough")}}
 	f, _ := follow(t, l)
-	require.NoError(t, f.Commit(within(t), next(1)))
+	require.NoError(t, commit(within(t), f, next(1)))
 	require.Equal(t, 1, f.Position().Corrupt)
 }
 
