--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -140,6 +140,9 @@
 	}
 	c.edit(fleetText)
 	c.eventually("six replicas run", func() bool { return len(c.stand.Audit().Starts) >= 6 })
+	for _, m := range c.members {
+		c.eventually("every instance routes", func() bool { return m.get("/search/x") == 200 })
+	}
 	return c
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -14,6 +15,8 @@
 )
 
 const (
+	// extraSlots is dealt out beyond the slots of an upstream: entries rarely use all of their slots at the same time.
+	extraSlots = 1
 	// maxEjectedShare bounds the part of a service's upstreams that is ejected at a time.
 	maxEjectedShare = 1.0 / 3
 	// admissionMargin is the part of the expected wait by which admission may be wrong.
@@ -24,6 +27,10 @@
 	minRetryAfter = 100 * time.Millisecond
 	// leastServiceShare is the part of the mean latency that a request must have left to be bound.
 	leastServiceShare = 0.25
+	// slowSpreads is the number of spreads above the mean that a slow answer takes.
+	slowSpreads = 4
+	// leastWaitPart is the part of its time that a request may wait even where answers are slow.
+	leastWaitPart = 8
 	// limitBurst is the time for which an account may use its limit at once.
 	limitBurst = 500 * time.Millisecond
 )
@@ -47,8 +54,9 @@
 	sorted    []*upstream
 	queue     *fairQueue
 	limits    map[string]*rate.Limiter
-	// latency is a moving average of all answers in seconds, 0 before the first.
+	// latency is a moving average of all answers in seconds, 0 before the first, and spread that of their distance to it.
 	latency float64
+	spread  float64
 	// busy is a moving average of requests in flight and waiting, and busyAt its time.
 	busy   float64
 	busyAt time.Time
@@ -169,7 +177,7 @@
 	ds := append([]Demand{{Entry: r.Self, Slots: s.busy}}, s.demands...)
 	t := 0
 	for _, u := range s.sorted {
-		u.granted = divide(u.Name, slotsPerUpstream, ds)[r.Self]
+		u.granted = divide(u.Name, slotsPerUpstream+extraSlots, ds)[r.Self]
 		if !u.Closed {
 			t += u.granted
 		}
@@ -204,7 +212,7 @@
 		return refuse(q, RefusedNoUpstream, now.Add(time.Second))
 	}
 	w := s.expectedWait(q.ClientAccount, now)
-	if now.Add(w + s.expectedService()).After(q.Deadline) {
+	if w > s.longestWait(q.Deadline.Sub(now)) {
 		return refuse(q, RefusedOverload, now.Add(max(w, minRetryAfter)))
 	}
 	s.queue.push(q)
@@ -272,8 +280,13 @@
 	return time.Duration(admissionMargin * a * s.latency / float64(max(n, 1)) * float64(time.Second))
 }
 
-func (s *service) expectedService() time.Duration {
-	return time.Duration(s.latency * float64(time.Second))
+// longestWait returns how long a request may wait that has the given time left.
+//
+// It leaves room for a slow answer and not only for the mean: a queue that is
+// filled up to the mean keeps the slots busy with answers that come too late.
+func (s *service) longestWait(left time.Duration) time.Duration {
+	slow := time.Duration((s.latency + slowSpreads*s.spread) * float64(time.Second))
+	return max(left-slow, left/leastWaitPart)
 }
 
 // leastService is the time below which a request has little chance to be answered.
@@ -312,6 +325,7 @@
 	u.onResult(d.Failed, d.Took)
 	// A failure that took longer than an answer shows that answers take at least as long now.
 	if !d.Failed || d.Took.Seconds() > s.latency {
+		s.spread += smoothing * (math.Abs(d.Took.Seconds()-s.latency) - s.spread)
 		s.latency = average(s.latency, d.Took.Seconds())
 	}
 	if u.isOutlier(s.latency) && s.mayEject(now) && !u.isEjected(now) {
