Keep waiting tasks as an index; forget finished tasks only after a while

Cause 1: the owner kept one object for each waiting task of the document, 100,000 for one long job. Tasks that were never committed are now an index in their group.

Cause 2, found by the model while doing so: an owner dropped the finished tasks of a job that had left the document, lost the shard to an instance whose document was 0.9 s behind, and that one started a finished task again. Ruled out: the index (the same happens without it). Finished tasks are now kept for 10 s after their job has left, 10 times the age up to which a document may start tasks.

Before: fails after 682 cases.

--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"currantknot.dev/currantknot/internal/record"
@@ -13,12 +14,10 @@
 )
 
 // onBind notes a commitment that was read back.
-func (o *Owner) onBind(b *record.Bind) {
-	t := o.tasks[b.Task]
-	if t == nil {
-		t = &task{name: b.Task}
-		o.tasks[b.Task] = t
-		o.adoptOrphan(b.Task, t, o.groups)
+func (o *Owner) onBind(at time.Time, b *record.Bind) {
+	t := o.taskNamed(b.Task, at)
+	if o.groups[t.spec.Group] == nil {
+		t.stop = record.ReleaseCancelled
 	}
 	t.running = false
 	t.sentAt = time.Time{}
@@ -34,12 +33,7 @@
 		return
 	}
 	t.queued = false
-	for i, q := range g.queue {
-		if q == t {
-			g.queue = append(g.queue[:i:i], g.queue[i+1:]...)
-			return
-		}
-	}
+	g.queue = slices.DeleteFunc(g.queue, func(q *task) bool { return q == t })
 }
 
 // unpropose lets the owner propose again what the log has refused.
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +77,8 @@
 	workers map[string]*worker
 	// active holds the committed tasks that are not known to run or that shall end.
 	active map[string]*task
+	// goneSince holds since when the groups with finished tasks are missing from the document.
+	goneSince map[string]time.Time
 	// inService and quotas are derived from the document; quotas are scaled to the shard's share.
 	inService map[string]bool
 	quotas    map[string]document.Size
@@ -109,16 +113,30 @@
 	slowAt   time.Time
 }
 
-// group is the queue of the waiting tasks of one spec.
+// group holds the waiting tasks of one spec.
+//
+// Tasks that were never committed are not kept one by one: next is the index of
+// the first that may be among them.
 type group struct {
 	spec  *Spec
+	since time.Time
+	next  int
+	// queue holds the tasks that came back.
 	queue []*task
 	// held is the size committed to tasks of the group.
 	held document.Size
-	// reason tells why the head of the queue waits.
+	// reason tells why the group's tasks wait.
 	reason string
 }
 
+// waitingSince returns the time from which on the group's first task waits.
+func (g *group) waitingSince() time.Time {
+	if len(g.queue) > 0 {
+		return g.queue[0].queuedAt
+	}
+	return g.since
+}
+
 // worker is the owner's volatile knowledge of one worker.
 type worker struct {
 	name     string
@@ -166,6 +184,8 @@
 		groups:  make(map[string]*group),
 		workers: make(map[string]*worker),
 		active:  make(map[string]*task),
+
+		goneSince: make(map[string]time.Time),
 	}
 }
 
@@ -179,7 +199,7 @@
 	}
 	switch {
 	case r.Bind != nil:
-		o.onBind(r.Bind)
+		o.onBind(e.At, r.Bind)
 	case r.Release != nil:
 		o.onRelease(e.At, r.Release)
 	case r.Finish != nil:
@@ -263,36 +283,71 @@
 func (o *Owner) rebuild(now time.Time) {
 	o.rebuildWorkers()
 	o.rebuildRules()
-	old := o.tasks
-	o.tasks = make(map[string]*task, len(old))
-	groups := make(map[string]*group)
+	old := o.groups
+	o.groups = make(map[string]*group, len(old))
 	for _, s := range specsOf(o.view) {
-		groups[s.Group] = &group{spec: s}
-		o.rebuildTasks(s, old, now)
-	}
-	for n, a := range o.shard.Attempts {
-		if a.IsBound() && o.tasks[n] == nil {
-			o.adoptOrphan(n, old[n], groups)
+		g := &group{spec: s, since: now}
+		if x := old[s.Group]; x != nil {
+			g.since, g.next = x.since, x.next
 		}
-	}
-	o.groups = groups
-	for _, w := range o.workers {
-		w.bound = make(map[string]*task)
-		w.groups = make(map[string]int)
-		w.services = 0
+		o.groups[s.Group] = g
 	}
 	clear(o.active)
-	for n, t := range o.tasks {
-		a := o.shard.Attempts[n]
-		if a == nil || !a.IsBound() {
-			t.running, t.stop, t.worker = false, "", ""
-			t.queued = false
-			o.enqueue(t)
-			continue
-		}
-		t.queued = false
+	for n := range o.shard.Attempts {
+		o.taskNamed(n, now)
+	}
+	for _, n := range slices.Sorted(maps.Keys(o.tasks)) {
+		o.rebuildTask(n, o.tasks[n])
+	}
+}
+
+// rebuildTask enters a known task into the tables that were made anew, or drops it.
+func (o *Owner) rebuildTask(name string, t *task) {
+	_, i := SplitTask(name)
+	g := o.groups[t.spec.Group]
+	wanted := g != nil && i < g.spec.Count
+	if wanted {
+		t.spec = g.spec
+	}
+	t.queued = false
+	a := o.shard.Attempts[name]
+	switch {
+	case a != nil && a.IsBound():
+		t.stop = orphanStop(t.stop, wanted)
 		o.hold(t, a)
+	case wanted && !o.shard.IsFinished(name):
+		t.running, t.stop, t.worker = false, "", ""
+		o.enqueue(t)
+	default:
+		delete(o.tasks, name)
+	}
+}
+
+// orphanStop ends the attempt of a task that has left the document, and no longer that of one that has come back.
+func orphanStop(stop record.ReleaseReason, wanted bool) record.ReleaseReason {
+	switch {
+	case !wanted:
+		return record.ReleaseCancelled
+	case stop == record.ReleaseCancelled:
+		return ""
+	default:
+		return stop
+	}
+}
+
+// taskNamed returns the volatile knowledge of a task, made where there is none.
+func (o *Owner) taskNamed(name string, now time.Time) *task {
+	t := o.tasks[name]
+	if t != nil {
+		return t
+	}
+	g, _ := SplitTask(name)
+	t = &task{name: name, queuedAt: now, spec: &Spec{Group: g, Name: g, Class: ClassPatient}}
+	if x := o.groups[g]; x != nil {
+		t.spec = x.spec
 	}
+	o.tasks[name] = t
+	return t
 }
 
 // rebuildRules derives which failure domains are in service and the shard's part of each quota.
@@ -313,44 +368,6 @@
 	}
 }
 
-func (o *Owner) rebuildTasks(s *Spec, old map[string]*task, now time.Time) {
-	n := o.view.Document.Shards()
-	for i := range s.Count {
-		if HomeShard(s.Group, i, n) != o.Number {
-			continue
-		}
-		name := TaskName(s.Group, i)
-		if o.shard.IsFinished(name) {
-			continue
-		}
-		t := old[name]
-		if t == nil {
-			t = &task{name: name, queuedAt: now}
-		}
-		t.spec = s
-		if t.stop == record.ReleaseCancelled {
-			t.stop = ""
-		}
-		o.tasks[name] = t
-	}
-}
-
-// adoptOrphan keeps a task that is committed but no longer in the document, and ends its attempt.
-func (o *Owner) adoptOrphan(name string, t *task, groups map[string]*group) {
-	g, _ := SplitTask(name)
-	if t == nil {
-		t = &task{name: name}
-	}
-	if t.spec == nil || groups[g] == nil {
-		t.spec = &Spec{Group: g, Name: g, Class: ClassPatient}
-	}
-	if groups[g] == nil {
-		groups[g] = &group{spec: t.spec}
-	}
-	t.stop = record.ReleaseCancelled
-	o.tasks[name] = t
-}
-
 func (o *Owner) rebuildWorkers() {
 	for _, w := range o.workers {
 		w.declared = false
@@ -367,7 +384,11 @@
 	for n, w := range o.workers {
 		if !w.declared && len(w.bound) == 0 {
 			delete(o.workers, n)
+			continue
 		}
+		w.bound = make(map[string]*task)
+		w.groups = make(map[string]int)
+		w.services = 0
 	}
 }
 
@@ -401,13 +422,43 @@
 // enqueue puts a waiting task into its group's queue.
 func (o *Owner) enqueue(t *task) {
 	g := o.groups[t.spec.Group]
-	if g == nil || t.queued || o.tasks[t.name] != t {
+	if g == nil || t.queued {
 		return
 	}
 	t.queued = true
 	g.queue = append(g.queue, t)
 }
 
+// nextDue removes and returns the group's next task that may be committed now, nil where there is none.
+func (o *Owner) nextDue(g *group, now time.Time) *task {
+	for i, t := range g.queue {
+		if o.isDue(t, now) {
+			g.queue = slices.Delete(g.queue, i, i+1)
+			t.queued = false
+			return t
+		}
+	}
+	n := o.view.Document.Shards()
+	for g.next < g.spec.Count {
+		i := g.next
+		g.next++
+		name := TaskName(g.spec.Group, i)
+		if HomeShard(g.spec.Group, i, n) != o.Number || o.tasks[name] != nil || o.shard.IsFinished(name) {
+			continue
+		}
+		t := &task{name: name, spec: g.spec, queuedAt: g.since}
+		o.tasks[name] = t
+		return t
+	}
+	return nil
+}
+
+// putBack returns a task that found no room to the head of its group's queue.
+func (o *Owner) putBack(g *group, t *task) {
+	t.queued = true
+	g.queue = slices.Insert(g.queue, 0, t)
+}
+
 // count enters a task into the worker's counts, or removes it.
 func (w *worker) count(t *task, n int) {
 	w.groups[t.spec.Group] += n
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -16,6 +16,8 @@
 	maxBindsPerPlan = 256
 	// reserveFor is the time that an instance's room is held for a task that waits for evictions.
 	reserveFor = 10 * time.Second
+	// forgetAfter is the time after which no instance starts tasks by a document that holds what has left it.
+	forgetAfter = 10 * time.Second
 	// maxEvacuations bounds the attempts of one shard that are stopped at a time because of a failure domain.
 	maxEvacuations = 16
 )
@@ -29,7 +31,7 @@
 	}
 	o.adoptEpoch(c.Now)
 	rs := o.planLeaseEnds(c.Now)
-	rs = append(rs, o.planForget()...)
+	rs = append(rs, o.planForget(c.Now)...)
 	if !o.isFresh(c) {
 		return rs
 	}
@@ -55,9 +57,13 @@
 		w.sentAt = time.Time{}
 		clear(w.proposals)
 	}
-	for _, t := range o.tasks {
+	for _, n := range slices.Sorted(maps.Keys(o.tasks)) {
+		t := o.tasks[n]
 		t.proposed = 0
 		t.sentAt = time.Time{}
+		if a := o.shard.Attempts[n]; a == nil || !a.IsBound() {
+			o.enqueue(t)
+		}
 	}
 }
 
@@ -80,10 +86,23 @@
 }
 
 // planForget drops what the log keeps of services and jobs that have left the document.
-func (o *Owner) planForget() []record.Record {
+//
+// It waits until no instance can start tasks by an older document: the next owner
+// of the shard may be one whose document is a little behind.
+func (o *Owner) planForget(now time.Time) []record.Record {
 	var rs []record.Record
 	for _, n := range slices.Sorted(maps.Keys(o.shard.Finished)) {
-		if o.groups[n] == nil {
+		if o.groups[n] != nil {
+			delete(o.goneSince, n)
+			continue
+		}
+		g, ok := o.goneSince[n]
+		if !ok {
+			o.goneSince[n] = now
+			continue
+		}
+		if now.Sub(g) > forgetAfter {
+			delete(o.goneSince, n)
 			rs = append(rs, record.Record{Forget: &record.Forget{Epoch: o.shard.Epoch, Group: n}})
 		}
 	}
@@ -164,14 +183,13 @@
 	if p.stuck[g] {
 		return
 	}
-	for _, t := range g.queue {
-		if len(p.records) >= maxBindsPerPlan || !borrow && !p.withinQuota(o, g.spec) {
+	for len(p.records) < maxBindsPerPlan && (borrow || p.withinQuota(o, g.spec)) {
+		t := o.nextDue(g, p.now)
+		if t == nil {
 			return
 		}
-		if !o.isDue(t, p.now) {
-			continue
-		}
 		if !o.place(p, g, t) {
+			o.putBack(g, t)
 			p.stuck[g] = true
 			return
 		}
@@ -195,12 +213,12 @@
 func (o *Owner) waitingGroups() []*group {
 	var a []*group
 	for _, g := range o.groups {
-		if len(g.queue) > 0 {
+		if len(g.queue) > 0 || g.next < g.spec.Count {
 			a = append(a, g)
 		}
 	}
 	slices.SortFunc(a, func(x, y *group) int {
-		return cmp.Or(x.queue[0].queuedAt.Compare(y.queue[0].queuedAt), cmp.Compare(x.spec.Group, y.spec.Group))
+		return cmp.Or(x.waitingSince().Compare(y.waitingSince()), cmp.Compare(x.spec.Group, y.spec.Group))
 	})
 	return a
 }
--- a/internal/placement/status.go
+++ b/internal/placement/status.go
@@ -47,21 +47,40 @@
 		gs[n] = x
 	}
 	for n, t := range o.tasks {
-		a := o.shard.Attempts[n]
-		g := gs[t.spec.Group]
-		switch {
-		case g == nil:
-		case a != nil && a.IsBound():
-			g.Running++
-		case a != nil && o.isGivenUp(t.spec, a):
-			g.GivenUp++
-		default:
-			g.Waiting++
+		if g := gs[t.spec.Group]; g != nil {
+			o.countTask(g, n, t)
 		}
 	}
+	for n, g := range o.groups {
+		gs[n].Waiting += o.untouched(g)
+	}
 	for _, g := range gs {
 		s.Groups = append(s.Groups, *g)
 	}
 	slices.SortFunc(s.Groups, func(a, b GroupStatus) int { return cmp.Compare(a.Group, b.Group) })
 	return s
 }
+
+func (o *Owner) countTask(g *GroupStatus, name string, t *task) {
+	a := o.shard.Attempts[name]
+	switch {
+	case a != nil && a.IsBound():
+		g.Running++
+	case a != nil && o.isGivenUp(t.spec, a):
+		g.GivenUp++
+	default:
+		g.Waiting++
+	}
+}
+
+// untouched counts the tasks of a group that were never committed nor looked at.
+func (o *Owner) untouched(g *group) int {
+	n := 0
+	for i := g.next; i < g.spec.Count; i++ {
+		name := TaskName(g.spec.Group, i)
+		if HomeShard(g.spec.Group, i, o.view.Document.Shards()) == o.Number && o.tasks[name] == nil && !o.shard.IsFinished(name) {
+			n++
+		}
+	}
+	return n
+}
