--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -125,6 +125,8 @@
 	queue []*task
 	// held is the size committed to tasks of the group.
 	held document.Size
+	// preemptAt is the time before which no room is made for the group by eviction.
+	preemptAt time.Time
 	// reason tells why the group's tasks wait.
 	reason string
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"currantknot.dev/currantknot/internal/record"
 	"currantknot.dev/currantknot/pkg/document"
 )
@@ -53,7 +55,7 @@
 	o.epoch = o.shard.Epoch
 	for _, w := range o.workers {
 		w.leaseUntil = now.Add(o.Limits.Lease)
-		w.syncAt = now
+		w.syncAt = now.Add(o.syncOffset(w.name))
 		w.sentAt = time.Time{}
 		clear(w.proposals)
 	}
@@ -67,6 +69,11 @@
 	}
 }
 
+// syncOffset spreads the reports of the workers evenly over time.
+func (o *Owner) syncOffset(name string) time.Duration {
+	return time.Duration(xxhash.Sum64String(name) % uint64(o.Limits.SyncEvery)) //nolint:gosec // both are positive
+}
+
 // planLeaseEnds releases the attempts of workers whose leases have surely ended.
 func (o *Owner) planLeaseEnds(now time.Time) []record.Record {
 	var rs []record.Record
@@ -225,11 +232,14 @@
 
 // pass holds the room that is left while one plan is made.
 type pass struct {
-	now     time.Time
-	open    []*worker
-	free    map[string]document.Size
-	used    map[string]document.Size
-	stuck   map[*group]bool
+	now   time.Time
+	open  []*worker
+	free  map[string]document.Size
+	used  map[string]document.Size
+	stuck map[*group]bool
+	// over holds the teams that use more than their quota, and full the sizes that no worker has room for.
+	over    map[string]bool
+	full    map[document.Size]bool
 	records []record.Record
 }
 
@@ -239,10 +249,17 @@
 		free:  make(map[string]document.Size),
 		used:  make(map[string]document.Size),
 		stuck: make(map[*group]bool),
+		over:  make(map[string]bool),
+		full:  make(map[document.Size]bool),
 	}
 	for _, g := range o.groups {
 		p.used[g.spec.Team] = p.used[g.spec.Team].Add(g.held)
 	}
+	for t, u := range p.used {
+		if !u.Fits(o.quotas[t]) {
+			p.over[t] = true
+		}
+	}
 	for _, n := range slices.Sorted(maps.Keys(o.workers)) {
 		w := o.workers[n]
 		if now.After(w.reservedUntil) {
@@ -264,8 +281,12 @@
 
 // place commits one task, or makes room for it, or tells why it waits.
 func (o *Owner) place(p *pass, g *group, t *task) bool {
-	cs := o.candidates(p, t)
+	var cs []Candidate
+	if !p.full[t.spec.Size] {
+		cs = o.candidates(p, t)
+	}
 	if len(cs) == 0 {
+		p.full[t.spec.Size] = !o.hasReservation(t)
 		g.reason = o.explainWait(p, t)
 		o.preempt(p, t)
 		return false
@@ -298,7 +319,7 @@
 	})
 	p.records = append(p.records, record.Record{Bind: &record.Bind{
 		Epoch: o.shard.Epoch, Task: t.name, Attempt: n, Worker: w.name,
-		Size: t.spec.Size, Capacity: w.capacity, StartBefore: p.now.Add(o.Limits.StartWithin),
+		Size: record.SizeOf(t.spec.Size), Capacity: record.SizeOf(w.capacity), StartBefore: p.now.Add(o.Limits.StartWithin),
 	}})
 }
 
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -3,16 +3,22 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"currantknot.dev/currantknot/internal/record"
 	"currantknot.dev/currantknot/pkg/document"
 )
 
+// preemptEvery is the time between two searches for room by eviction for the same group.
+const preemptEvery = 500 * time.Millisecond
+
 // preempt makes room for a task by evicting tasks of lower classes from one worker.
 func (o *Owner) preempt(p *pass, t *task) {
-	if o.hasReservation(t) {
+	g := o.groups[t.spec.Group]
+	if p.now.Before(g.preemptAt) || o.hasReservation(t) || !p.mayEvict(o, t.spec) {
 		return
 	}
+	g.preemptAt = p.now.Add(preemptEvery)
 	var best *worker
 	var victims []*task
 	for _, w := range p.open {
@@ -46,7 +52,7 @@
 func (o *Owner) victims(p *pass, w *worker, t *task) ([]*task, bool) {
 	var a []*task
 	for _, b := range w.bound {
-		if b.stop == "" && o.canEvict(p, t.spec, b.spec) {
+		if b.stop == "" && p.canEvict(t.spec, b.spec) {
 			a = append(a, b)
 		}
 	}
@@ -67,14 +73,19 @@
 //
 // Services and urgent tasks evict batch of lower classes. A team within its quota
 // takes back what a team beyond its own has borrowed, from its own class downwards.
-func (o *Owner) canEvict(p *pass, s, victim *Spec) bool {
+func (p *pass) canEvict(s, victim *Spec) bool {
 	if victim.Class == ClassService {
 		return false
 	}
 	if s.Class <= ClassUrgent && victim.Class > ClassUrgent {
 		return true
 	}
-	return victim.Class >= s.Class && victim.Team != s.Team && p.withinQuota(o, s) && !p.used[victim.Team].Fits(o.quotas[victim.Team])
+	return victim.Class >= s.Class && victim.Team != s.Team && p.over[victim.Team]
+}
+
+// mayEvict reports whether the task may evict others at all: it is urgent, or its team is within its quota and another is not.
+func (p *pass) mayEvict(o *Owner, s *Spec) bool {
+	return s.Class <= ClassUrgent || len(p.over) > 0 && p.withinQuota(o, s)
 }
 
 // boundAt compares the ages of two attempts; the youngest has the least work to lose.
--- a/internal/placement/shard_test.go
+++ b/internal/placement/shard_test.go
@@ -8,7 +8,6 @@
 
 	"currantknot.dev/currantknot/internal/placement"
 	"currantknot.dev/currantknot/internal/record"
-	"currantknot.dev/currantknot/pkg/document"
 )
 
 // claimed returns a shard that the instance a owns, and its epoch.
@@ -22,8 +21,8 @@
 func bindRecord(epoch uint64, task string, processors int) *record.Record {
 	return &record.Record{Bind: &record.Bind{
 		Epoch: epoch, Task: task, Attempt: 1, Worker: "w",
-		Size:        document.Size{Processors: processors, MemoryMiB: 1},
-		Capacity:    document.Size{Processors: 4, MemoryMiB: 8},
+		Size:        record.Size{processors, 1},
+		Capacity:    record.Size{4, 8},
 		StartBefore: time.Unix(1, 0),
 	}}
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -70,6 +70,17 @@
 	Resigned bool
 }
 
+// Size is a size in the short form of a record: processors, memory in MiB, accelerators.
+type Size [3]int
+
+// SizeOf returns the short form of a size.
+func SizeOf(s document.Size) Size { return Size{s.Processors, s.MemoryMiB, s.Accelerators} }
+
+// Whole returns the long form of the size.
+func (s Size) Whole() document.Size {
+	return document.Size{Processors: s[0], MemoryMiB: s[1], Accelerators: s[2]}
+}
+
 // Bind commits a task's next attempt to a worker before it is started there.
 type Bind struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
@@ -78,8 +89,8 @@
 	Task        string
 	Attempt     int
 	Worker      string
-	Size        document.Size
-	Capacity    document.Size
+	Size        Size
+	Capacity    Size
 	StartBefore time.Time
 }
 
