--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -141,7 +141,7 @@
 	c.edit(fleetText)
 	c.eventually("six replicas run", func() bool { return len(c.stand.Audit().Starts) >= 6 })
 	for _, m := range c.members {
-		c.eventually("every instance routes", func() bool { return m.get("/search/x") == 200 })
+		c.eventually("every instance routes", func() bool { return m.get() == 200 })
 	}
 	return c
 }
@@ -309,9 +309,9 @@
 	return a
 }
 
-// get sends a read to the member and returns the status, 0 where no answer came.
-func (m *member) get(path string) int {
-	s, err := (&http.Client{Timeout: 30 * time.Second}).Get("http://" + m.caller + path) //nolint:noctx // the client has a timeout
+// get sends a read of the service to the member and returns the status, 0 where no answer came.
+func (m *member) get() int {
+	s, err := (&http.Client{Timeout: 30 * time.Second}).Get("http://" + m.caller + "/search/x") //nolint:noctx // the client has a timeout
 	if err != nil {
 		return 0
 	}
--- a/internal/integration/document_test.go
+++ b/internal/integration/document_test.go
@@ -89,7 +89,7 @@
 	var w sync.WaitGroup
 	for id := range 4 {
 		w.Go(func() {
-			r := rand.New(rand.NewPCG(uint64(id), 1)) //nolint:gosec // a small number
+			r := rand.New(rand.NewPCG(uint64(id), 1))
 			base := uint64(0)
 			for n := range 25 {
 				m := c.members[r.IntN(len(c.members))]
@@ -189,7 +189,7 @@
 	m := c.members[0]
 	m.kill()
 	m.start()
-	c.eventually("the new instance serves", func() bool { return m.get("/search/x") == 200 })
+	c.eventually("the new instance serves", func() bool { return m.get() == 200 })
 	require.Contains(t, m.errors.String(), "document taken from another instance")
 }
 
--- a/internal/integration/placement_test.go
+++ b/internal/integration/placement_test.go
@@ -90,7 +90,7 @@
 	began := time.Now()
 	for time.Since(began) < 10*time.Second {
 		for _, m := range c.members {
-			require.Equal(t, 200, m.get("/search/x"))
+			require.Equal(t, 200, m.get())
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
@@ -144,7 +144,7 @@
 		m.start()
 	}
 	c.finished(100)
-	require.Equal(t, 200, c.members[0].get("/search/x"))
+	require.Equal(t, 200, c.members[0].get())
 }
 
 func TestPlannedStopHandsShardsOver(t *testing.T) {
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -4,8 +4,10 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,6 +60,10 @@
 	urgent      *hdrhistogram.Histogram
 	runTime     time.Duration
 	drained     map[string]bool
+	// hook adds the measurements of the workers, nil where there are none.
+	hook interface {
+		report(s placement.SyncOrder) []placement.Usage
+	}
 }
 
 type simEvent struct {
@@ -269,8 +275,11 @@
 	for _, t := range s.Forget {
 		delete(x.running[s.Worker], t.Task)
 	}
-	for _, t := range x.running[s.Worker] {
-		r.Tasks = append(r.Tasks, *t)
+	for _, k := range slices.Sorted(maps.Keys(x.running[s.Worker])) {
+		r.Tasks = append(r.Tasks, *x.running[s.Worker][k])
+	}
+	if x.hook != nil {
+		r.Usage = x.hook.report(s)
 	}
 	x.timed(func() { x.log = append(x.log, x.owner.OnReport(s, r, x.now, x.now)...) })
 }
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -134,18 +134,13 @@
 		}
 		rs = append(rs, o.proposeRelease(t, a, record.ReleaseNotStarted, "")...)
 	}
+	w.sampleMix(now)
 	for _, u := range r.Usage {
-		o.onUsage(u)
+		o.onUsage(w, u, now)
 	}
 	return rs
 }
 
-func (o *Owner) onUsage(u Usage) {
-	if t := o.tasks[u.Task]; t != nil && u.MeasuredAt.After(t.slowAt) {
-		t.slowdown, t.slowAt = u.Slowdown, u.MeasuredAt
-	}
-}
-
 // OnTask takes over a worker's answer to a start or stop.
 func (o *Owner) OnTask(name string, r TaskReport, now time.Time) []record.Record {
 	o.mu.Lock()
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -88,7 +88,7 @@
 	w.syncAt = c.Now.Add(o.Limits.SyncEvery)
 	w.sentAt = c.Now
 	r.Syncs = append(r.Syncs, SyncOrder{
-		Fence: o.fence(), Worker: w.name, LeaseUntil: o.grant(w, c), Forget: w.takeForgettable(c.Now),
+		Fence: o.fence(), Worker: w.name, LeaseUntil: o.grant(w, c), Forget: w.takeForgettable(c.Now), Throttle: w.throttledTasks(),
 	})
 }
 
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -77,6 +77,10 @@
 	workers map[string]*worker
 	// active holds the committed tasks that are not known to run or that shall end.
 	active map[string]*task
+	// reservations holds the room that evictions make, by task.
+	reservations map[string]reservation
+	// interference is what was learned of services and the jobs beside them.
+	interference *interference
 	// goneSince holds since when the groups with finished tasks are missing from the document.
 	goneSince map[string]time.Time
 	// inService and quotas are derived from the document; quotas are scaled to the shard's share.
@@ -125,6 +129,8 @@
 	queue []*task
 	// held is the size committed to tasks of the group.
 	held document.Size
+	// placedAt is the time of the latest commitment of a task of the group, or of its beginning.
+	placedAt time.Time
 	// preemptAt is the time before which no room is made for the group by eviction.
 	preemptAt time.Time
 	// reason tells why the group's tasks wait.
@@ -153,6 +159,13 @@
 	// groups counts the bound tasks by group, and services those of services.
 	groups   map[string]int
 	services int
+	// serviceNames counts the bound replicas by service.
+	serviceNames map[string]int
+	// throttled holds the groups whose tasks run at half speed.
+	throttled map[string]bool
+	// mixes holds what the worker ran lately, and actedAt is the time of the latest action against interference on it.
+	mixes   []mixSample
+	actedAt time.Time
 	// proposals holds the sizes of commitments that are not read back yet, by task.
 	proposals map[string]document.Size
 	health    health
@@ -167,10 +180,13 @@
 	// ended holds attempts that the worker reports in vain, and from when on it may forget them:
 	// not before the last instant at which a start of the attempt can arrive.
 	ended map[TaskAttempt]time.Time
-	// reserved is held for a task that waits for evictions here.
-	reserved      document.Size
-	reservedFor   string
-	reservedUntil time.Time
+}
+
+// reservation holds room on a worker for a task that waits for evictions there.
+type reservation struct {
+	worker string
+	size   document.Size
+	until  time.Time
 }
 
 // NewOwner returns the driver of a shard for the instance named self.
@@ -187,6 +203,9 @@
 		workers: make(map[string]*worker),
 		active:  make(map[string]*task),
 
+		interference: newInterference(),
+		reservations: make(map[string]reservation),
+
 		goneSince: make(map[string]time.Time),
 	}
 }
@@ -288,9 +307,9 @@
 	old := o.groups
 	o.groups = make(map[string]*group, len(old))
 	for _, s := range specsOf(o.view) {
-		g := &group{spec: s, since: now}
+		g := &group{spec: s, since: now, placedAt: now}
 		if x := old[s.Group]; x != nil {
-			g.since, g.next = x.since, x.next
+			g.since, g.next, g.placedAt = x.since, x.next, x.placedAt
 		}
 		o.groups[s.Group] = g
 	}
@@ -391,6 +410,7 @@
 		w.bound = make(map[string]*task)
 		w.groups = make(map[string]int)
 		w.services = 0
+		w.serviceNames = make(map[string]int)
 	}
 }
 
@@ -399,6 +419,7 @@
 	if w == nil {
 		w = &worker{
 			name: name, bound: make(map[string]*task), groups: make(map[string]int),
+			serviceNames: make(map[string]int), throttled: make(map[string]bool),
 			ended:     make(map[TaskAttempt]time.Time),
 			proposals: make(map[string]document.Size), health: newHealth(),
 		}
@@ -455,10 +476,12 @@
 	return nil
 }
 
-// putBack returns a task that found no room to the head of its group's queue.
-func (o *Owner) putBack(g *group, t *task) {
-	t.queued = true
-	g.queue = slices.Insert(g.queue, 0, t)
+// putBack returns tasks that found no room to the head of their group's queue.
+func (o *Owner) putBack(g *group, ts []*task) {
+	for _, t := range ts {
+		t.queued = true
+	}
+	g.queue = slices.Insert(g.queue, 0, ts...)
 }
 
 // count enters a task into the worker's counts, or removes it.
@@ -469,6 +492,10 @@
 	}
 	if t.spec.Class == ClassService {
 		w.services += n
+		w.serviceNames[t.spec.Name] += n
+		if w.serviceNames[t.spec.Name] == 0 {
+			delete(w.serviceNames, t.spec.Name)
+		}
 	}
 }
 
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -20,6 +20,10 @@
 	reserveFor = 10 * time.Second
 	// forgetAfter is the time after which no instance starts tasks by a document that holds what has left it.
 	forgetAfter = 10 * time.Second
+	// maxReservations bounds the urgent tasks of one group that wait for evictions; batch waits one by one.
+	maxReservations = 64
+	// crowdedAfter is the time without a commitment after which a job may run where it slows services.
+	crowdedAfter = 5 * time.Minute
 	// maxEvacuations bounds the attempts of one shard that are stopped at a time because of a failure domain.
 	maxEvacuations = 16
 )
@@ -190,17 +194,23 @@
 	if p.stuck[g] {
 		return
 	}
-	for len(p.records) < maxBindsPerPlan && (borrow || p.withinQuota(o, g.spec)) {
+	// Tasks that wait for evictions let those behind them look for room as well.
+	var aside []*task
+	for len(p.records) < maxBindsPerPlan && len(aside) < maxReservations && (borrow || p.withinQuota(o, g.spec)) {
 		t := o.nextDue(g, p.now)
 		if t == nil {
-			return
+			break
 		}
-		if !o.place(p, g, t) {
-			o.putBack(g, t)
+		if o.place(p, g, t) {
+			continue
+		}
+		aside = append(aside, t)
+		if !o.hasReservation(t) || g.spec.Class > ClassUrgent {
 			p.stuck[g] = true
-			return
+			break
 		}
 	}
+	o.putBack(g, aside)
 }
 
 // isDue reports whether the waiting task may be committed now.
@@ -237,6 +247,8 @@
 	free  map[string]document.Size
 	used  map[string]document.Size
 	stuck map[*group]bool
+	// held is the room that is reserved on each worker.
+	held map[string]document.Size
 	// over holds the teams that use more than their quota, and full the sizes that no worker has room for.
 	over    map[string]bool
 	full    map[document.Size]bool
@@ -250,11 +262,24 @@
 		used:  make(map[string]document.Size),
 		stuck: make(map[*group]bool),
 		over:  make(map[string]bool),
+		held:  make(map[string]document.Size),
 		full:  make(map[document.Size]bool),
 	}
 	for _, g := range o.groups {
 		p.used[g.spec.Team] = p.used[g.spec.Team].Add(g.held)
 	}
+	for _, t := range o.active {
+		if t.stop != "" {
+			p.used[t.spec.Team] = p.used[t.spec.Team].Sub(t.size)
+		}
+	}
+	for n, r := range o.reservations {
+		if now.After(r.until) {
+			delete(o.reservations, n)
+			continue
+		}
+		p.held[r.worker] = p.held[r.worker].Add(r.size)
+	}
 	for t, u := range p.used {
 		if !u.Fits(o.quotas[t]) {
 			p.over[t] = true
@@ -262,9 +287,6 @@
 	}
 	for _, n := range slices.Sorted(maps.Keys(o.workers)) {
 		w := o.workers[n]
-		if now.After(w.reservedUntil) {
-			w.reserved, w.reservedFor = document.Size{}, ""
-		}
 		if o.isClosed(w) || w.silent || !w.listed {
 			continue
 		}
@@ -282,21 +304,33 @@
 // place commits one task, or makes room for it, or tells why it waits.
 func (o *Owner) place(p *pass, g *group, t *task) bool {
 	var cs []Candidate
-	if !p.full[t.spec.Size] {
+	if !p.full[t.spec.Size] || o.hasReservation(t) {
 		cs = o.candidates(p, t)
 	}
 	if len(cs) == 0 {
-		p.full[t.spec.Size] = !o.hasReservation(t)
+		p.full[t.spec.Size] = p.full[t.spec.Size] || !o.hasReservation(t)
 		g.reason = o.explainWait(p, t)
 		o.preempt(p, t)
 		return false
 	}
+	if cs = o.bearable(p, t, cs); len(cs) == 0 {
+		g.reason = "would slow services beyond their bound wherever there is room"
+		return false
+	}
 	g.reason = ""
 	i := o.Policy.Choose(t.spec, cs)
 	o.propose(p, t, o.workers[cs[i].Worker], cs)
 	return true
 }
 
+// bearable leaves out the workers whose services batch would push beyond their bound, as long as its job gets on elsewhere.
+func (o *Owner) bearable(p *pass, t *task, cs []Candidate) []Candidate {
+	if t.spec.Class <= ClassUrgent || p.now.Sub(o.groups[t.spec.Group].placedAt) > crowdedAfter || !o.Policy.MindsTension() {
+		return cs
+	}
+	return slices.DeleteFunc(cs, func(c Candidate) bool { return c.Tension >= crowdedTension })
+}
+
 func (o *Owner) propose(p *pass, t *task, w *worker, cs []Candidate) {
 	n := 1
 	if a := o.shard.Attempts[t.name]; a != nil {
@@ -304,10 +338,12 @@
 	}
 	t.proposed = n
 	p.free[w.name] = p.free[w.name].Sub(t.spec.Size)
+	o.groups[t.spec.Group].placedAt = p.now
 	p.used[t.spec.Team] = p.used[t.spec.Team].Add(t.spec.Size)
 	w.proposals[t.name] = t.spec.Size
-	if w.reservedFor == t.name {
-		w.reserved, w.reservedFor = document.Size{}, ""
+	if r, ok := o.reservations[t.name]; ok {
+		delete(o.reservations, t.name)
+		p.held[r.worker] = p.held[r.worker].Sub(r.size)
 	}
 	if w.health.isQuarantined() {
 		w.health.probeAt = p.now.Add(probeEvery)
@@ -328,11 +364,8 @@
 	var cs []Candidate
 	d := make(map[string]int)
 	for _, w := range p.open {
-		f := p.free[w.name]
-		if w.reservedFor != t.name {
-			f = f.Sub(w.reserved)
-		}
-		c := o.candidate(w, t, f)
+		c := o.candidate(w, t, p.freeFor(o, w, t))
+		f := c.Free
 		d[w.domain] += c.SameGroupOnWorker
 		if t.spec.Size.Fits(f) && (!w.health.isQuarantined() || w.health.mayProbe(p.now)) {
 			cs = append(cs, c)
@@ -344,10 +377,19 @@
 	return cs
 }
 
+// freeFor returns the room on the worker that the task may use.
+func (p *pass) freeFor(o *Owner, w *worker, t *task) document.Size {
+	f := p.free[w.name].Sub(p.held[w.name])
+	if r := o.reservations[t.name]; r.worker == w.name {
+		f = f.Add(r.size)
+	}
+	return f
+}
+
 func (o *Owner) candidate(w *worker, t *task, free document.Size) Candidate {
 	return Candidate{
 		Worker: w.name, Domain: w.domain, Rack: w.rack, Free: free, Capacity: w.capacity,
-		SameGroupOnWorker: w.groups[t.spec.Group], Services: w.services,
+		SameGroupOnWorker: w.groups[t.spec.Group], Services: w.services, Tension: o.tension(w, t.spec),
 	}
 }
 
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -8,6 +8,8 @@
 // Policy chooses among the workers that have room for a task.
 type Policy interface {
 	Name() string
+	// MindsTension tells that batch shall wait rather than slow services beyond their bound.
+	MindsTension() bool
 	// Choose returns the index of one of the candidates, of which there is at least one.
 	Choose(s *Spec, cs []Candidate) int
 }
@@ -57,6 +59,8 @@
 
 func (p *randomPolicy) Name() string { return PolicyRandom }
 
+func (p *randomPolicy) MindsTension() bool { return false }
+
 func (p *randomPolicy) Choose(_ *Spec, cs []Candidate) int { return p.r.IntN(len(cs)) }
 
 // scorePolicy chooses the candidate with the lowest score, the first of equals.
@@ -67,6 +71,8 @@
 
 func (p *scorePolicy) Name() string { return p.name }
 
+func (p *scorePolicy) MindsTension() bool { return p.name == PolicyColocated }
+
 func (p *scorePolicy) Choose(s *Spec, cs []Candidate) int {
 	b, m := 0, p.score(s, cs[0])
 	for i, c := range cs[1:] {
@@ -92,22 +98,29 @@
 
 // The weights of the colocated policy, in shares of a worker.
 const (
-	weightSameWorker   = 4.0
+	weightSameWorker   = 20.0
 	weightSameDomain   = 1.0
 	weightTension      = 2.0
 	weightAccelerators = 3.0
 )
 
-// colocated spreads a service over failure domains and packs batch away from services that it slows.
+// workerShare is the part of a service's replicas that one worker may hold before others are preferred.
+const workerShare = 0.1
+
+// colocated balances a service over failure domains and packs services together, away from batch.
 //
-// Tasks that need no accelerator keep off workers that have some free.
+// Where replicas stand alone on a worker, batch fills the rest and disturbs them;
+// packed, they leave other workers to batch. How many replicas one worker takes is
+// bounded, so that its loss costs a service little. Batch goes where it slows
+// services least. Tasks that need no accelerator keep off workers that have some free.
 func colocated(s *Spec, c Candidate) float64 {
-	w := 0.0
+	w := leftover(s, c) + weightTension*c.Tension
 	if s.Size.Accelerators == 0 && c.Free.Accelerators > 0 {
-		w = weightAccelerators
+		w += weightAccelerators
 	}
-	if s.Class == ClassService {
-		return w + weightSameWorker*float64(c.SameGroupOnWorker) + weightSameDomain*float64(c.SameGroupInDomain) - leftover(s, c)
+	if s.Class != ClassService {
+		return w
 	}
-	return w + weightTension*c.Tension + leftover(s, c)
+	held := float64(c.SameGroupOnWorker+1) / float64(max(s.Count, 1))
+	return w + weightSameDomain*float64(c.SameGroupInDomain) + weightSameWorker*max(0, held-max(workerShare, 1/float64(max(s.Count, 1))))
 }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -18,48 +18,65 @@
 	if p.now.Before(g.preemptAt) || o.hasReservation(t) || !p.mayEvict(o, t.spec) {
 		return
 	}
-	g.preemptAt = p.now.Add(preemptEvery)
-	var best *worker
-	var victims []*task
+	var cs []Candidate
+	var vs [][]*task
 	for _, w := range p.open {
-		if w.reservedFor != "" || w.health.isQuarantined() || !t.spec.Size.Fits(w.capacity) {
+		if w.health.isQuarantined() || !t.spec.Size.Fits(w.capacity) {
 			continue
 		}
 		v, ok := o.victims(p, w, t)
-		if ok && (best == nil || evictionCost(v) < evictionCost(victims)) {
-			best, victims = w, v
+		if !ok || len(vs) > 0 && evictionCost(v) > evictionCost(vs[0]) {
+			continue
+		}
+		if len(vs) > 0 && evictionCost(v) < evictionCost(vs[0]) {
+			cs, vs = nil, nil
 		}
+		cs = append(cs, o.candidate(w, t, p.freeFor(o, w, t)))
+		vs = append(vs, v)
 	}
-	if best == nil {
+	if len(cs) == 0 {
+		g.preemptAt = p.now.Add(preemptEvery)
 		return
 	}
-	best.reserved, best.reservedFor, best.reservedUntil = t.spec.Size, t.name, p.now.Add(reserveFor)
-	for _, v := range victims {
+	balance(cs)
+	i := o.Policy.Choose(t.spec, cs)
+	n := cs[i].Worker
+	o.reservations[t.name] = reservation{worker: n, size: t.spec.Size, until: p.now.Add(reserveFor)}
+	p.held[n] = p.held[n].Add(t.spec.Size)
+	for _, v := range vs[i] {
+		p.used[v.spec.Team] = p.used[v.spec.Team].Sub(v.size)
 		o.end(v, record.ReleaseEvicted, "Evict", "room for "+t.spec.Class.String()+" task "+t.name)
 	}
 }
 
-func (o *Owner) hasReservation(t *task) bool {
-	for _, w := range o.workers {
-		if w.reservedFor == t.name {
-			return true
-		}
+// balance fills in how many tasks of the group each candidate's failure domain holds.
+func balance(cs []Candidate) {
+	d := make(map[string]int)
+	for _, c := range cs {
+		d[c.Domain] += c.SameGroupOnWorker
 	}
-	return false
+	for i := range cs {
+		cs[i].SameGroupInDomain = d[cs[i].Domain]
+	}
+}
+
+func (o *Owner) hasReservation(t *task) bool {
+	_, ok := o.reservations[t.name]
+	return ok
 }
 
 // victims returns the cheapest tasks on the worker whose end makes room for the task.
 func (o *Owner) victims(p *pass, w *worker, t *task) ([]*task, bool) {
 	var a []*task
 	for _, b := range w.bound {
-		if b.stop == "" && p.canEvict(t.spec, b.spec) {
+		if b.stop == "" && o.canEvict(p, t.spec, b.spec) {
 			a = append(a, b)
 		}
 	}
 	slices.SortFunc(a, func(x, y *task) int {
 		return cmp.Or(-cmp.Compare(x.spec.Class, y.spec.Class), -o.boundAt(x, y), cmp.Compare(x.name, y.name))
 	})
-	free := p.free[w.name].Add(o.stopping(w))
+	free := p.free[w.name].Add(o.stopping(w)).Sub(p.held[w.name])
 	for i, v := range a {
 		if t.spec.Size.Fits(free) {
 			return a[:i], true
@@ -72,15 +89,18 @@
 // canEvict reports whether a task may take the room of another.
 //
 // Services and urgent tasks evict batch of lower classes. A team within its quota
-// takes back what a team beyond its own has borrowed, from its own class downwards.
-func (p *pass) canEvict(s, victim *Spec) bool {
+// takes back what a team beyond its own has borrowed, from its own class downwards
+// and never so much that the other falls below its quota, or the two would take
+// turns for ever.
+func (o *Owner) canEvict(p *pass, s, victim *Spec) bool {
 	if victim.Class == ClassService {
 		return false
 	}
 	if s.Class <= ClassUrgent && victim.Class > ClassUrgent {
 		return true
 	}
-	return victim.Class >= s.Class && victim.Team != s.Team && p.over[victim.Team]
+	return victim.Class >= s.Class && victim.Team != s.Team &&
+		!p.used[victim.Team].Sub(victim.Size).Fits(o.quotas[victim.Team])
 }
 
 // mayEvict reports whether the task may evict others at all: it is urgent, or its team is within its quota and another is not.
--- a/internal/platform/standin/upstream.go
+++ b/internal/platform/standin/upstream.go
@@ -126,12 +126,22 @@
 func (w *worker) slowdown(service string) float64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.slowdownOf(service)
+}
+
+// slowdownOf is slowdown for a caller that holds mu.
+func (w *worker) slowdownOf(service string) float64 {
 	s := 1.0
 	for _, a := range w.attempts {
-		if a.isRunning() && a.order.Service == "" {
-			n, _, _ := strings.Cut(a.order.Task, "@")
-			s += pairFactor(service, n) * float64(a.order.Size.Processors) / float64(w.Processors)
+		if !a.isRunning() || a.order.Service != "" {
+			continue
+		}
+		n, _, _ := strings.Cut(a.order.Task, "@")
+		f := pairFactor(service, n) * float64(a.order.Size.Processors) / float64(w.Processors)
+		if a.slow {
+			f /= 2
 		}
+		s += f
 	}
 	return s
 }
--- a/internal/platform/standin/worker.go
+++ b/internal/platform/standin/worker.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -11,6 +13,15 @@
 	"currantknot.dev/currantknot/pkg/document"
 )
 
+const (
+	// measureEvery is the time between two measurements of a worker's replicas.
+	measureEvery = 250 * time.Millisecond
+	// usageLag is the age that a measurement has when it is reported.
+	usageLag = time.Second
+	// maxUsage bounds the measurements that a worker keeps.
+	maxUsage = 512
+)
+
 // worker runs attempts under leases.
 type worker struct {
 	placement.Worker
@@ -159,6 +170,7 @@
 func (w *worker) tick(now time.Time, failing bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.measure(now)
 	for _, a := range w.attempts {
 		if !a.isRunning() {
 			continue
@@ -194,10 +206,47 @@
 		}
 		r.Tasks = append(r.Tasks, a.report)
 	}
-	r.Usage = w.usage
+	w.throttle(o.Throttle)
+	r.Usage = w.lagging(time.Now())
 	return r
 }
 
+// throttle lets exactly the named tasks run at half speed; the caller holds mu.
+func (w *worker) throttle(names []string) {
+	now := time.Now()
+	for n, a := range w.attempts {
+		if !a.isRunning() {
+			continue
+		}
+		w.advance(a, now)
+		a.slow = slices.Contains(names, n)
+	}
+}
+
+// measure notes the slowdown of each replica; the caller holds mu.
+func (w *worker) measure(now time.Time) {
+	if len(w.usage) > 0 && now.Sub(w.usage[len(w.usage)-1].MeasuredAt) < measureEvery {
+		return
+	}
+	for n, a := range w.attempts {
+		if a.isRunning() && a.order.Service != "" {
+			w.usage = append(w.usage, placement.Usage{Task: n, MeasuredAt: now, Slowdown: w.slowdownOf(a.order.Service)})
+		}
+	}
+	w.usage = w.usage[max(0, len(w.usage)-maxUsage):]
+}
+
+// lagging returns the newest measurement of each replica that is as old as the lag; the caller holds mu.
+func (w *worker) lagging(now time.Time) []placement.Usage {
+	m := make(map[string]placement.Usage)
+	for _, u := range w.usage {
+		if now.Sub(u.MeasuredAt) >= usageLag {
+			m[u.Task] = u
+		}
+	}
+	return slices.Collect(maps.Values(m))
+}
+
 // trueRunTime returns what the attempt's work really takes: half to twice the declared time.
 func (p *Platform) trueRunTime(o placement.StartOrder) time.Duration {
 	h := xxhash.Sum64String(o.Task) % 1000
