--- a/cmd/currantknot/operators.go
+++ b/cmd/currantknot/operators.go
@@ -440,6 +440,13 @@
 	for _, g := range s.Groups {
 		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%s", g.Group, g.Class, g.Running, g.Waiting, g.Finished, g.GivenUp, g.Reason))
 	}
+	rows = append(rows, "", "SHARD\tOWNER\tEPOCH\tWORKERS\tRUNNING\tWAITING")
+	for _, x := range s.Shards {
+		rows = append(rows, fmt.Sprintf("%d\t%s\t%d\t%d\t%d\t%d", x.Number, x.Owner, x.Epoch, x.Workers, x.Running, x.Waiting))
+	}
+	if len(s.Silent) > 0 {
+		rows = append(rows, "", "no answer from "+strings.Join(s.Silent, ", "))
+	}
 	if len(s.Quarantined) > 0 {
 		rows = append(rows, "", "quarantined workers: "+strings.Join(s.Quarantined, ", "))
 	}
--- a/internal/caller/front_test.go
+++ b/internal/caller/front_test.go
@@ -31,6 +31,11 @@
 
 // newFront serves the service at /s with the given upstreams.
 func newFront(t *testing.T, upstreams ...string) *httptest.Server {
+	t.Helper()
+	return newFrontFor(t, upstreams...)
+}
+
+func newFrontFor(t testing.TB, upstreams ...string) *httptest.Server {
 	t.Helper()
 	r, err := routing.NewRouter("a", routing.PolicySlots, rand.New(rand.NewPCG(1, 1)))
 	require.NoError(t, err)
--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -287,10 +288,10 @@
 			if err != nil {
 				continue
 			}
-			for _, x := range s.Shards {
-				if x.Number == shard {
-					o = m
-					return true
+			for _, x := range s.Instances {
+				if slices.Contains(x.Shards, shard) {
+					o = c.named(x.Name)
+					return o != nil
 				}
 			}
 		}
@@ -299,6 +300,15 @@
 	return o
 }
 
+func (c *cluster) named(name string) *member {
+	for _, m := range c.members {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
 func (c *cluster) others(m *member) []*member {
 	var a []*member
 	for _, x := range c.members {
--- a/internal/integration/placement_test.go
+++ b/internal/integration/placement_test.go
@@ -1,6 +1,7 @@
 package integration_test
 
 import (
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -42,8 +43,8 @@
 			if err != nil {
 				continue
 			}
-			for _, x := range s.Shards {
-				if x.Number == 1 {
+			for _, x := range s.Instances {
+				if slices.Contains(x.Shards, 1) && x.Name != o.name {
 					n = m
 				}
 			}
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -19,8 +19,8 @@
 	Edit(ctx context.Context, e *record.Edit) (uint64, error)
 	// InForce returns which instances have applied the document up to the offset, and how many there are.
 	InForce(next uint64) (in []string, total int)
-	// Status describes the whole system as this instance sees it.
-	Status() Status
+	// Status describes the whole system; it asks all instances.
+	Status(ctx context.Context) Status
 	// Explain returns the decisions of all instances about a subject, the oldest first, and who did not answer.
 	Explain(ctx context.Context, subject string) (es []decision.Entry, silent []string)
 	// IsReady reports whether the instance serves callers, and why not.
@@ -48,7 +48,7 @@
 	Instances    int
 }
 
-// ShardStatus describes one shard that the answering instance owns.
+// ShardStatus describes one shard.
 type ShardStatus struct {
 	Number  int
 	Owner   string
@@ -58,7 +58,7 @@
 	Workers int
 }
 
-// GroupStatus describes the tasks of one service or job on the answering instance's shards.
+// GroupStatus describes the tasks of one service or job on all shards.
 type GroupStatus struct {
 	Group    string
 	Class    string
@@ -81,4 +81,6 @@
 	Shards       []ShardStatus
 	Groups       []GroupStatus
 	Quarantined  []string
+	// Silent lists the instances that did not answer; their shards are missing.
+	Silent []string
 }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -7,5 +7,5 @@
 )
 
 func status(b Backend) endpoint.Endpoint {
-	return func(context.Context, any) (any, error) { return b.Status(), nil }
+	return func(ctx context.Context, _ any) (any, error) { return b.Status(ctx), nil }
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"currantknot.dev/currantknot/internal/decision"
+	"currantknot.dev/currantknot/internal/placement"
 )
 
 // Message is one frame; at most one of the pointers is set.
@@ -15,6 +16,8 @@
 	State *State `msgpack:",omitempty"`
 	// Explain asks for, or answers with, the decisions about a subject.
 	Explain *Explain `msgpack:",omitempty"`
+	// Placement asks for, or answers with, the state of the shards that the instance owns.
+	Placement *Placement `msgpack:",omitempty"`
 	// Key asks the home of an idempotency key, or any instance, about it.
 	Key *Key `msgpack:",omitempty"`
 }
@@ -55,6 +58,17 @@
 	Entries []decision.Entry `msgpack:",omitempty"`
 }
 
+// Placement holds the state of the shards that an instance owns.
+type Placement struct {
+	Shards []ShardPlacement `msgpack:",omitempty"`
+}
+
+// ShardPlacement is the state of one shard.
+type ShardPlacement struct {
+	Number int
+	placement.Status
+}
+
 // KeyVerb tells what a Key message wants.
 type KeyVerb string
 
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -311,10 +311,10 @@
 	for _, s := range []fleetSize{
 		{"records-office", 50, 260, 1200, 44},
 		{"consortium", 65, 340, 1550, 57},
-		{"letter-1-shard-of-18", 37, 194, 889, 33},
-		{"letter-1-shard-of-9", 75, 389, 1778, 66},
-		{"letter-1-third", 223, 1167, 5333, 197},
-		{"letter-1-single-owner", 670, 3500, 16000, 590},
+		{"planned-shard-of-18", 37, 194, 889, 33},
+		{"planned-shard-of-9", 75, 389, 1778, 66},
+		{"planned-third", 223, 1167, 5333, 197},
+		{"planned-single-owner", 670, 3500, 16000, 590},
 	} {
 		b.Run(s.name, func(b *testing.B) {
 			for b.Loop() {
@@ -342,7 +342,7 @@
 
 // BenchmarkUrgentStart measures the time from an edit to the start of its urgent tasks on a full fleet.
 func BenchmarkUrgentStart(b *testing.B) {
-	for _, s := range []fleetSize{{"letter-1-shard-of-18", 37, 194, 889, 33}, {"letter-1-single-owner", 670, 3500, 16000, 590}} {
+	for _, s := range []fleetSize{{"planned-shard-of-18", 37, 194, 889, 33}, {"planned-single-owner", 670, 3500, 16000, 590}} {
 		b.Run(s.name, func(b *testing.B) {
 			for b.Loop() {
 				x := newExperiment(b, s, placement.PolicyColocated)
--- a/internal/placement/status.go
+++ b/internal/placement/status.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // GroupStatus describes the tasks of one group in a shard.
@@ -28,7 +27,7 @@
 }
 
 // Status returns the state of the shard.
-func (o *Owner) Status(now time.Time) Status {
+func (o *Owner) Status() Status {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := Status{Owner: o.shard.Owner, Epoch: o.shard.Epoch, Workers: len(o.workers)}
--- a/internal/platform/standin/audit.go
+++ b/internal/platform/standin/audit.go
@@ -105,6 +105,12 @@
 	a.violate("worker %s was asked to run beyond its capacity", worker)
 }
 
+func (a *auditor) onLateRequest(upstream string, after time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.violate("upstream %s got a request %s after it was listed as leaving", upstream, after)
+}
+
 func (a *auditor) onWrite(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/platform/standin/upstream.go
+++ b/internal/platform/standin/upstream.go
@@ -25,6 +25,8 @@
 	upstreamConns = 64
 	// leaveFor is the time that an upstream still serves after it was listed as leaving.
 	leaveFor = 4 * time.Second
+	// leaveBound is the promised time, beyond the lag of the list, after which a leaving upstream gets nothing new.
+	leaveBound = 3 * time.Second
 	// slowFactor is the slowdown of an upstream with the fault of that name.
 	slowFactor = 10
 )
@@ -89,6 +91,7 @@
 // serveUpstream answers a request after a service time that depends on what runs beside the replica.
 func (p *Platform) serveUpstream(u *upstream, w http.ResponseWriter, r *http.Request) {
 	f := p.faults.get()
+	p.checkLeft(u)
 	id := r.Header.Get(IdentityHeader)
 	if slices.Contains(f.FailingUpstreams, u.Worker) {
 		http.Error(w, "fault", http.StatusInternalServerError)
@@ -113,6 +116,16 @@
 	_, _ = io.WriteString(w, a)
 }
 
+// checkLeft notes a request that came long after the replica was listed as leaving.
+func (p *Platform) checkLeft(u *upstream) {
+	p.mu.Lock()
+	t := u.leftAt
+	p.mu.Unlock()
+	if !t.IsZero() && time.Since(t) > leaveBound+p.ListLag {
+		p.audit.onLateRequest(u.Name, time.Since(t))
+	}
+}
+
 func (p *Platform) serviceTime(u *upstream, f Faults) time.Duration {
 	d := p.faults.exponential(p.ServiceTime)
 	d = time.Duration(float64(d) * u.host.slowdown(u.Service))
--- /dev/null
+++ b/internal/routing/router_test.go
@@ -0,0 +1,271 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"currantknot.dev/currantknot/internal/routing"
+	"currantknot.dev/currantknot/pkg/document"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// newRouter returns a router of one entry for service s with the given number of upstreams.
+func newRouter(tb routingT, upstreams int) *routing.Router {
+	r, err := routing.NewRouter("e0", routing.PolicySlots, rand.New(rand.NewPCG(1, 1)))
+	require.NoError(tb, err)
+	r.SetServices([]document.Service{{Name: "s", Bound: time.Second}})
+	r.SetUpstreams(list(upstreams, -1), start)
+	return r
+}
+
+type routingT interface {
+	Errorf(format string, args ...any)
+	FailNow()
+}
+
+// list returns upstreams u0, u1, ... of which one may be closed.
+func list(n, closed int) []routing.Upstream {
+	var us []routing.Upstream
+	for i := range n {
+		us = append(us, routing.Upstream{Name: fmt.Sprintf("u%d", i), Service: "s", Closed: i == closed})
+	}
+	return us
+}
+
+func request(id int, account string) *routing.Request {
+	return &routing.Request{ID: uint64(id), Service: "s", ClientAccount: account, ArrivedAt: start, Deadline: start.Add(time.Second)}
+}
+
+func TestClosedUpstreamGetsNothingNew(t *testing.T) {
+	r := newRouter(t, 2)
+	r.SetUpstreams(list(2, 1), start)
+	for i := range 8 {
+		v := r.Offer(request(i, ""), start)
+		require.Equal(t, "u0", v.Upstream.Name)
+	}
+}
+
+func TestFloodOfOneAccountDelaysOnlyItself(t *testing.T) {
+	r := newRouter(t, 1)
+	var n int
+	offer := func(account string) *routing.Verdict {
+		n++
+		return r.Offer(request(n, account), start)
+	}
+	bound := 0
+	for offer("flood") != nil {
+		bound++
+	}
+	for range 200 {
+		offer("flood")
+	}
+	require.Nil(t, offer("quiet"))
+	// The quiet account is served with the second slot that comes free.
+	var accounts []string
+	for range 2 {
+		for _, v := range r.Done(routing.Result{Upstream: "u0", Service: "s", Took: time.Millisecond}, start) {
+			accounts = append(accounts, v.Request.ClientAccount)
+		}
+	}
+	require.Contains(t, accounts, "quiet")
+}
+
+func TestLimitOfAnAccountIsItsOwn(t *testing.T) {
+	r, err := routing.NewRouter("e0", routing.PolicySlots, rand.New(rand.NewPCG(1, 1)))
+	require.NoError(t, err)
+	r.SetServices([]document.Service{{Name: "s", Bound: time.Second, RequestsPerSecond: 4}})
+	r.SetUpstreams(list(4, -1), start)
+	refused := 0
+	for i := range 10 {
+		if v := r.Offer(request(i, "a"), start); v != nil && v.Refusal != nil {
+			require.Equal(t, routing.RefusedLimit, v.Refusal.Reason)
+			require.True(t, v.Refusal.RetryAt.After(start))
+			refused++
+		}
+	}
+	require.Equal(t, 8, refused)
+	require.NotNil(t, r.Offer(request(99, "b"), start).Upstream)
+}
+
+func TestFailingUpstreamIsEjectedAndComesBackSlowly(t *testing.T) {
+	r := newRouter(t, 4)
+	now := start
+	ejected := func() map[string]bool {
+		m := make(map[string]bool)
+		for _, u := range r.Status(now) {
+			if u.Ejected {
+				m[u.Name] = true
+			}
+		}
+		return m
+	}
+	for i := range 400 {
+		v := r.Offer(request(i, ""), now)
+		r.Done(routing.Result{Upstream: v.Upstream.Name, Service: "s", Failed: v.Upstream.Name == "u1", Took: time.Millisecond}, now)
+	}
+	require.Equal(t, map[string]bool{"u1": true}, ejected())
+	now = now.Add(1100 * time.Millisecond)
+	require.Empty(t, ejected())
+	n := 0
+	for i := range 36 {
+		if v := r.Offer(request(i, ""), now); v != nil && v.Upstream != nil && v.Upstream.Name == "u1" {
+			n++
+		}
+	}
+	require.Equal(t, 1, n, "a returned upstream takes one request at first")
+}
+
+func TestNeverMoreThanAThirdIsEjected(t *testing.T) {
+	r := newRouter(t, 6)
+	for i := range 600 {
+		if v := r.Offer(request(i, ""), start); v.Upstream != nil {
+			r.Done(routing.Result{Upstream: v.Upstream.Name, Service: "s", Failed: true, Took: time.Millisecond}, start)
+		}
+	}
+	n := 0
+	for _, u := range r.Status(start) {
+		if u.Ejected {
+			n++
+		}
+	}
+	require.Equal(t, 2, n)
+}
+
+func TestRequestThatCannotMeetItsBoundIsRefusedAtOnce(t *testing.T) {
+	r := newRouter(t, 1)
+	for i := range 50 {
+		v := r.Offer(request(i, ""), start)
+		r.Done(routing.Result{Upstream: v.Upstream.Name, Service: "s", Took: 400 * time.Millisecond}, start)
+	}
+	waiting, refused := 0, 0
+	for i := range 60 {
+		switch v := r.Offer(request(i, ""), start); {
+		case v == nil:
+			waiting++
+		case v.Refusal != nil:
+			require.Equal(t, routing.RefusedOverload, v.Refusal.Reason)
+			refused++
+		}
+	}
+	require.Positive(t, waiting)
+	require.Greater(t, refused, waiting, "with 9 slots of 0.4 s and 1 s left, few of 60 can wait")
+}
+
+// TestEntriesShareTheSlotsOfAnUpstream checks for each number of entries that all deal the same slots, and how many.
+func TestEntriesShareTheSlotsOfAnUpstream(t *testing.T) {
+	const upstreams, dealt = 12, 9
+	for n := 1; n <= 9; n++ {
+		granted := make([]int, upstreams)
+		for e := range n {
+			r, err := routing.NewRouter(fmt.Sprintf("e%d", e), routing.PolicySlots, rand.New(rand.NewPCG(1, 1)))
+			require.NoError(t, err)
+			r.SetServices([]document.Service{{Name: "s"}})
+			r.SetUpstreams(list(upstreams, -1), start)
+			var ds []routing.Demand
+			for o := range n {
+				if o != e {
+					ds = append(ds, routing.Demand{Entry: fmt.Sprintf("e%d", o)})
+				}
+			}
+			r.SetDemands(map[string][]routing.Demand{"s": ds}, nil, start)
+			own := 0
+			for i, u := range r.Status(start) {
+				granted[i] += u.Granted
+				own += u.Granted
+			}
+			require.Positive(t, own, "every entry can answer")
+		}
+		for _, g := range granted {
+			require.Equal(t, dealt, g, "%d entries", n)
+		}
+	}
+}
+
+// TestSlotModel offers, ends and cancels requests at random and checks that every request gets exactly one verdict.
+func TestSlotModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRouter(t, 3)
+		now := start
+		verdicts := make(map[*routing.Request]int)
+		var waiting, bound []*routing.Request
+		at := make(map[*routing.Request]string)
+		take := func(vs []routing.Verdict) {
+			for _, v := range vs {
+				verdicts[v.Request]++
+				if v.Upstream != nil {
+					bound = append(bound, v.Request)
+					at[v.Request] = v.Upstream.Name
+				}
+			}
+		}
+		remove := func(l []*routing.Request, q *routing.Request) []*routing.Request {
+			for i := range l {
+				if l[i] == q {
+					return append(l[:i:i], l[i+1:]...)
+				}
+			}
+			return l
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				q := request(len(verdicts), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account"))
+				q.Deadline = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+				verdicts[q] = 0
+				if v := r.Offer(q, now); v != nil {
+					take([]routing.Verdict{*v})
+					return
+				}
+				waiting = append(waiting, q)
+			},
+			"done": func(t *rapid.T) {
+				if len(bound) == 0 {
+					return
+				}
+				q := bound[rapid.IntRange(0, len(bound)-1).Draw(t, "request")]
+				bound = remove(bound, q)
+				took := time.Duration(rapid.IntRange(1, 300).Draw(t, "took")) * time.Millisecond
+				take(r.Done(routing.Result{Upstream: at[q], Service: "s", Failed: rapid.Bool().Draw(t, "failed"), Took: took}, now))
+			},
+			"cancel": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					return
+				}
+				q := waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "request")]
+				if r.Cancel(q) {
+					verdicts[q]++
+				}
+				waiting = remove(waiting, q)
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+				take(r.Expire(now))
+			},
+			"close": func(t *rapid.T) {
+				take(r.SetUpstreams(list(3, rapid.IntRange(-1, 2).Draw(t, "closed")), now))
+			},
+			"": func(t *rapid.T) {
+				for q, n := range verdicts {
+					if n > 1 {
+						t.Fatalf("request %d got %d verdicts", q.ID, n)
+					}
+				}
+				n := 0
+				for _, u := range r.Status(now) {
+					if u.InFlight < 0 {
+						t.Fatalf("%d requests in flight at %s", u.InFlight, u.Name)
+					}
+					n += u.InFlight
+				}
+				if n != len(bound) {
+					t.Fatalf("%d requests in flight, %d bound", n, len(bound))
+				}
+			},
+		})
+	})
+}
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -111,6 +111,7 @@
 		Router: i.router, Sender: i.sender, Keys: i.newKeys(), Ring: i.ring, Metrics: i.metrics.caller(),
 		Services: i.services, Prefix: i.Self,
 	}
+	i.metrics.publish(i)
 	return i, nil
 }
 
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -100,6 +100,8 @@
 			return &peer.Message{State: &peer.State{Stream: documentStream}}
 		}
 		return &peer.Message{State: &peer.State{Stream: documentStream, Covers: n, Data: b}}
+	case m.Placement != nil:
+		return &peer.Message{Placement: i.ownPlacement()}
 	case m.Explain != nil:
 		return &peer.Message{Explain: &peer.Explain{Subject: m.Explain.Subject, Entries: i.ring.Find(m.Explain.Subject)}}
 	case m.Key != nil:
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -1,13 +1,16 @@
 package serve
 
 import (
+	"expvar"
+	"fmt"
 	"strconv"
+	"strings"
 	"sync/atomic"
 
-	"github.com/go-kit/kit/metrics"
 	kitexpvar "github.com/go-kit/kit/metrics/expvar"
 
 	"currantknot.dev/currantknot/internal/caller"
+	"currantknot.dev/currantknot/internal/stream"
 )
 
 // metricNames numbers the instances of one process, since expvar has one table for the process.
@@ -16,6 +19,37 @@
 // latencyBuckets is the number of buckets of latency histograms.
 const latencyBuckets = 50
 
+// metric is one name of /debug/vars.
+type metric struct {
+	name string
+	help string
+	// read returns the value of a gauge, nil for the counters that the front keeps.
+	read func(*Instance) any
+}
+
+// metricTable lists all metrics; docs/METRICS.md is made from it.
+func metricTable() []metric {
+	return []metric{
+		{"Requests", "requests of callers", nil},
+		{"Answers", "requests that an upstream's whole answer was passed on for", nil},
+		{"NotRun", "requests refused as not run", nil},
+		{"Unknown", "requests with an unknown outcome", nil},
+		{"Retries", "attempts after the first", nil},
+		{"Aborted", "answers that broke off, visibly for the caller", nil},
+		{"AnswerSeconds", "time from a request's arrival to the end of its answer, as quantiles .p50 .p90 .p95 .p99", nil},
+		{"IdempotencyKeys", "keys that are remembered", func(i *Instance) any { return i.keys.table.Len() }},
+		{"LogAppends", "appends to the log, with repeats", func(i *Instance) any { return i.logUse().Appends }},
+		{"LogAppendedBytes", "bytes appended to the log, with repeats", func(i *Instance) any { return i.logUse().AppendedBytes }},
+		{"LogReadBytes", "bytes of entries read from the log", func(i *Instance) any { return i.logUse().ReadBytes }},
+		{"LogCorruptEntries", "entries that were no record and were skipped", func(i *Instance) any { return i.logUse().Corrupt }},
+		{"DocumentNext", "first offset of the document's stream that is not applied", func(i *Instance) any { return i.document.Position().Next }},
+		{"PeerSentBytes", "bytes sent to other instances", func(i *Instance) any { return i.mesh.Counts.SentBytes.Load() }},
+		{"PeerReceivedBytes", "bytes received from other instances", func(i *Instance) any { return i.mesh.Counts.ReceivedBytes.Load() }},
+		{"PeerBadFrames", "frames that did not decode; each closed its connection", func(i *Instance) any { return i.mesh.Counts.BadFrames.Load() }},
+		{"OwnedShards", "placement shards that the instance owns", func(i *Instance) any { return len(i.ownPlacement().Shards) }},
+	}
+}
+
 // instanceMetrics holds the metrics of one instance.
 type instanceMetrics struct {
 	prefix string
@@ -29,19 +63,48 @@
 	return &instanceMetrics{prefix: "Instance" + strconv.FormatInt(n, 10) + "."}
 }
 
-func (m *instanceMetrics) counter(name string) metrics.Counter {
-	return kitexpvar.NewCounter(m.prefix + name)
+// publish adds the gauges of the instance to /debug/vars.
+func (m *instanceMetrics) publish(i *Instance) {
+	for _, x := range metricTable() {
+		if x.read != nil {
+			expvar.Publish(m.prefix+x.name, expvar.Func(func() any { return x.read(i) }))
+		}
+	}
 }
 
 // caller returns the metrics of the front.
 func (m *instanceMetrics) caller() caller.Metrics {
+	c := func(name string) *kitexpvar.Counter { return kitexpvar.NewCounter(m.prefix + name) }
 	return caller.Metrics{
-		Requests: m.counter("Requests"),
-		Answers:  m.counter("Answers"),
-		NotRun:   m.counter("NotRun"),
-		Unknown:  m.counter("Unknown"),
-		Retries:  m.counter("Retries"),
-		Aborted:  m.counter("Aborted"),
+		Requests: c("Requests"),
+		Answers:  c("Answers"),
+		NotRun:   c("NotRun"),
+		Unknown:  c("Unknown"),
+		Retries:  c("Retries"),
+		Aborted:  c("Aborted"),
 		Seconds:  kitexpvar.NewHistogram(m.prefix+"AnswerSeconds", latencyBuckets),
 	}
 }
+
+// logUse sums the use of the log over all streams that the instance follows now.
+func (i *Instance) logUse() stream.Position {
+	s := i.document.Position()
+	for _, r := range i.currentRunners() {
+		p := r.follower.Position()
+		s.Appends += p.Appends
+		s.AppendedBytes += p.AppendedBytes
+		s.ReadBytes += p.ReadBytes
+		s.Corrupt += p.Corrupt
+	}
+	return s
+}
+
+// MetricsMarkdown returns the documentation of all metrics.
+func MetricsMarkdown() string {
+	var b strings.Builder
+	b.WriteString("# Metrics\n\nServed at `/debug/vars` of the operators' address. Made from `internal/serve/metrics.go` by `make docs`; a test\ncompares the two. Sums over streams hold those that the instance follows now.\n\n| name | meaning |\n|---|---|\n")
+	for _, m := range metricTable() {
+		fmt.Fprintf(&b, "| `%s` | %s |\n", m.name, m.help)
+	}
+	return b.String()
+}
--- a/internal/serve/operators.go
+++ b/internal/serve/operators.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"crypto/subtle"
 	"maps"
 	"net/http"
 	"os"
@@ -11,10 +12,13 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"currantknot.dev/currantknot/internal/decision"
 	"currantknot.dev/currantknot/internal/docstore"
 	"currantknot.dev/currantknot/internal/operator"
 	"currantknot.dev/currantknot/internal/peer"
+	"currantknot.dev/currantknot/internal/placement"
 	"currantknot.dev/currantknot/internal/record"
 	"currantknot.dev/currantknot/pkg/document"
 )
@@ -69,7 +73,7 @@
 }
 
 // Status implements operator.Backend.
-func (i *Instance) Status() operator.Status {
+func (i *Instance) Status(ctx context.Context) operator.Status {
 	now := time.Now()
 	p := i.document.Position()
 	s := operator.Status{
@@ -80,19 +84,87 @@
 	s.Instances = append(s.Instances, operator.InstanceStatus{
 		Name: i.Name, Domain: i.FailureDomain, DocumentNext: p.Next, Leaving: h.Leaving, Shards: slices.Sorted(maps.Keys(h.Shards)),
 	})
-	for _, m := range i.mesh.Live(now) {
+	ms := i.mesh.Live(now)
+	for _, m := range ms {
 		s.Instances = append(s.Instances, operator.InstanceStatus{
 			Name: m.Name, Domain: m.Domain, DocumentNext: m.DocumentNext, Leaving: m.Leaving,
 			SeenAgo: now.Sub(m.SeenAt).Round(time.Millisecond), Shards: slices.Sorted(maps.Keys(m.Shards)),
 		})
 	}
 	slices.SortFunc(s.Instances, func(a, b operator.InstanceStatus) int { return cmp.Compare(a.Name, b.Name) })
+	i.addPlacement(ctx, &s, ms)
+	return s
+}
+
+// addPlacement adds the shards of all instances, each asked at the same time.
+func (i *Instance) addPlacement(ctx context.Context, s *operator.Status, ms []peer.Member) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	as := make([]*peer.Placement, len(ms))
+	var g errgroup.Group
+	for n, m := range ms {
+		g.Go(func() error {
+			if a, err := i.mesh.Call(ctx, m.Name, &peer.Message{Placement: &peer.Placement{}}); err == nil {
+				as[n] = a.Placement
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	all := i.ownPlacement().Shards
+	for n, a := range as {
+		if a == nil {
+			s.Silent = append(s.Silent, ms[n].Name)
+			continue
+		}
+		all = append(all, a.Shards...)
+	}
+	sumPlacement(s, all)
+}
+
+// ownPlacement returns the state of the shards that this instance owns.
+func (i *Instance) ownPlacement() *peer.Placement {
+	p := &peer.Placement{}
 	for _, r := range i.currentRunners() {
 		if r.owner.IsOwner() {
-			addShard(&s, r, now)
+			p.Shards = append(p.Shards, peer.ShardPlacement{Number: r.number, Status: r.owner.Status()})
 		}
 	}
-	return s
+	return p
+}
+
+// sumPlacement adds up services and jobs over shards.
+func sumPlacement(s *operator.Status, all []peer.ShardPlacement) {
+	slices.SortFunc(all, func(a, b peer.ShardPlacement) int { return cmp.Compare(a.Number, b.Number) })
+	gs := make(map[string]*operator.GroupStatus)
+	for _, x := range all {
+		h := operator.ShardStatus{Number: x.Number, Owner: x.Owner, Epoch: x.Epoch, Workers: x.Workers}
+		for _, g := range x.Groups {
+			h.Running += g.Running
+			h.Waiting += g.Waiting
+			addGroup(gs, g)
+		}
+		s.Shards = append(s.Shards, h)
+		s.Quarantined = append(s.Quarantined, x.Quarantined...)
+	}
+	for _, n := range slices.Sorted(maps.Keys(gs)) {
+		s.Groups = append(s.Groups, *gs[n])
+	}
+}
+
+func addGroup(gs map[string]*operator.GroupStatus, g placement.GroupStatus) {
+	x := gs[g.Group]
+	if x == nil {
+		x = &operator.GroupStatus{Group: g.Group, Class: g.Class.String()}
+		gs[g.Group] = x
+	}
+	x.Running += g.Running
+	x.Waiting += g.Waiting
+	x.Finished += g.Finished
+	x.GivenUp += g.GivenUp
+	if g.Reason != "" {
+		x.Reason = g.Reason
+	}
 }
 
 func domainStatus(d *document.Document) []operator.DomainStatus {
@@ -113,21 +185,6 @@
 	return a
 }
 
-func addShard(s *operator.Status, r *runner, now time.Time) {
-	x := r.owner.Status(now)
-	h := operator.ShardStatus{Number: r.number, Owner: x.Owner, Epoch: x.Epoch, Workers: x.Workers}
-	for _, g := range x.Groups {
-		h.Running += g.Running
-		h.Waiting += g.Waiting
-		s.Groups = append(s.Groups, operator.GroupStatus{
-			Group: g.Group, Class: g.Class.String(), Running: g.Running, Waiting: g.Waiting,
-			Finished: g.Finished, GivenUp: g.GivenUp, Reason: g.Reason,
-		})
-	}
-	s.Shards = append(s.Shards, h)
-	s.Quarantined = append(s.Quarantined, x.Quarantined...)
-}
-
 // Explain implements operator.Backend.
 func (i *Instance) Explain(ctx context.Context, subject string) (es []decision.Entry, silent []string) {
 	es = i.ring.Find(subject)
@@ -172,7 +229,7 @@
 	}
 	defer f.Close()
 	for s := bufio.NewScanner(f); s.Scan(); {
-		if t, team, ok := strings.Cut(strings.TrimSpace(s.Text()), " "); ok && token != "" && t == token {
+		if t, team, ok := strings.Cut(strings.TrimSpace(s.Text()), " "); ok && token != "" && subtle.ConstantTimeCompare([]byte(t), []byte(token)) == 1 {
 			return strings.TrimSpace(team)
 		}
 	}
--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,109 @@
+package serve
+
+import (
+	"encoding/json"
+	"expvar"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"currantknot.dev/currantknot/internal/peer"
+	"currantknot.dev/currantknot/internal/platform"
+	"currantknot.dev/currantknot/internal/settings"
+)
+
+var update = flag.Bool("update", false, "write docs/METRICS.md")
+
+// TestMetricsDocument compares docs/METRICS.md with the table of metrics.
+func TestMetricsDocument(t *testing.T) {
+	f := filepath.Join("..", "..", "docs", "METRICS.md")
+	if *update {
+		require.NoError(t, os.WriteFile(f, []byte(MetricsMarkdown()), 0o600))
+	}
+	b, err := os.ReadFile(f)
+	require.NoError(t, err)
+	require.Equal(t, MetricsMarkdown(), string(b), "run make docs")
+}
+
+func newInstance(t *testing.T, name string) *Instance {
+	t.Helper()
+	i, err := New(settings.Serve{
+		Name: name, Platform: "http://127.0.0.1:1", PlatformTimeout: time.Second, RoutingPolicy: "slots",
+		PlacementPolicy: "colocated", Insecure: true, HeartbeatEvery: time.Second,
+	}, zerolog.Nop())
+	require.NoError(t, err)
+	t.Cleanup(i.pool.close)
+	return i
+}
+
+func TestEveryMetricIsServed(t *testing.T) {
+	i := newInstance(t, "a")
+	for _, m := range metricTable() {
+		n := i.metrics.prefix + m.name
+		if m.name == "AnswerSeconds" {
+			n += ".p99"
+		}
+		v := expvar.Get(n)
+		require.NotNil(t, v, n)
+		require.True(t, json.Valid([]byte(v.String())), n)
+	}
+}
+
+func TestShardsAreSpreadEvenlyAndMoveLittle(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
+	const shards = 18
+	all := assignShards(names, shards)
+	count := make(map[string]int)
+	for _, n := range all {
+		count[n]++
+	}
+	for _, n := range names {
+		require.LessOrEqual(t, count[n], 3, n)
+	}
+	moved := 0
+	for s, n := range assignShards(names[:8], shards) {
+		if all[s] != "i" && n != all[s] {
+			moved++
+		}
+	}
+	require.LessOrEqual(t, moved, 4, "the death of one instance moves few shards of others")
+}
+
+// TestLeaseBasisMovesOnlyWhileNobodyCanHaveClaimed goes through what the other instances may say during an outage.
+func TestLeaseBasisMovesOnlyWhileNobodyCanHaveClaimed(t *testing.T) {
+	now := time.Now()
+	confirmed := now.Add(-time.Minute)
+	down := func(ago time.Duration) knownInstance {
+		return knownInstance{peer.Heartbeat{At: now.Add(-ago), LogAt: now.Add(-time.Minute)}, now.Add(-ago)}
+	}
+	for n, x := range map[string]struct {
+		known  map[string]knownInstance
+		listed []string
+		want   time.Time
+	}{
+		"alone":                      {nil, nil, now},
+		"all cut off":                {map[string]knownInstance{"b": down(time.Second), "c": down(time.Second / 2)}, nil, now.Add(-time.Second)},
+		"one reaches the log":        {map[string]knownInstance{"b": down(0), "c": {peer.Heartbeat{At: now, LogAt: now}, now}}, nil, confirmed},
+		"one is silent":              {map[string]knownInstance{"b": down(0), "c": down(10 * time.Second)}, nil, confirmed},
+		"one is silent and gone":     {map[string]knownInstance{"b": down(0), "c": down(10 * time.Second)}, []string{"a", "b"}, now},
+		"one is silent and not gone": {map[string]knownInstance{"b": down(0), "c": down(10 * time.Second)}, []string{"a", "b", "c"}, confirmed},
+		"one owns a later epoch":     {map[string]knownInstance{"b": {peer.Heartbeat{At: now, LogAt: confirmed, Shards: map[int]uint64{4: 8}}, now}}, nil, confirmed},
+	} {
+		t.Run(n, func(t *testing.T) {
+			i := newInstance(t, "a")
+			i.known = x.known
+			for _, l := range x.listed {
+				i.entries = append(i.entries, platform.Entry{Name: l})
+			}
+			i.entriesAt = now
+			require.True(t, x.want.Equal(i.leaseBasis(4, 7, confirmed, now)))
+		})
+	}
+	i := newInstance(t, "a")
+	require.True(t, now.Add(-time.Second).Equal(i.leaseBasis(4, 7, now.Add(-time.Second), now)), "a fresh confirmation is the basis itself")
+}
--- a/internal/serve/shards.go
+++ b/internal/serve/shards.go
@@ -132,8 +132,11 @@
 }
 
 // assignShards gives each shard to the instance with the highest hash that has room.
+//
+// Room is a quarter above the mean: exactly the mean would be more even and move
+// many shards of other instances whenever one comes or goes.
 func assignShards(names []string, shards int) []string {
-	room := (shards + len(names) - 1) / len(names)
+	room := (5*shards + 4*len(names) - 1) / (4 * len(names))
 	load := make(map[string]int, len(names))
 	a := make([]string, shards)
 	for s := range shards {
