Hand keys over at a planned stop; begin at the newest checkpoint

- An instance that stopped took its copy of recent keys along: after three planned stops in turn nobody knew a key.
It now tells two others (TestKeySurvivesPlannedStopsOfAllInstances).
- An entry by itself dealt itself 9 of 8 slots; the extra slot is only for several entries.
- The choice among free slots followed the noise of latencies to few upstreams and kept opening connections.

--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -101,6 +101,26 @@
 	t.entries[key] = &entry{state: Done, entry: at, until: now.Add(Memory), answer: a}
 }
 
+// Item is one key whose request has run.
+type Item struct {
+	Key    string
+	Entry  string
+	Answer *Answer
+}
+
+// Done returns the keys whose requests have run, in no order.
+func (t *Table) Done(now time.Time) []Item {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var a []Item
+	for k := range t.entries {
+		if e := t.get(k, now); e != nil && e.state == Done {
+			a = append(a, Item{k, e.entry, e.answer})
+		}
+	}
+	return a
+}
+
 // Len returns the number of keys.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/internal/integration/requests_test.go
+++ b/internal/integration/requests_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -11,6 +14,7 @@
 
 	"currantknot.dev/currantknot/internal/demo"
 	"currantknot.dev/currantknot/internal/platform/standin"
+	"currantknot.dev/currantknot/pkg/outcome"
 )
 
 // balancer is the platform's balancer: it sends to the instances that are in its list.
@@ -138,3 +142,41 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestKeySurvivesPlannedStopsOfAllInstances replaces every instance in turn between a write and its repeat.
+func TestKeySurvivesPlannedStopsOfAllInstances(t *testing.T) {
+	c := newCluster(t, 3)
+	write := func(m *member) (int, string) {
+		q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+m.caller+"/search/award", strings.NewReader("award"))
+		require.NoError(t, err)
+		q.Header.Set(outcome.KeyHeader, "the key")
+		q.Header.Set(standin.IdentityHeader, "the award")
+		s, err := http.DefaultClient.Do(q)
+		if err != nil {
+			return 0, ""
+		}
+		defer s.Body.Close()
+		b, _ := io.ReadAll(s.Body)
+		return s.StatusCode, string(b)
+	}
+	var first string
+	c.eventually("the write is answered", func() bool {
+		s, b := write(c.members[0])
+		first = b
+		return s == http.StatusOK
+	})
+	for _, m := range c.members {
+		m.signal(syscall.SIGTERM)
+		require.NoError(t, <-m.exited)
+		m.start()
+		c.eventually("the replacement is ready", func() bool { return m.ready() == 200 && m.get() == 200 })
+	}
+	for _, m := range c.members {
+		c.eventually("the repeat gets the first answer", func() bool {
+			s, b := write(m)
+			return s == http.StatusOK && b == first
+		})
+	}
+	require.Equal(t, 1, c.stand.Audit().Writes["the award"])
+	c.sound()
+}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -126,7 +126,10 @@
 	return b
 }
 
-// cost is the expected latency, raised by the share of the upstream's slots in use.
+// cost is the expected latency times the requests that this entry would have there.
+//
+// One request more weighs as much as twice the latency, so that the noise of the
+// averages does not send all requests to one upstream.
 func cost(u *upstream) float64 {
-	return u.latency * (1 + float64(u.inFlight)/float64(max(u.granted, 1)))
+	return u.latency * float64(1+u.inFlight)
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -175,9 +175,13 @@
 // regrant divides the slots of the service's open upstreams anew.
 func (r *Router) regrant(s *service) {
 	ds := append([]Demand{{Entry: r.Self, Slots: s.busy}}, s.demands...)
+	n := slotsPerUpstream
+	if len(ds) > 1 {
+		n += extraSlots
+	}
 	t := 0
 	for _, u := range s.sorted {
-		u.granted = divide(u.Name, slotsPerUpstream+extraSlots, ds)[r.Self]
+		u.granted = divide(u.Name, n, ds)[r.Self]
 		if !u.Closed {
 			t += u.granted
 		}
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -226,6 +226,7 @@
 	if err := front.Shutdown(ctx); err != nil {
 		return fmt.Errorf("finish requests in flight: %w", err)
 	}
+	i.keys.handOver(ctx)
 	return nil
 }
 
--- a/internal/serve/keys.go
+++ b/internal/serve/keys.go
@@ -153,6 +153,24 @@
 	}
 }
 
+// handOver tells two other instances of each key that this one knows, before it leaves.
+func (k *keys) handOver(ctx context.Context) {
+	now := time.Now()
+	for _, x := range k.table.Done(now) {
+		m := peer.Key{Verb: peer.KeyEnd, Key: x.Key, Entry: x.Entry, State: peer.KeyDone}
+		if x.Answer != nil {
+			m.Status, m.Header, m.Body = x.Answer.Status, x.Answer.Header, x.Answer.Body
+		}
+		ms, _ := k.ranked(x.Key, now)
+		told := 0
+		for _, n := range ms {
+			if n != k.instance.Name && told < 2 && k.askOne(ctx, n, &m).State != peer.KeyRefused {
+				told++
+			}
+		}
+	}
+}
+
 // tell sends a message about a key without waiting for its effect.
 func (k *keys) tell(home string, m peer.Key) {
 	go func() {
--- a/internal/stream/checkpoint.go
+++ b/internal/stream/checkpoint.go
@@ -21,6 +21,19 @@
 	return f.Restore(c.Covers, c.State)
 }
 
+// startFromCheckpoint lets a new follower begin at the newest checkpoint in place of replaying all that is retained.
+func (f *Follower) startFromCheckpoint(ctx context.Context) error {
+	c, err := f.findCheckpoint(ctx, 0)
+	if err != nil {
+		return err
+	}
+	f.searched = true
+	if c == nil {
+		return nil
+	}
+	return f.Restore(c.Covers, c.State)
+}
+
 // RetentionError reports a stream whose start is gone and which holds no checkpoint.
 type RetentionError struct {
 	Stream string
@@ -40,7 +53,7 @@
 			return nil, fmt.Errorf("look for a checkpoint in stream %s: %w", f.Stream, err)
 		}
 		if p.First > n {
-			n, c = p.First, nil
+			n, c, first = p.First, nil, p.First
 			continue
 		}
 		for _, e := range p.Entries {
--- a/internal/stream/follower.go
+++ b/internal/stream/follower.go
@@ -72,6 +72,8 @@
 	log     Log
 	machine Machine
 	wake    chan struct{}
+	// searched tells that a new follower has looked for a checkpoint to begin from; it belongs to the reading goroutine.
+	searched bool
 
 	// applyMu serialises changes of the machine; it is taken before mu.
 	applyMu sync.Mutex
@@ -197,6 +199,9 @@
 func (f *Follower) readOnce(ctx context.Context) error {
 	a := time.Now()
 	n := f.Position().Next
+	if n == 0 && !f.searched {
+		return f.startFromCheckpoint(ctx)
+	}
 	p, err := f.log.Read(ctx, f.Stream, n, a.Add(f.PollWait))
 	if err != nil {
 		return fmt.Errorf("read stream %s from %d: %w", f.Stream, n, err)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -14,8 +14,9 @@
 const (
 	// dialTimeout bounds the time to connect to an upstream.
 	dialTimeout = time.Second
-	// idleConnsPerUpstream keeps the idle connections of nine entries below an upstream's limit of 64.
-	idleConnsPerUpstream = 4
+	// idleConnsPerUpstream is the most that an entry can use at once. Nine entries share that
+	// many slots, so that together they stay far below an upstream's limit of 64 connections.
+	idleConnsPerUpstream = 9
 	// idleTimeout ends idle connections before a usual upstream does.
 	idleTimeout = 20 * time.Second
 	// maxHeaderBytes bounds the header of an answer.
