--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -329,6 +330,24 @@
 	return s.StatusCode
 }
 
+// vars returns the numbers among the metrics of the member.
+func (m *member) vars() map[string]float64 {
+	v := make(map[string]float64)
+	s, err := http.Get("http://" + m.operator + "/debug/vars") //nolint:noctx // a test
+	if err != nil {
+		return v
+	}
+	defer s.Body.Close()
+	var a map[string]any
+	_ = json.NewDecoder(s.Body).Decode(&a)
+	for k, x := range a {
+		if n, ok := x.(float64); ok {
+			v[k] = n
+		}
+	}
+	return v
+}
+
 // cut stops the proxy and its connections; mend starts it again.
 func cut(t *testing.T, ps ...*toxiproxy.Proxy) {
 	t.Helper()
--- a/internal/integration/requests_test.go
+++ b/internal/integration/requests_test.go
@@ -78,6 +78,18 @@
 	c.sound()
 }
 
+func TestPlannedStopFinishesALongRequest(t *testing.T) {
+	c := newCluster(t, 2)
+	c.stand.SetFaults(standin.Faults{ServiceDelay: 4 * time.Second})
+	m := c.members[0]
+	status := make(chan int, 1)
+	go func() { status <- m.get() }()
+	c.eventually("the request has arrived", func() bool { return m.vars()["Requests"] > m.vars()["Answers"]+m.vars()["NotRun"] })
+	m.signal(syscall.SIGTERM)
+	require.NoError(t, <-m.exited)
+	require.Equal(t, 200, <-status)
+}
+
 func TestKilledEntryDoublesNoWrite(t *testing.T) {
 	c := newCluster(t, 3)
 	b := &balancer{}
--- a/internal/platform/standin/faults.go
+++ b/internal/platform/standin/faults.go
@@ -24,6 +24,8 @@
 	WorkersFailing []string
 	// WorkersLeaving lists workers that the list shows as leaving.
 	WorkersLeaving []string
+	// ServiceDelay is added to the service time of each request at an upstream.
+	ServiceDelay time.Duration
 	// SlowUpstreams lists workers whose upstreams are ten times slower.
 	SlowUpstreams []string
 	// FailingUpstreams lists workers whose upstreams answer status 500 at once.
--- a/internal/platform/standin/upstream.go
+++ b/internal/platform/standin/upstream.go
@@ -132,7 +132,7 @@
 	if slices.Contains(f.SlowUpstreams, u.Worker) {
 		d *= slowFactor
 	}
-	return d
+	return d + f.ServiceDelay
 }
 
 // slowdown returns how much longer the service takes beside the worker's batch tasks.
