End the hand-over of keys when others are silent

All three instances stopped at once, and one told 14,000 keys to two others that no longer answered, half a second each (goroutine dump). An instance that did not answer once is not asked again, the hand-over takes at most 10 s, and Kill also ends a shutdown that has begun.

--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -183,11 +183,12 @@
 		case <-ctx.Done():
 		case <-x.Done():
 		}
-		return i.shutDown(context.WithoutCancel(x), front)
+		return i.shutDown(i.untilKilled(x), front)
 	})
 	i.logger.Info().Str("Instance", i.Self).Str("Callers", l.caller.Addr().String()).
 		Str("Operators", l.operator.Addr().String()).Str("Peers", l.peer.Addr().String()).Msg("instance started")
 	err = g.Wait()
+	i.Kill()
 	i.pool.close()
 	i.platform.Close()
 	i.sender.Close()
@@ -197,6 +198,16 @@
 	return err
 }
 
+// untilKilled returns a context that goes on when its parent ends and ends when the instance is killed.
+func (i *Instance) untilKilled(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	go func() {
+		defer cancel()
+		<-i.killed
+	}()
+	return ctx
+}
+
 // Kill ends the instance at once, as the death of its process would.
 func (i *Instance) Kill() { i.killOnce.Do(func() { close(i.killed) }) }
 
@@ -220,7 +231,11 @@
 	t := time.NewTimer(i.DrainDelay)
 	defer t.Stop()
 	i.resignShards(ctx)
-	<-t.C
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return front.Close()
+	}
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
--- a/internal/serve/keys.go
+++ b/internal/serve/keys.go
@@ -19,6 +19,8 @@
 const (
 	// keyRetry is the time after which a caller is asked to repeat a request whose key could not be checked.
 	keyRetry = time.Second
+	// handOverTimeout bounds the time in which an instance that leaves tells the others its keys.
+	handOverTimeout = 10 * time.Second
 	// keyCallTimeout bounds one question about a key.
 	keyCallTimeout = 500 * time.Millisecond
 )
@@ -154,8 +156,13 @@
 }
 
 // handOver tells two other instances of each key that this one knows, before it leaves.
+//
+// An instance that does not answer once is not asked again, so that a stop of many at once takes no time.
 func (k *keys) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
 	now := time.Now()
+	silent := map[string]bool{k.instance.Name: true}
 	for _, x := range k.table.Done(now) {
 		m := peer.Key{Verb: peer.KeyEnd, Key: x.Key, Entry: x.Entry, State: peer.KeyDone}
 		if x.Answer != nil {
@@ -164,9 +171,14 @@
 		ms, _ := k.ranked(x.Key, now)
 		told := 0
 		for _, n := range ms {
-			if n != k.instance.Name && told < 2 && k.askOne(ctx, n, &m).State != peer.KeyRefused {
-				told++
+			if silent[n] || told == 2 {
+				continue
+			}
+			if k.askOne(ctx, n, &m).State == peer.KeyRefused {
+				silent[n] = true
+				continue
 			}
+			told++
 		}
 	}
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -1,11 +1,15 @@
 package serve
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"flag"
+	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -107,3 +111,40 @@
 	i := newInstance(t, "a")
 	require.True(t, now.Add(-time.Second).Equal(i.leaseBasis(4, 7, now.Add(-time.Second), now)), "a fresh confirmation is the basis itself")
 }
+
+// TestHandOverToSilentInstancesEnds has many keys and another instance that takes them and never answers.
+func TestHandOverToSilentInstancesEnds(t *testing.T) {
+	i := newInstance(t, "a")
+	i.entries = []platform.Entry{{Name: "a"}, {Name: "b"}}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	own, silent := listen(t), listen(t)
+	go func() { defer close(done); _ = i.mesh.Run(ctx, own) }()
+	defer func() { cancel(); <-done }()
+	c, err := net.Dial("tcp", own.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	require.Eventually(t, func() bool {
+		_, err := peer.WriteFrame(c, &peer.Message{Heartbeat: &peer.Heartbeat{Name: "b", Address: silent.Addr().String(), Leaving: true}})
+		require.NoError(t, err)
+		x, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		_, err = i.mesh.Call(x, "b", &peer.Message{})
+		return errors.Is(err, context.DeadlineExceeded)
+	}, time.Minute, 50*time.Millisecond, "the silent instance is connected")
+	for n := range 100 {
+		i.keys.table.Finish(strconv.Itoa(n), "a", nil, time.Now())
+	}
+	x, stop := context.WithTimeout(ctx, handOverTimeout)
+	defer stop()
+	i.keys.handOver(x)
+	require.NoError(t, x.Err(), "100 keys at a timeout each would take 50 s")
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
