--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -90,13 +90,18 @@
 		if err := check(ctx, b, e); err != nil {
 			return nil, err
 		}
-		n, err := b.Edit(ctx, e)
-		if err != nil {
-			return nil, err
-		}
-		in, t := b.InForce(n)
-		return EditAnswer{Revision: n, InForce: in, Instances: t}, nil
+		return commit(ctx, b, e)
+	}
+}
+
+// commit commits an edit and tells on which instances it is in force already.
+func commit(ctx context.Context, b Backend, e *record.Edit) (any, error) {
+	n, err := b.Edit(ctx, e)
+	if err != nil {
+		return nil, err
 	}
+	in, t := b.InForce(n)
+	return EditAnswer{Revision: n, InForce: in, Instances: t}, nil
 }
 
 func checkDocument(b Backend) endpoint.Endpoint {
--- a/internal/operator/domain.go
+++ b/internal/operator/domain.go
@@ -59,12 +59,7 @@
 	if err := authorize(ctx, b, e); err != nil {
 		return nil, err
 	}
-	n, err := b.Edit(ctx, e)
-	if err != nil {
-		return nil, err
-	}
-	in, t := b.InForce(n)
-	return EditAnswer{Revision: n, InForce: in, Instances: t}, nil
+	return commit(ctx, b, e)
 }
 
 func domainEdit(v *docstore.View, q *DomainRequest) (*record.Edit, error) {
--- a/internal/serve/runner.go
+++ b/internal/serve/runner.go
@@ -29,6 +29,8 @@
 	commitTimeout = 5 * time.Second
 	// checkpointAfter is the number of entries after which a stream gets a new checkpoint.
 	checkpointAfter = 2000
+	// firstCheckpointAfter is the number of entries after which a stream gets its first checkpoint.
+	firstCheckpointAfter = 200
 	// checkpointEvery is the time after which a stream gets a new checkpoint, far below any retention.
 	checkpointEvery = 10 * time.Minute
 )
@@ -275,7 +277,11 @@
 	}
 }
 
+// isCheckpointDue reports whether a stream needs a new checkpoint: after many entries, after a while with any, or for the first time.
 func isCheckpointDue(p stream.Position, now time.Time) bool {
-	return p.SinceCheckpoint >= checkpointAfter || p.SinceCheckpoint > 0 && now.Sub(p.CheckpointAt) > checkpointEvery && !p.CheckpointAt.IsZero() ||
-		p.CheckpointAt.IsZero() && p.SinceCheckpoint > checkpointAfter/10
+	if p.CheckpointAt.IsZero() {
+		return p.SinceCheckpoint > firstCheckpointAfter
+	}
+	old := now.Sub(p.CheckpointAt) > checkpointEvery
+	return p.SinceCheckpoint >= checkpointAfter || old && p.SinceCheckpoint > 0
 }
