Explain what happened in a failure domain

Decisions on tasks name the failure domain of their worker, so that explain finds them by it; TestNoStartInADrainedFailureDomain looks for the binds and evacuations there.

--- a/cmd/currantknot/operators.go
+++ b/cmd/currantknot/operators.go
@@ -455,7 +455,7 @@
 
 type explainCommand struct {
 	settings.Operator
-	Subject string `arg:"positional,required" help:"request, task, service or job with generation, worker, upstream, section or shard stream"`
+	Subject string `arg:"positional,required" help:"request, task, service or job with generation, worker, failure domain, upstream, section or shard stream"`
 }
 
 func (c *explainCommand) run(ctx context.Context, out io.Writer) error {
--- a/internal/integration/placement_test.go
+++ b/internal/integration/placement_test.go
@@ -132,6 +132,13 @@
 		}
 	}
 	c.finished(200)
+	x, err := c.members[0].client().Explain(t.Context(), "south")
+	require.NoError(t, err)
+	kinds := make(map[string]bool)
+	for _, e := range x.Entries {
+		kinds[e.Kind] = true
+	}
+	require.True(t, kinds["Bind"] && kinds["Evacuate"], "explain tells what happened in the failure domain: %v", kinds)
 }
 
 func TestAllInstancesReplacedAtOnce(t *testing.T) {
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -41,11 +41,13 @@
 
 // Decision explains one placement decision.
 type Decision struct {
-	At       time.Time
-	Kind     string
-	Task     string
-	Attempt  int
-	Worker   string
+	At      time.Time
+	Kind    string
+	Task    string
+	Attempt int
+	Worker  string
+	// Domain is the failure domain of the worker.
+	Domain   string
 	Reason   string
 	Rejected string
 }
@@ -272,7 +274,12 @@
 	return d
 }
 
-func (o *Owner) decide(d Decision) { o.decisions = append(o.decisions, d) }
+func (o *Owner) decide(d Decision) {
+	if w := o.workers[d.Worker]; w != nil {
+		d.Domain = w.domain
+	}
+	o.decisions = append(o.decisions, d)
+}
 
 // SetView takes over a newer document.
 func (o *Owner) SetView(v *docstore.View, now time.Time) {
--- a/internal/serve/runner.go
+++ b/internal/serve/runner.go
@@ -263,7 +263,7 @@
 		}
 		g, _ := placement.SplitTask(d.Task)
 		r.instance.ring.Add(decision.Entry{
-			At: at, Kind: d.Kind, Subjects: []string{d.Task, g, d.Worker}, Reason: d.Reason, Rejected: d.Rejected,
+			At: at, Kind: d.Kind, Subjects: []string{d.Task, g, d.Worker, d.Domain}, Reason: d.Reason, Rejected: d.Rejected,
 		})
 	}
 }
