Drop dead state and compute tension only where a task fits

Behaviour stays as it is. - The count of service replicas on a worker was kept and handed to policies, and nobody read it. - Candidates computed the tension on every open worker, in the hot path of a plan, also where the task has no room; now only where it fits. - A margin of 1.0 multiplied the expected wait; a wrapper only called Deliver; outcomes were compared with literals in place of their constants.

Lint, the tests of placement, caller, routing and serve, and three integration tests (killed owner, faulty upstreams, long request) pass.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -10,6 +10,7 @@
 	"currantknot.dev/currantknot/internal/decision"
 	"currantknot.dev/currantknot/internal/routing"
 	"currantknot.dev/currantknot/internal/upstream"
+	"currantknot.dev/currantknot/pkg/outcome"
 )
 
 // maxAttempts bounds the upstreams that one request is sent to.
@@ -50,7 +51,7 @@
 
 // worse keeps the failure that tells less about the request: Unknown before NotRun.
 func worse(last, e *callError) *callError {
-	if e == nil || last != nil && last.outcome == "Unknown" {
+	if e == nil || last != nil && last.outcome == outcome.Unknown {
 		return last
 	}
 	return e
@@ -67,7 +68,7 @@
 	if n >= maxAttempts || !time.Now().Before(c.Deadline) || c.in.Context().Err() != nil {
 		return false
 	}
-	if e.outcome != "NotRun" && (!c.isIdempotent() || c.hasBody()) {
+	if e.outcome != outcome.NotRun && (!c.isIdempotent() || c.hasBody()) {
 		return false
 	}
 	return f.retries.take(time.Now())
@@ -114,7 +115,7 @@
 	s, err := f.Sender.Send(x, outgoing(x, c, t)) //nolint:bodyclose // encode and try close it
 	late := !d.Stop()
 	done := func(failed, ignored bool) {
-		f.deliver(f.Router.Done(routing.Result{
+		Deliver(f.Router.Done(routing.Result{
 			Upstream: t.Name, Service: c.Service, Failed: failed, Ignored: ignored, Took: time.Since(a),
 		}, time.Now()))
 	}
@@ -141,8 +142,6 @@
 	return unknown(c, r)
 }
 
-func (f *Front) deliver(vs []routing.Verdict) { Deliver(vs) }
-
 // Deliver hands verdicts to the requests that wait for them.
 func Deliver(vs []routing.Verdict) {
 	for _, v := range vs {
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -158,9 +158,8 @@
 	leaving  bool
 	listed   bool
 	bound    map[string]*task
-	// groups counts the bound tasks by group, and services those of services.
-	groups   map[string]int
-	services int
+	// groups counts the bound tasks by group.
+	groups map[string]int
 	// serviceNames counts the bound replicas by service.
 	serviceNames map[string]int
 	// throttled holds the groups whose tasks run at half speed.
@@ -416,7 +415,6 @@
 		}
 		w.bound = make(map[string]*task)
 		w.groups = make(map[string]int)
-		w.services = 0
 		w.serviceNames = make(map[string]int)
 	}
 }
@@ -498,7 +496,6 @@
 		delete(w.groups, t.spec.Group)
 	}
 	if t.spec.Class == ClassService {
-		w.services += n
 		w.serviceNames[t.spec.Name] += n
 		if w.serviceNames[t.spec.Name] == 0 {
 			delete(w.serviceNames, t.spec.Name)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -167,8 +167,6 @@
 	SameGroupInDomain int
 	// SameGroupOnWorker counts the tasks of the group on the worker.
 	SameGroupOnWorker int
-	// Services counts the service replicas on the worker.
-	Services int
 	// Tension is the slowdown of services expected beside the task, 0 for none.
 	Tension float64
 }
@@ -364,11 +362,10 @@
 	var cs []Candidate
 	d := make(map[string]int)
 	for _, w := range p.open {
-		c := o.candidate(w, t, p.freeFor(o, w, t))
-		f := c.Free
-		d[w.domain] += c.SameGroupOnWorker
+		d[w.domain] += w.groups[t.spec.Group]
+		f := p.freeFor(o, w, t)
 		if t.spec.Size.Fits(f) && (!w.health.isQuarantined() || w.health.mayProbe(p.now)) {
-			cs = append(cs, c)
+			cs = append(cs, o.candidate(w, t, f))
 		}
 	}
 	for i := range cs {
@@ -389,7 +386,7 @@
 func (o *Owner) candidate(w *worker, t *task, free document.Size) Candidate {
 	return Candidate{
 		Worker: w.name, Domain: w.domain, Rack: w.rack, Free: free, Capacity: w.capacity,
-		SameGroupOnWorker: w.groups[t.spec.Group], Services: w.services, Tension: o.tension(w, t.spec),
+		SameGroupOnWorker: w.groups[t.spec.Group], Tension: o.tension(w, t.spec),
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -19,8 +19,6 @@
 	extraSlots = 1
 	// maxEjectedShare bounds the part of a service's upstreams that is ejected at a time.
 	maxEjectedShare = 1.0 / 3
-	// admissionMargin is the part of the expected wait by which admission may be wrong.
-	admissionMargin = 1.0
 	// demandMemory is the time constant of the published demand.
 	demandMemory = 2 * time.Second
 	// minRetryAfter is the least time after which a refused caller is asked to come back.
@@ -281,7 +279,7 @@
 		}
 	}
 	a := float64(s.queue.ahead(account) + 1)
-	return time.Duration(admissionMargin * a * s.latency / float64(max(n, 1)) * float64(time.Second))
+	return time.Duration(a * s.latency / float64(max(n, 1)) * float64(time.Second))
 }
 
 // longestWait returns how long a request may wait that has the given time left.
