--- a/cmd/currantknot/main.go
+++ b/cmd/currantknot/main.go
@@ -42,6 +42,7 @@
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"show the decisions about a request, task, service, job, worker or upstream"`
 	Platform *platformCommand `arg:"subcommand:platform" help:"run the stand-in of the platform"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run stand-in and three instances under load and faults, and report"`
+	Jobs     *jobsCommand     `arg:"subcommand:jobs" help:"run one instance that accepts and runs jobs, on the platform of a settings file"`
 	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -84,6 +85,8 @@
 		return c.Platform
 	case c.Demo != nil:
 		return c.Demo
+	case c.Jobs != nil:
+		return c.Jobs
 	case c.Version != nil:
 		return c.Version
 	}
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+// Plan decides on starts, repeated stops and paces; Take returns what follows.
+func (p *Planner) Plan(now time.Time) {
+	p.Expire(now)
+	p.repeatStops(now)
+	for _, c := range p.candidates(now) {
+		if c.step.Gang {
+			p.placeGang(&c, now)
+			continue
+		}
+		p.placeStep(&c, now)
+	}
+	p.control(now)
+}
+
+// repeatStops sends stops again that have not led to an end.
+func (p *Planner) repeatStops(now time.Time) {
+	for _, w := range p.workers {
+		for _, a := range w.attempts {
+			if a.stopping && a.phase != phasePlanned && now.Sub(a.stopSentAt) >= stopEvery {
+				p.sendStop(w, a, now)
+			}
+		}
+	}
+}
+
+// placeStep starts as many tasks of a step as there is room for.
+func (p *Planner) placeStep(c *candidate, now time.Time) {
+	for _, t := range c.tasks {
+		w := p.choose(c, t, now)
+		if w == nil {
+			return
+		}
+		p.assign(c.job, t, w, now)
+	}
+}
+
+func (p *Planner) assign(j *jobs.Job, t *jobs.Task, w *worker, now time.Time) {
+	if !j.Assign(t, w.ID, w.Life, now) {
+		return
+	}
+	p.order(j, t, w, now)
+}
+
+// order plans the start of a task that was assigned.
+func (p *Planner) order(j *jobs.Job, t *jobs.Task, w *worker, now time.Time) {
+	a := &attempt{job: j, task: t, run: t.Run, life: w.Life, plannedAt: now, pace: fullPace, paceSent: fullPace}
+	w.add(a)
+	p.dirty[j.ID] = j
+	p.orders = append(p.orders, Order{
+		Ref: t.Ref, Kind: OrderStart, Run: t.Run, Worker: w.ID, Address: w.Address, Payload: j.Payload, Saved: t.Saved,
+	})
+	p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Str("Worker", w.ID).Int64("Life", w.Life).Str("Decision", "Start").
+		Int("FreeMilliCPU", w.free().MilliCPU).Int("FreeMemoryMB", w.free().MemoryMB).Dur("ReportAge", now.Sub(w.contactAt)).Dur("JobAge", now.Sub(j.SubmittedAt)).Msg("task is placed")
+}
+
+// choose returns the worker for a task, nil where none has room.
+func (p *Planner) choose(c *candidate, t *jobs.Task, now time.Time) *worker {
+	var (
+		best *worker
+		top  float64
+	)
+	for _, w := range p.workers {
+		if !p.isEligible(w, c.job, c.step, now) || !w.free().Holds(c.step.Held()) || p.isCrowded(w, c, t) {
+			continue
+		}
+		if slices.Contains(t.FailedAt, w.ID) && len(t.FailedAt) < len(p.workers)/2 {
+			continue
+		}
+		s, ok := p.score(w, c, now)
+		if !ok {
+			continue
+		}
+		if best == nil || s > top || s == top && w.ID < best.ID {
+			best, top = w, s
+		}
+	}
+	return best
+}
+
+// isEligible tells whether a worker may get tasks of a step at all.
+func (p *Planner) isEligible(w *worker, j *jobs.Job, s *jobs.Step, now time.Time) bool {
+	return w.listed && !w.Draining && w.Pool == j.Queue.Pool && !p.unavailable[w.FailureDomain] &&
+		w.isReachable(now) && !now.Before(w.avoidUntil) && w.hasLabel(s.Label)
+}
+
+// isCrowded tells whether the worker has as many tasks of the step as it may.
+func (p *Planner) isCrowded(w *worker, c *candidate, t *jobs.Task) bool {
+	if c.step.MaxPerWorker == 0 {
+		return false
+	}
+	n := 0
+	for r := range w.attempts {
+		if r.Job == t.Job && r.Step == t.Step && r.Occurrence == t.Occurrence {
+			n++
+		}
+	}
+	return n >= c.step.MaxPerWorker
+}
+
+const (
+	// rackBonus prefers workers near a step's data over any difference in load.
+	rackBonus = 10.0
+	// shareOfRoom scales free room to a part of the worker.
+	leastRoom = 1
+)
+
+// score rates a worker for a task of the step; higher is better.
+func (p *Planner) score(w *worker, c *candidate, now time.Time) (float64, bool) {
+	s := 0.0
+	if c.step.DataRack != "" && slices.Contains(w.Labels, c.step.DataRack) {
+		s += rackBonus
+	}
+	if c.step.BestEffort {
+		f, ok := p.bestEffortScore(w, c, now)
+		return s + f, ok
+	}
+	f := w.free()
+	s += float64(f.MilliCPU) / float64(max(w.Room.MilliCPU, leastRoom))
+	return s, true
+}
+
+// placeGang starts all tasks of a gang or none, on one rack where that matters.
+func (p *Planner) placeGang(c *candidate, now time.Time) {
+	racks := []string{""}
+	if c.step.RackSensitive {
+		racks = append(p.racks(), "")
+	}
+	for _, r := range racks {
+		l := p.fitGang(c, r, now)
+		if l == nil {
+			continue
+		}
+		ids := make([]string, len(l))
+		lives := make([]int64, len(l))
+		for i, w := range l {
+			ids[i], lives[i] = w.ID, w.Life
+		}
+		if !c.job.AssignGang(c.tasks, ids, lives, now) {
+			return
+		}
+		for i, t := range c.tasks {
+			p.order(c.job, t, l[i], now)
+		}
+		return
+	}
+}
+
+// racks lists the labels that name racks or kinds, in order.
+func (p *Planner) racks() []string {
+	seen := make(map[string]bool)
+	for _, w := range p.workers {
+		for _, l := range w.Labels {
+			seen[l] = true
+		}
+	}
+	r := make([]string, 0, len(seen))
+	for l := range seen {
+		r = append(r, l)
+	}
+	slices.Sort(r)
+	return r
+}
+
+// fitGang returns a worker for each member of a gang among those with the label, nil where they do not all fit.
+func (p *Planner) fitGang(c *candidate, label string, now time.Time) []*worker {
+	left := make(map[*worker]jobs.Resources)
+	count := make(map[*worker]int)
+	for _, w := range p.workers {
+		if p.isEligible(w, c.job, c.step, now) && w.hasLabel(label) {
+			left[w] = w.free()
+		}
+	}
+	l := make([]*worker, 0, len(c.tasks))
+	for range c.tasks {
+		w := roomiest(left, count, c.step)
+		if w == nil {
+			return nil
+		}
+		left[w] = left[w].Minus(c.step.Held())
+		count[w]++
+		l = append(l, w)
+	}
+	return l
+}
+
+// roomiest returns the worker with the most processors left that may take one more task of the step.
+func roomiest(left map[*worker]jobs.Resources, count map[*worker]int, s *jobs.Step) *worker {
+	var best *worker
+	for w, r := range left {
+		if !r.Holds(s.Held()) || s.MaxPerWorker > 0 && count[w] >= s.MaxPerWorker {
+			continue
+		}
+		if best == nil || r.MilliCPU > left[best].MilliCPU || r.MilliCPU == left[best].MilliCPU && w.ID < best.ID {
+			best = w
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/dispatch/planner.go
@@ -0,0 +1,331 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+const (
+	// contactLimit is the age of the last answer beyond which a worker gets no new tasks.
+	contactLimit = 3 * time.Second
+	// clockSlack is the factor by which a worker's clock may be slow.
+	clockSlack = 1.025
+	// leaseMargin covers the time in which a call travels.
+	leaseMargin = 300 * time.Millisecond
+	// planLimit is the age beyond which a plan that was held up by its commit is not carried out.
+	planLimit = time.Second
+	// stopEvery is the time between two stops of the same attempt.
+	stopEvery = 700 * time.Millisecond
+)
+
+// OrderKind tells what a worker shall do.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderStart OrderKind = "Start"
+	OrderStop  OrderKind = "Stop"
+	OrderPace  OrderKind = "Pace"
+)
+
+// Order is a call to a worker.
+type Order struct {
+	jobs.Ref
+	Kind    OrderKind
+	Run     int
+	Worker  string
+	Address string
+	Payload string
+	Saved   string
+	// Percent is the share of its speed at which the task shall work.
+	Percent int
+	Permit  string
+}
+
+// Answer is the outcome of an order.
+type Answer uint8
+
+// The outcomes of an order.
+const (
+	// AnswerAccepted tells that the order was carried out.
+	AnswerAccepted Answer = iota
+	// AnswerRefused tells that the order was not carried out and never will be.
+	AnswerRefused
+	// AnswerNoRoom tells the same, for want of room.
+	AnswerNoRoom
+	// AnswerUnhealthy tells the same, since the worker is not well.
+	AnswerUnhealthy
+	// AnswerUnknown tells that the order may have been carried out, or may yet be.
+	AnswerUnknown
+)
+
+// Config is what the planner has to know of its surroundings.
+type Config struct {
+	// Lease is the longest lease that a worker is granted.
+	Lease time.Duration
+	// Detached is the longest time for which an owner grants leases without word from the store.
+	Detached time.Duration
+	Logger   zerolog.Logger
+}
+
+// Planner decides for all jobs and workers of one owner.
+type Planner struct {
+	Config
+	// orphans holds attempts whose worker is not known.
+	workers     map[string]*worker
+	jobs        map[string]*jobs.Job
+	active      map[string]*jobs.Job
+	unavailable map[string]bool
+	dirty       map[string]*jobs.Job
+	orders      []Order
+	takenAt     time.Time
+	learned     *estimates
+	pressure    *pressure
+}
+
+// New returns a planner that took over at the given instant.
+func New(c Config, now time.Time) *Planner {
+	return &Planner{
+		Config: c, takenAt: now,
+		workers: make(map[string]*worker), jobs: make(map[string]*jobs.Job), active: make(map[string]*jobs.Job),
+		unavailable: make(map[string]bool), dirty: make(map[string]*jobs.Job),
+		learned: newEstimates(), pressure: newPressure(),
+	}
+}
+
+// AddJob takes in a job; attempts that are out belong to an earlier owner and are uncertain.
+func (p *Planner) AddJob(j *jobs.Job, now time.Time) {
+	if p.jobs[j.ID] != nil {
+		return
+	}
+	p.jobs[j.ID] = j
+	if !j.Over() || j.Assigned() > 0 {
+		p.active[j.ID] = j
+	}
+	j.Attempts(func(t *jobs.Task) {
+		w := p.worker(t.Worker)
+		w.add(&attempt{job: j, task: t, run: t.Run, life: t.Life, phase: phaseUncertain, plannedAt: now, pace: fullPace, paceSent: fullPace})
+	})
+}
+
+// Job returns a job of the planner, nil where there is none.
+func (p *Planner) Job(id string) *jobs.Job { return p.jobs[id] }
+
+// Cancel ends a job for its caller.
+func (p *Planner) Cancel(id string, now time.Time) {
+	j := p.jobs[id]
+	if j == nil || j.Over() {
+		return
+	}
+	j.Cancel()
+	p.dirty[id] = j
+	p.Logger.Info().Str("Job", id).Str("Decision", "Cancel").Int("Attempts", j.Assigned()).Msg("job cancelled by its caller")
+	p.stopAll(j, "cancelled", now)
+}
+
+// stopAll stops the attempts of a job.
+func (p *Planner) stopAll(j *jobs.Job, reason string, now time.Time) {
+	j.Attempts(func(t *jobs.Task) {
+		w := p.workers[t.Worker]
+		if w == nil || w.attempts[t.Ref] == nil {
+			return
+		}
+		p.stop(w, w.attempts[t.Ref], reason, now)
+	})
+}
+
+// stop orders an attempt to end; an attempt whose start has not left yet is taken back at once.
+func (p *Planner) stop(w *worker, a *attempt, reason string, now time.Time) {
+	if a.stopping {
+		return
+	}
+	a.stopping, a.stopReason = true, reason
+	p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", w.ID).Str("Decision", "Stop").Str("Reason", reason).Msg("attempt shall end")
+	p.sendStop(w, a, now)
+}
+
+func (p *Planner) sendStop(w *worker, a *attempt, now time.Time) {
+	if a.phase == phasePlanned || w.Address == "" {
+		return
+	}
+	a.stopSentAt = now
+	p.orders = append(p.orders, Order{Ref: a.task.Ref, Kind: OrderStop, Run: a.run, Worker: w.ID, Address: w.Address})
+}
+
+// SetUnavailable names the failure domains whose workers get no new tasks.
+func (p *Planner) SetUnavailable(domains map[string]bool) { p.unavailable = domains }
+
+func (p *Planner) worker(id string) *worker {
+	w := p.workers[id]
+	if w == nil {
+		w = &worker{Member: Member{ID: id}, attempts: make(map[jobs.Ref]*attempt), paceCeiling: fullPace}
+		w.leaseUntil = p.takenAt.Add(p.Detached + time.Duration(float64(p.Lease)*clockSlack) + leaseMargin)
+		p.workers[id] = w
+	}
+	return w
+}
+
+// SetMembers takes the platform's list of workers.
+func (p *Planner) SetMembers(l []Member, now time.Time) {
+	seen := make(map[string]bool, len(l))
+	for _, m := range l {
+		seen[m.ID] = true
+		p.setMember(m, now)
+	}
+	for id, w := range p.workers {
+		if seen[id] || !w.listed {
+			continue
+		}
+		w.listed = false
+		p.Logger.Info().Str("Worker", id).Str("Decision", "WorkerUnlisted").Int("Attempts", len(w.attempts)).Msg("worker left the list")
+	}
+}
+
+func (p *Planner) setMember(m Member, now time.Time) {
+	w := p.worker(m.ID)
+	if m.Life != 0 && w.Life != 0 && m.Life != w.Life && m.Life > w.Life {
+		p.newLife(w, m.Life, now)
+	}
+	life := max(w.Life, m.Life)
+	if !w.listed || w.Draining != m.Draining {
+		p.Logger.Info().Str("Worker", m.ID).Str("Decision", "WorkerListed").Bool("Draining", m.Draining).Str("FailureDomain", m.FailureDomain).Int64("Life", life).Msg("worker is listed")
+	}
+	w.Member = m
+	w.Life = life
+	w.listed = true
+}
+
+// newLife ends the attempts of a worker's earlier incarnation, except those whose start may still reach the new one.
+func (p *Planner) newLife(w *worker, life int64, now time.Time) {
+	p.Logger.Info().Str("Worker", w.ID).Int64("Life", life).Str("Decision", "WorkerReborn").Int("Attempts", len(w.attempts)).Msg("worker began a new life")
+	w.Life = life
+	w.synced = false
+	w.ackable = 0
+	for _, a := range w.attempts {
+		if a.life == life {
+			continue
+		}
+		if a.phase == phaseRunning {
+			p.release(w, a, "worker began a new life")
+			continue
+		}
+		p.stop(w, a, "start of an earlier life", now)
+	}
+}
+
+// release takes back an attempt that surely does not run.
+func (p *Planner) release(w *worker, a *attempt, reason string) {
+	w.remove(a)
+	a.job.Release(a.task)
+	p.dirty[a.job.ID] = a.job
+	p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", w.ID).Str("Decision", "Release").Str("Reason", reason).Msg("attempt taken back")
+}
+
+// Granted notes that a lease was sent to a worker.
+func (p *Planner) Granted(id string, now time.Time) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	u := now.Add(time.Duration(float64(p.Lease)*clockSlack) + leaseMargin)
+	if u.After(w.leaseUntil) {
+		w.leaseUntil = u
+	}
+}
+
+// Unreachable notes that a worker did not answer.
+func (p *Planner) Unreachable(id string, _ time.Time) {
+	if w := p.workers[id]; w != nil {
+		w.failures++
+	}
+}
+
+// Expire takes back the attempts of workers whose leases have ended, and forgets workers that are gone.
+func (p *Planner) Expire(now time.Time) {
+	for id, w := range p.workers {
+		if w.isReachable(now) || now.Before(w.leaseUntil) {
+			continue
+		}
+		for _, a := range w.attempts {
+			if a.phase != phasePlanned {
+				p.release(w, a, "the worker's lease has ended")
+			}
+		}
+		w.synced = false
+		if !w.listed && len(w.attempts) == 0 {
+			delete(p.workers, id)
+		}
+	}
+}
+
+// Take returns the jobs to commit and the orders to carry out after that.
+func (p *Planner) Take() ([]*jobs.Job, []Order) {
+	d := make([]*jobs.Job, 0, len(p.dirty))
+	for _, j := range p.dirty {
+		d = append(d, j)
+	}
+	o := p.orders
+	p.orders = nil
+	clear(p.dirty)
+	return d, o
+}
+
+// Contacts lists the workers to keep in touch with.
+func (p *Planner) Contacts() []Member {
+	l := make([]Member, 0, len(p.workers))
+	for _, w := range p.workers {
+		if w.Address != "" && (w.listed || len(w.attempts) > 0) {
+			l = append(l, w.Member)
+		}
+	}
+	return l
+}
+
+// Acknowledged returns the number up to which the ends of a worker's life were taken in.
+func (p *Planner) Acknowledged(id string) (life, number int64) {
+	w := p.workers[id]
+	if w == nil {
+		return 0, 0
+	}
+	return w.Life, w.ackable
+}
+
+// NeedsLease tells whether a worker runs anything that has to go on.
+func (p *Planner) NeedsLease(id string) bool {
+	w := p.workers[id]
+	return w != nil && len(w.attempts) > 0
+}
+
+// Committed returns those of the orders that are still right after their commit; the attempts of the others are taken back.
+func (p *Planner) Committed(l []Order, now time.Time) []Order {
+	r := l[:0]
+	for _, o := range l {
+		if o.Kind != OrderStart || p.confirm(o, now) {
+			r = append(r, o)
+		}
+	}
+	return r
+}
+
+// confirm tells whether a start is still to be sent.
+func (p *Planner) confirm(o Order, now time.Time) bool {
+	w := p.workers[o.Worker]
+	if w == nil {
+		return false
+	}
+	a := w.attempts[o.Ref]
+	if a == nil || a.run != o.Run || a.phase != phasePlanned {
+		return false
+	}
+	if a.stopping || now.Sub(a.plannedAt) > planLimit || a.life != w.Life {
+		p.release(w, a, "the plan is out of date")
+		p.stopGang(a, "another member of the gang was not started", now)
+		p.settle(a.job, now)
+		return false
+	}
+	a.phase = phaseStarting
+	return true
+}
--- /dev/null
+++ b/internal/dispatch/report.go
@@ -0,0 +1,232 @@
+package dispatch
+
+import (
+	"time"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+const (
+	// strikesToAvoid is the number of failed attempts in a row, without a success, that marks a worker as bad.
+	strikesToAvoid = 3
+	// avoidAfterFailures is how long a bad worker gets nothing new.
+	avoidAfterFailures = 6 * time.Second
+	// avoidUnhealthy is how long a worker that calls itself unhealthy gets nothing new.
+	avoidUnhealthy = 1500 * time.Millisecond
+	// avoidFull is how long a worker that was found full gets nothing new.
+	avoidFull = 300 * time.Millisecond
+)
+
+// Report takes in what a worker said of itself.
+func (p *Planner) Report(r Report, now time.Time) {
+	w := p.worker(r.Worker)
+	switch {
+	case r.Life < w.Life:
+		return
+	case r.Life > w.Life:
+		if w.Life != 0 {
+			p.newLife(w, r.Life, now)
+		}
+		w.Life = r.Life
+	}
+	if r.AskedAt.Before(w.askedAt) {
+		return
+	}
+	w.askedAt = r.AskedAt
+	if !w.synced {
+		p.Logger.Info().Str("Worker", w.ID).Str("Decision", "WorkerInTouch").Int64("Life", w.Life).Int("Running", len(r.Running)).Int("Ended", len(r.Ended)).Msg("worker answers")
+	}
+	w.synced, w.failures, w.contactAt = true, 0, now
+	for _, e := range r.Ended {
+		p.ended(w, e, now)
+		w.ackable = max(w.ackable, e.Number)
+	}
+	present := make(map[jobs.Ref]int, len(r.Running))
+	for _, x := range r.Running {
+		present[x.Ref] = x.Run
+		p.running(w, x, now)
+	}
+	p.missing(w, present, r.AskedAt)
+	p.learnPressure(w)
+}
+
+func (p *Planner) ended(w *worker, e Ended, now time.Time) {
+	a := w.attempts[e.Ref]
+	if a == nil || a.run != e.Run {
+		return
+	}
+	w.remove(a)
+	if e.Saved == "" && e.How == jobs.EndStopped {
+		e.Saved = a.task.Saved
+	}
+	a.job.End(a.task, e.Run, e.How, e.Saved)
+	p.dirty[a.job.ID] = a.job
+	p.Logger.Info().Str("Task", e.String()).Int("Run", e.Run).Str("Worker", w.ID).Int64("End", e.Number).Str("Decision", "End").Str("How", string(e.How)).Int("Failures", a.task.Failures).Msg("attempt ended")
+	p.judge(w, a, e.How, now)
+	if a.task.Spec.Gang && e.How == jobs.EndDone {
+		p.endGang(a, now)
+	}
+	p.settle(a.job, now)
+}
+
+// endGang forgets the attempts of the other members of a gang that is done.
+func (p *Planner) endGang(a *attempt, _ time.Time) {
+	for _, t := range a.job.Tasks[a.task.Occurrence][a.task.Step] {
+		for _, w := range p.workers {
+			if b := w.attempts[t.Ref]; b != nil && t.State == jobs.TaskDone {
+				w.remove(b)
+			}
+		}
+	}
+}
+
+// judge learns from the end of an attempt about its worker and its kind of work.
+func (p *Planner) judge(w *worker, a *attempt, how jobs.EndKind, now time.Time) {
+	switch how {
+	case jobs.EndDone:
+		w.strikes = 0
+		if a.task.Saved == "" && a.phase == phaseRunning {
+			p.learned.learn(a.job.Queue.Name, a.task.Spec, now.Sub(a.confirmedAt))
+		}
+	case jobs.EndFailed:
+		w.strikes++
+		if w.strikes >= strikesToAvoid {
+			w.avoidUntil = now.Add(avoidAfterFailures)
+			w.strikes = strikesToAvoid - 1
+			p.Logger.Warn().Str("Worker", w.ID).Str("Decision", "Avoid").Int("Failures", strikesToAvoid).Time("Until", w.avoidUntil).Msg("worker fails what it starts")
+		}
+	case jobs.EndStopped, jobs.EndExpired, jobs.EndPeerLost, jobs.EndIncomplete:
+	}
+}
+
+// settle follows up the end of a job.
+func (p *Planner) settle(j *jobs.Job, now time.Time) {
+	if !j.Over() {
+		return
+	}
+	if j.Assigned() > 0 {
+		p.stopAll(j, "its job is over", now)
+		return
+	}
+	p.Logger.Info().Str("Job", j.ID).Str("Decision", "JobOver").Str("State", string(j.State())).Dur("Age", now.Sub(j.SubmittedAt)).Msg("job has ended")
+	j.Compact()
+	delete(p.active, j.ID)
+}
+
+func (p *Planner) running(w *worker, x Running, now time.Time) {
+	a := w.attempts[x.Ref]
+	if a == nil || a.run != x.Run {
+		p.stray(w, x, now)
+		return
+	}
+	if a.phase != phaseRunning {
+		a.phase = phaseRunning
+		a.confirmedAt = now
+		a.progressAt = now
+	}
+	if x.Saved != "" && x.Saved != a.task.Saved {
+		a.task.Saved = x.Saved
+	}
+	if x.Percent > a.percent {
+		a.progressAt = now
+	}
+	a.load, a.percent, a.loadAt = x.Load, x.Percent, now
+}
+
+// stray stops what runs at a worker without an attempt that the planner knows of.
+func (p *Planner) stray(w *worker, x Running, now time.Time) {
+	if now.Sub(w.actedAt) < stopEvery {
+		return
+	}
+	w.actedAt = now
+	p.Logger.Warn().Str("Task", x.String()).Int("Run", x.Run).Str("Worker", w.ID).Str("Decision", "StopStray").Msg("worker runs an attempt that is not known")
+	p.orders = append(p.orders, Order{Ref: x.Ref, Kind: OrderStop, Run: x.Run, Worker: w.ID, Address: w.Address})
+}
+
+// missing takes back the attempts that a worker should have listed and did not.
+func (p *Planner) missing(w *worker, present map[jobs.Ref]int, askedAt time.Time) {
+	for _, a := range w.attempts {
+		if r, ok := present[a.task.Ref]; ok && r == a.run {
+			continue
+		}
+		if p.isSurelyAbsent(a, askedAt) {
+			p.release(w, a, "not present at its worker")
+			p.settle(a.job, askedAt)
+		}
+	}
+}
+
+// isSurelyAbsent tells whether an attempt that a report does not list can never run again.
+func (p *Planner) isSurelyAbsent(a *attempt, askedAt time.Time) bool {
+	switch {
+	case !a.stopAnsweredAt.IsZero() && askedAt.After(a.stopAnsweredAt):
+		return true
+	case a.phase == phaseRunning:
+		return askedAt.After(a.confirmedAt)
+	case a.phase == phaseUncertain && a.plannedAt.Equal(p.takenAt):
+		// The report answers a call with the fence of this owner, so that starts of earlier owners are refused from now on.
+		return true
+	}
+	return false
+}
+
+// StartAnswered takes in the outcome of a start.
+func (p *Planner) StartAnswered(o Order, x Answer, now time.Time) {
+	w := p.workers[o.Worker]
+	if w == nil || w.attempts[o.Ref] == nil || w.attempts[o.Ref].run != o.Run {
+		return
+	}
+	a := w.attempts[o.Ref]
+	switch x {
+	case AnswerAccepted:
+		if a.phase == phaseStarting {
+			a.phase = phaseRunning
+			a.confirmedAt = now
+			a.progressAt = now
+		}
+	case AnswerRefused, AnswerNoRoom, AnswerUnhealthy:
+		p.release(w, a, "start refused")
+		w.avoidUntil = now.Add(avoidFor(x))
+		p.stopGang(a, "another member of the gang was refused", now)
+		p.settle(a.job, now)
+	case AnswerUnknown:
+		if a.phase == phaseStarting {
+			a.phase = phaseUncertain
+		}
+		w.failures++
+		p.stop(w, a, "start without an answer", now)
+		p.stopGang(a, "another member of the gang is uncertain", now)
+	}
+}
+
+// stopGang stops the other members of the gang of an attempt, which cannot work without it.
+func (p *Planner) stopGang(a *attempt, reason string, now time.Time) {
+	if !a.task.Spec.Gang {
+		return
+	}
+	for _, t := range a.job.Tasks[a.task.Occurrence][a.task.Step] {
+		w := p.workers[t.Worker]
+		if t.State == jobs.TaskAssigned && w != nil && w.attempts[t.Ref] != nil {
+			p.stop(w, w.attempts[t.Ref], reason, now)
+		}
+	}
+}
+
+func avoidFor(x Answer) time.Duration {
+	if x == AnswerUnhealthy {
+		return avoidUnhealthy
+	}
+	return avoidFull
+}
+
+// StopAnswered takes in the outcome of a stop.
+func (p *Planner) StopAnswered(o Order, x Answer, now time.Time) {
+	w := p.workers[o.Worker]
+	if w == nil || w.attempts[o.Ref] == nil || w.attempts[o.Ref].run != o.Run || x != AnswerAccepted {
+		return
+	}
+	a := w.attempts[o.Ref]
+	if a.stopAnsweredAt.IsZero() {
+		a.stopAnsweredAt = now
+	}
+}
--- /dev/null
+++ b/internal/dispatch/worker.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+// Member is an entry of the platform's list of workers.
+type Member struct {
+	ID            string
+	Address       string
+	Pool          string
+	FailureDomain string
+	Labels        []string
+	Room          jobs.Resources
+	Draining      bool
+	// Life tells one incarnation of the worker from the next; it is 0 where the list does not say.
+	Life int64
+}
+
+// Running is an attempt that a worker reports as present.
+type Running struct {
+	jobs.Ref
+	Run     int
+	Saved   string
+	Percent int
+	// Load is the tail latency in milliseconds of a long-running task with a bound, else the thousandths of a core in use.
+	Load float64
+}
+
+// Ended is an end that a worker reports until it is acknowledged.
+type Ended struct {
+	jobs.Ref
+	Number int64
+	Run    int
+	How    jobs.EndKind
+	Saved  string
+}
+
+// Report is what a worker said of itself.
+type Report struct {
+	Worker string
+	Life   int64
+	// AskedAt is the instant at which the request left.
+	AskedAt time.Time
+	Running []Running
+	Ended   []Ended
+}
+
+// phase is how far an attempt has come.
+type phase uint8
+
+const (
+	// phasePlanned is not yet committed.
+	phasePlanned phase = iota
+	// phaseStarting has its start call under way.
+	phaseStarting
+	// phaseUncertain has a start call without an answer, or was found in the log by a new owner.
+	phaseUncertain
+	// phaseRunning was confirmed by the worker.
+	phaseRunning
+)
+
+// attempt is an attempt that is out at a worker.
+type attempt struct {
+	job         *jobs.Job
+	task        *jobs.Task
+	run         int
+	life        int64
+	phase       phase
+	plannedAt   time.Time
+	confirmedAt time.Time
+	// Stopping tells that the attempt shall end; StopSentAt and stopAnsweredAt belong to the latest stop call.
+	stopping       bool
+	stopReason     string
+	stopSentAt     time.Time
+	stopAnsweredAt time.Time
+	// Load and percent are the worker's latest figures, and loadAt their age.
+	load     float64
+	percent  int
+	loadAt   time.Time
+	pace     int
+	paceSent int
+	// progressAt is when percent last rose.
+	progressAt time.Time
+}
+
+// worker is what the planner knows of a worker.
+type worker struct {
+	Member
+	listed   bool
+	synced   bool
+	used     jobs.Resources
+	attempts map[jobs.Ref]*attempt
+	// LeaseUntil is the instant at which the last lease that any owner may have granted has surely ended.
+	leaseUntil  time.Time
+	contactAt   time.Time
+	askedAt     time.Time
+	failures    int
+	avoidUntil  time.Time
+	ackable     int64
+	actedAt     time.Time
+	strikes     int
+	paceAt      time.Time
+	paceCeiling int
+}
+
+func (w *worker) free() jobs.Resources { return w.Room.Minus(w.used) }
+
+func (w *worker) hasLabel(l string) bool { return l == "" || slices.Contains(w.Labels, l) }
+
+func (w *worker) add(a *attempt) {
+	w.attempts[a.task.Ref] = a
+	w.used = w.used.Plus(a.task.Spec.Held())
+}
+
+func (w *worker) remove(a *attempt) {
+	if w.attempts[a.task.Ref] != a {
+		return
+	}
+	delete(w.attempts, a.task.Ref)
+	w.used = w.used.Minus(a.task.Spec.Held())
+}
+
+// isReachable tells whether the worker answered lately.
+func (w *worker) isReachable(now time.Time) bool {
+	return w.synced && w.failures == 0 && now.Sub(w.contactAt) < contactLimit
+}
--- /dev/null
+++ b/internal/jobs/record.go
@@ -0,0 +1,150 @@
+package jobs
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// RecordError reports a record of a job that cannot be read.
+type RecordError struct {
+	Kind  string
+	Cause error
+}
+
+// Error names the kind of record.
+func (e *RecordError) Error() string { return fmt.Sprintf("read %s record: %v", e.Kind, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// taskRecord is the state of a task that has had an attempt.
+type taskRecord struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Occurrence int
+	Step       int
+	Index      int
+	State      TaskState
+	Run        int
+	Failures   int
+	Saved      string
+	Worker     string
+	Life       int64
+	FailedAt   []string
+}
+
+// progressRecord is what has to outlive the owner of a job.
+type progressRecord struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Cancelled bool
+	Failed    bool
+	Completed bool
+	Started   bool
+	Tasks     []taskRecord
+}
+
+// EncodeSpec returns the record of a submission.
+func EncodeSpec(s *Spec) ([]byte, error) {
+	b, err := msgpack.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode job %s: %w", s.ID, err)
+	}
+	return b, nil
+}
+
+// DecodeSpec reads the record of a submission and checks it.
+func DecodeSpec(b []byte) (Spec, error) {
+	var s Spec
+	if err := msgpack.Unmarshal(b, &s); err != nil {
+		return s, &RecordError{"submission", err}
+	}
+	if err := s.Check(); err != nil {
+		return s, &RecordError{"submission", err}
+	}
+	return s, nil
+}
+
+// EncodeProgress returns the record of the job's progress.
+func (j *Job) EncodeProgress() ([]byte, error) {
+	r := progressRecord{Cancelled: j.Cancelled, Failed: j.Failed, Completed: j.State() == StateCompleted, Started: j.Started}
+	if !r.Completed {
+		r.Tasks = j.taskRecords()
+	}
+	b, err := msgpack.Marshal(&r)
+	if err != nil {
+		return nil, fmt.Errorf("encode progress of %s: %w", j.ID, err)
+	}
+	return b, nil
+}
+
+// taskRecords returns the tasks that differ from new ones; of a job that is over, only those with an attempt out.
+func (j *Job) taskRecords() []taskRecord {
+	var a []taskRecord
+	over := j.Over()
+	for _, k := range j.Tasks {
+		for _, s := range k {
+			for _, t := range s {
+				if t.Run == 0 || over && t.State != TaskAssigned {
+					continue
+				}
+				a = append(a, taskRecord{
+					Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, State: t.State, Run: t.Run, Failures: t.Failures,
+					Saved: t.Saved, Worker: t.Worker, Life: t.Life, FailedAt: t.FailedAt,
+				})
+			}
+		}
+	}
+	return a
+}
+
+// Restore returns the job with the given record of progress.
+func Restore(s Spec, b []byte) (*Job, error) {
+	var r progressRecord
+	if err := msgpack.Unmarshal(b, &r); err != nil {
+		return nil, &RecordError{"progress", err}
+	}
+	j := New(s)
+	j.Cancelled, j.Failed, j.completed, j.Started = r.Cancelled, r.Failed, r.Completed, r.Started
+	for _, x := range r.Tasks {
+		t := j.Task(Ref{s.ID, x.Occurrence, x.Step, x.Index})
+		if t == nil {
+			return nil, &RecordError{"progress", fmt.Errorf("no task %d.%d.%d", x.Occurrence, x.Step, x.Index)}
+		}
+		t.State, t.Run, t.Failures, t.Saved = x.State, x.Run, x.Failures, x.Saved
+		t.Worker, t.Life, t.FailedAt = x.Worker, x.Life, x.FailedAt
+		j.count(t)
+	}
+	j.Compact()
+	return j, nil
+}
+
+func (j *Job) count(t *Task) {
+	switch t.State {
+	case TaskAssigned:
+		j.assigned++
+	case TaskDone:
+		j.done++
+	case TaskWaiting:
+	}
+}
+
+// StateOf returns what callers are told of a job with the given record of progress, which may be empty.
+func StateOf(b []byte, cancelled bool) State {
+	var r progressRecord
+	if len(b) > 0 {
+		if err := msgpack.Unmarshal(b, &r); err != nil {
+			return StatePending
+		}
+	}
+	switch {
+	case r.Completed:
+		return StateCompleted
+	case r.Failed:
+		return StateFailed
+	case r.Cancelled, cancelled:
+		return StateCancelled
+	case r.Started:
+		return StateRunning
+	}
+	return StatePending
+}
--- /dev/null
+++ b/internal/jobserve/instance.go
@@ -0,0 +1,184 @@
+package jobserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// operatorsWait is the longest wait for a decision of operators in one read.
+	operatorsWait = 900 * time.Millisecond
+	// backgroundEvery is the time between two reads that keep the replica within the store's retention.
+	backgroundEvery = 2500 * time.Millisecond
+	// readyLimit is the age of the last word from the store beyond which an instance is not ready.
+	readyLimit = 2200 * time.Millisecond
+	// balancerDelay is the time in which the balancer notices that an instance is not ready.
+	balancerDelay = 2500 * time.Millisecond
+	// stopMargin is kept of the time to stop, for giving the membership up.
+	stopMargin = 1500 * time.Millisecond
+	// readHeaderTimeout and idleTimeout bound what callers may leave open.
+	readHeaderTimeout = 3 * time.Second
+	idleTimeout       = 30 * time.Second
+)
+
+// Operators follows what operators decided.
+type Operators interface {
+	// Follow takes decisions into the state, and waits for one until the given instant.
+	Follow(ctx context.Context, s *State, until time.Time) error
+}
+
+// InstanceConfig holds what an instance needs.
+type InstanceConfig struct {
+	Name         string
+	CallerListen string
+	ReadyListen  string
+	// StopWithin is the time between the signal to stop and the kill.
+	StopWithin time.Duration
+	Lease      time.Duration
+	Store      Store
+	Workers    Workers
+	Directory  Directory
+	Operators  Operators
+	State      *State
+	Replica    *Replica
+	Front      http.Handler
+	Logger     zerolog.Logger
+}
+
+// Instance is one process of the system on the users' platform.
+type Instance struct {
+	InstanceConfig
+	member   *Member
+	stopping atomic.Bool
+	storeAt  atomic.Int64
+}
+
+// detachedLimit is the longest time without word from the store for which an owner renews leases.
+const detachedLimit = 6 * time.Second
+
+// NewInstance returns an instance.
+func NewInstance(c InstanceConfig) *Instance {
+	i := &Instance{InstanceConfig: c}
+	i.member = NewMember(c.Store, c.Logger, i.own)
+	return i
+}
+
+func (i *Instance) own(ctx context.Context, epoch int64) {
+	RunOwner(ctx, OwnerConfig{
+		Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, State: i.State,
+		ContactAt: i.member.ContactAt, Lease: i.Lease, Detached: detachedLimit, Logger: i.Logger,
+	}, epoch)
+}
+
+// Run serves until the context ends, and then stops without cutting a request.
+func (i *Instance) Run(ctx context.Context) error {
+	front, err := i.listen(ctx, i.CallerListen, i.Front)
+	if err != nil {
+		return err
+	}
+	ready, err := i.listen(ctx, i.ReadyListen, http.HandlerFunc(i.ready))
+	if err != nil {
+		return err
+	}
+	i.Logger.Info().Str("Decision", "Started").Str("Callers", i.CallerListen).Dur("Lease", i.Lease).Msg("instance started")
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	member, leave := context.WithCancel(background)
+	var g, o sync.WaitGroup
+	o.Go(func() { i.member.Run(member) })
+	g.Go(func() { i.followOperators(background) })
+	g.Go(func() { i.followReplica(background) })
+	<-ctx.Done()
+	i.stop(front, leave, &o)
+	cancel()
+	g.Wait()
+	_ = ready.Close()
+	i.Logger.Info().Str("Decision", "Stopped").Msg("instance stopped")
+	return nil
+}
+
+// stop gives the ownership up and serves callers until the balancer sends no more.
+func (i *Instance) stop(front *http.Server, leave context.CancelFunc, o *sync.WaitGroup) {
+	i.stopping.Store(true)
+	i.Logger.Info().Str("Decision", "Stopping").Msg("instance stops")
+	front.SetKeepAlivesEnabled(false)
+	leave()
+	o.Wait()
+	c, cancel := context.WithTimeout(context.Background(), max(i.StopWithin-stopMargin, 0))
+	defer cancel()
+	pause(c, balancerDelay)
+	if err := front.Shutdown(c); err != nil {
+		i.Logger.Warn().Err(err).Msg("requests were still open at the end")
+	}
+}
+
+func (i *Instance) listen(ctx context.Context, address string, h http.Handler) (*http.Server, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen at %s: %w", address, err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	go func() {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			i.Logger.Error().Err(err).Str("Address", address).Msg("server ended")
+		}
+	}()
+	return s, nil
+}
+
+// ready answers the balancer's probe.
+func (i *Instance) ready(w http.ResponseWriter, _ *http.Request) {
+	if i.isReady() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (i *Instance) isReady() bool {
+	return !i.stopping.Load() && i.State.Configuration() != nil && time.Since(time.Unix(0, i.storeAt.Load())) < readyLimit
+}
+
+func (i *Instance) followOperators(ctx context.Context) {
+	for ctx.Err() == nil {
+		u := time.Now().Add(operatorsWait)
+		c, cancel := context.WithDeadline(ctx, u.Add(followTimeout))
+		err := i.Operators.Follow(c, i.State, u)
+		cancel()
+		switch {
+		case err == nil:
+			i.contact()
+		case ctx.Err() == nil:
+			i.Logger.Warn().Err(err).Dur("StoreAge", time.Since(time.Unix(0, i.storeAt.Load()))).Str("Decision", "StoreSilent").Msg("operators' decisions are not followed")
+			pause(ctx, failurePause)
+		}
+	}
+}
+
+// contact notes word from the store.
+func (i *Instance) contact() {
+	last := time.Unix(0, i.storeAt.Swap(time.Now().UnixNano()))
+	if d := time.Since(last); d > readyLimit {
+		i.Logger.Info().Dur("Silence", d).Str("Decision", "StoreInTouch").Msg("the store answers")
+	}
+}
+
+func (i *Instance) followReplica(ctx context.Context) {
+	for ctx.Err() == nil {
+		c, cancel := context.WithTimeout(ctx, takeoverTimeout)
+		err := i.Replica.Refresh(c, time.Now().Add(-backgroundEvery/2))
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			i.Logger.Warn().Err(err).Msg("jobs are not followed")
+		}
+		pause(ctx, backgroundEvery)
+	}
+}
--- /dev/null
+++ b/internal/jobserve/member.go
@@ -0,0 +1,153 @@
+package jobserve
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// memberLease is the silence after which the store gives this instance's part to another.
+	memberLease = 2500 * time.Millisecond
+	// joinEvery is the time between two renewals of the membership.
+	joinEvery = 600 * time.Millisecond
+	// joinTimeout bounds one renewal.
+	joinTimeout = 900 * time.Millisecond
+	// leaveTimeout bounds the call that gives the membership up.
+	leaveTimeout = 700 * time.Millisecond
+)
+
+// Member keeps this instance in the group and runs the owner while the store names it.
+type Member struct {
+	store  Store
+	logger zerolog.Logger
+	run    func(ctx context.Context, epoch int64)
+	// contactAt is the instant of the latest renewal that was answered, in nanoseconds since 1970.
+	contactAt atomic.Int64
+	suspends  *suspensions
+
+	generation int64
+	// terms counts the ownerships within a generation, so that each has an epoch of its own.
+	terms int64
+
+	mu      sync.Mutex
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+// NewMember returns a member that runs the function while this instance is the owner.
+func NewMember(s Store, l zerolog.Logger, run func(ctx context.Context, epoch int64)) *Member {
+	return &Member{store: s, logger: l, run: run, suspends: newSuspensions()}
+}
+
+// Run renews the membership until the context ends, and then gives it up.
+func (m *Member) Run(ctx context.Context) {
+	t := time.NewTicker(joinEvery)
+	defer t.Stop()
+	for {
+		m.renew(ctx)
+		select {
+		case <-ctx.Done():
+			m.leave()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// renew keeps the membership and begins or ends the ownership that follows from it.
+func (m *Member) renew(ctx context.Context) {
+	if m.suspends.passed() {
+		m.logger.Warn().Str("Decision", "Suspended").Msg("the instance stood still; what it owned is given up")
+		m.end("the instance stood still")
+	}
+	begun := time.Now()
+	c, cancel := context.WithTimeout(ctx, joinTimeout)
+	x, err := m.store.Join(c, m.generation, memberLease)
+	cancel()
+	if err != nil {
+		if ctx.Err() == nil {
+			m.logger.Warn().Err(err).Int64("Generation", m.generation).Str("Decision", "JoinFailed").Msg("membership not renewed")
+		}
+		return
+	}
+	m.contactAt.Store(begun.UnixNano())
+	if x.Generation != m.generation {
+		m.logger.Info().Int64("Generation", x.Generation).Bool("Owner", x.Owner).Str("Decision", "Joined").Msg("membership changed")
+	}
+	m.generation = x.Generation
+	if !x.Owner {
+		m.end("the store named another owner")
+		return
+	}
+	m.begin(ctx, x.Generation)
+}
+
+// ContactAt returns the instant of the latest renewal that was answered.
+func (m *Member) ContactAt() time.Time { return time.Unix(0, m.contactAt.Load()) }
+
+// IsOwner tells whether this instance runs the owner.
+func (m *Member) IsOwner() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isRunning()
+}
+
+func (m *Member) isRunning() bool {
+	if m.stop == nil {
+		return false
+	}
+	select {
+	case <-m.stopped:
+		return false
+	default:
+		return true
+	}
+}
+
+// termsPerGeneration is the number of epochs that one generation has room for.
+const termsPerGeneration = 1 << 12
+
+// begin starts the owner under a new epoch unless it runs.
+func (m *Member) begin(ctx context.Context, generation int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.isRunning() {
+		return
+	}
+	m.terms = (m.terms + 1) % termsPerGeneration
+	epoch := generation*termsPerGeneration + m.terms
+	c, cancel := context.WithCancel(ctx)
+	d := make(chan struct{})
+	m.stop, m.stopped = cancel, d
+	go func() {
+		defer close(d)
+		defer cancel()
+		m.run(c, epoch)
+	}()
+}
+
+// end stops the owner and waits for it.
+func (m *Member) end(reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stop == nil {
+		return
+	}
+	m.stop()
+	<-m.stopped
+	m.stop = nil
+	m.logger.Info().Str("Decision", "OwnershipEnded").Str("Reason", reason).Msg("this instance no longer owns the jobs")
+}
+
+func (m *Member) leave() {
+	m.end("the instance stops")
+	c, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := m.store.Leave(c); err != nil {
+		m.logger.Warn().Err(err).Msg("membership not given up; it will lapse")
+	}
+}
--- /dev/null
+++ b/internal/jobserve/owner.go
@@ -0,0 +1,305 @@
+package jobserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"currantknot.dev/currantknot/internal/dispatch"
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+const (
+	// planEvery is the longest time between two plans.
+	planEvery = 100 * time.Millisecond
+	// gatherFor is the time for which events gather before they are planned and committed together.
+	gatherFor = 10 * time.Millisecond
+	// listEvery is the time between two reads of the list of workers.
+	listEvery = 500 * time.Millisecond
+	// takeoverTimeout bounds one try to take over.
+	takeoverTimeout = 3 * time.Second
+	// followFor is the longest wait for a submission in one read.
+	followFor = time.Second
+	// followTimeout is added to the wait for the answer.
+	followTimeout = 900 * time.Millisecond
+	// failurePause is the pause after a failed call to the store.
+	failurePause = 150 * time.Millisecond
+)
+
+// OwnerConfig holds what an owner needs.
+type OwnerConfig struct {
+	Store     Store
+	Replica   *Replica
+	Workers   Workers
+	Directory Directory
+	State     *State
+	// ContactAt returns the instant of the latest word from the store that this instance is the owner.
+	ContactAt func() time.Time
+	// Lease is the longest lease that a worker is granted.
+	Lease time.Duration
+	// Detached is the longest time without word from the store for which leases are granted.
+	Detached time.Duration
+	Logger   zerolog.Logger
+}
+
+// Owner runs all jobs for as long as this instance owns them.
+type Owner struct {
+	OwnerConfig
+	epoch    int64
+	sequence int64
+	signal   chan struct{}
+	contacts map[string]context.CancelFunc
+	work     sync.WaitGroup
+
+	mu      sync.Mutex
+	planner *dispatch.Planner
+	// acknowledged holds the committed ends of each worker.
+	acknowledged map[string]acknowledgement
+}
+
+// acknowledgement is how far the ends of a worker's life are committed.
+type acknowledgement struct {
+	life   int64
+	number int64
+}
+
+// RunOwner owns the jobs under an epoch until the context ends or another owner has taken over.
+func RunOwner(ctx context.Context, c OwnerConfig, epoch int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o := &Owner{
+		OwnerConfig: c, epoch: epoch, signal: make(chan struct{}, 1),
+		contacts: make(map[string]context.CancelFunc), acknowledged: make(map[string]acknowledgement),
+	}
+	defer o.work.Wait()
+	defer cancel()
+	if err := o.takeOver(ctx); err != nil {
+		o.Logger.Warn().Err(err).Int64("Epoch", epoch).Str("Decision", "TakeoverFailed").Msg("ownership not taken")
+		return
+	}
+	o.spawn(func() { o.followRequests(ctx) })
+	o.spawn(func() { o.followMembers(ctx) })
+	err := o.loop(ctx)
+	o.Logger.Info().AnErr("Cause", err).Int64("Epoch", epoch).Str("Decision", "OwnerStops").Msg("owner stops")
+}
+
+func (o *Owner) spawn(f func()) {
+	o.work.Add(1)
+	go func() {
+		defer o.work.Done()
+		f()
+	}()
+}
+
+// takeOver fences the former owner and builds the planner from the records.
+func (o *Owner) takeOver(ctx context.Context) error {
+	begun := time.Now()
+	for {
+		c, cancel := context.WithTimeout(ctx, takeoverTimeout)
+		err := o.tryTakeOver(c)
+		cancel()
+		if err == nil {
+			o.Logger.Info().Int64("Epoch", o.epoch).Dur("Took", time.Since(begun)).Str("Decision", "TookOver").Msg("this instance owns the jobs")
+			return nil
+		}
+		if errors.Is(err, ErrFenced) || ctx.Err() != nil {
+			return err
+		}
+		o.Logger.Warn().Err(err).Int64("Epoch", o.epoch).Msg("takeover is tried again")
+		pause(ctx, failurePause)
+	}
+}
+
+func (o *Owner) tryTakeOver(ctx context.Context) error {
+	if _, err := o.Store.Append(ctx, PartitionProgress, nil, &Writer{Epoch: o.epoch}); err != nil {
+		return fmt.Errorf("fence the former owner: %w", err)
+	}
+	fenced := time.Now()
+	if err := o.Replica.Refresh(ctx, fenced); err != nil {
+		return err
+	}
+	l, err := o.Directory.Members(ctx)
+	if err != nil {
+		return fmt.Errorf("list workers: %w", err)
+	}
+	now := time.Now()
+	p := dispatch.New(dispatch.Config{Lease: o.Lease, Detached: o.Detached, Logger: o.Logger}, now)
+	p.SetUnavailable(o.State.Unavailable())
+	p.SetMembers(l, now)
+	for _, j := range o.Replica.Jobs() {
+		p.AddJob(j, now)
+	}
+	for _, id := range o.Replica.Cancelled() {
+		p.Cancel(id, now)
+	}
+	o.planner = p
+	return nil
+}
+
+// loop plans, commits and carries out until the context ends.
+func (o *Owner) loop(ctx context.Context) error {
+	t := time.NewTicker(planEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		case <-o.signal:
+			pause(ctx, gatherFor)
+		}
+		if err := o.step(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// step makes one plan, commits what it changed, and then carries its orders out.
+func (o *Owner) step(ctx context.Context) error {
+	o.mu.Lock()
+	now := time.Now()
+	o.planner.SetUnavailable(o.State.Unavailable())
+	o.planner.Plan(now)
+	changed, orders := o.planner.Take()
+	r, err := records(changed)
+	acks := make(map[string]acknowledgement)
+	contacts := o.planner.Contacts()
+	for _, m := range contacts {
+		l, n := o.planner.Acknowledged(m.ID)
+		acks[m.ID] = acknowledgement{l, n}
+	}
+	o.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := o.commit(ctx, r); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	o.acknowledged = acks
+	orders = o.planner.Committed(orders, time.Now())
+	o.mu.Unlock()
+	for _, x := range orders {
+		o.spawn(func() { o.carry(ctx, x) })
+	}
+	o.keepContacts(ctx, contacts)
+	return nil
+}
+
+func records(l []*jobs.Job) ([]Record, error) {
+	r := make([]Record, 0, len(l))
+	for _, j := range l {
+		b, err := j.EncodeProgress()
+		if err != nil {
+			return nil, err
+		}
+		r = append(r, Record{Key: j.ID, Value: b})
+	}
+	return r, nil
+}
+
+// notify asks for a plan soon.
+func (o *Owner) notify() {
+	select {
+	case o.signal <- struct{}{}:
+	default:
+	}
+}
+
+// commit appends records, again and again until the store has them or another owner has taken over.
+func (o *Owner) commit(ctx context.Context, r []Record) error {
+	if len(r) == 0 {
+		return nil
+	}
+	o.sequence++
+	w := &Writer{Epoch: o.epoch, Sequence: o.sequence}
+	for {
+		c, cancel := context.WithTimeout(ctx, appendTimeout)
+		end, err := o.Store.Append(c, PartitionProgress, r, w)
+		cancel()
+		switch {
+		case err == nil:
+			o.Replica.Committed(r, end-int64(len(r)))
+			return nil
+		case errors.Is(err, ErrFenced):
+			return err
+		case ctx.Err() != nil:
+			return ctx.Err()
+		}
+		o.Logger.Warn().Err(err).Int64("Epoch", o.epoch).Int64("Sequence", o.sequence).Int("Records", len(r)).Msg("commit is tried again")
+		pause(ctx, failurePause)
+	}
+}
+
+// followRequests takes in submissions and cancellations.
+func (o *Owner) followRequests(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.takeRequests()
+		u := time.Now().Add(followFor)
+		c, cancel := context.WithDeadline(ctx, u.Add(followTimeout))
+		err := o.Replica.Follow(c, PartitionRequests, time.Now(), u)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			o.Logger.Warn().Err(err).Msg("requests are not followed")
+			pause(ctx, failurePause)
+		}
+	}
+}
+
+// takeRequests hands to the planner what the replica knows and it does not.
+func (o *Owner) takeRequests() {
+	ids, cancelled := o.Replica.IDs(), o.Replica.Cancelled()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	n := 0
+	for _, id := range ids {
+		if o.planner.Job(id) != nil {
+			continue
+		}
+		if j := o.Replica.Job(id); j != nil {
+			o.planner.AddJob(j, now)
+			n++
+		}
+	}
+	for _, id := range cancelled {
+		o.planner.Cancel(id, now)
+	}
+	if n > 0 || len(cancelled) > 0 {
+		o.notify()
+	}
+}
+
+// followMembers reads the list of workers.
+func (o *Owner) followMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, listEvery)
+		c, cancel := context.WithTimeout(ctx, joinTimeout)
+		l, err := o.Directory.Members(c)
+		cancel()
+		if err != nil {
+			if ctx.Err() == nil {
+				o.Logger.Warn().Err(err).Msg("workers are not listed")
+			}
+			continue
+		}
+		o.mu.Lock()
+		o.planner.SetMembers(l, time.Now())
+		o.mu.Unlock()
+		o.notify()
+	}
+}
+
+// pause waits for a time or the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/jobserve/replica.go
@@ -0,0 +1,311 @@
+package jobserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+// The prefixes of keys in the partition of requests.
+const (
+	submissionPrefix = "s/"
+	cancelPrefix     = "c/"
+)
+
+// Replica is a copy of the store's records of all jobs.
+type Replica struct {
+	store  Store
+	logger zerolog.Logger
+
+	// reading is held while a partition is read.
+	reading [2]sync.Mutex
+
+	mu        sync.Mutex
+	specs     map[string][]byte
+	cancelled map[string]bool
+	progress  map[string]Record
+	views     map[string]view
+	next      [2]int64
+	loaded    [2]bool
+	freshAt   [2]time.Time
+}
+
+// view is what callers are told of a job, as of one record.
+type view struct {
+	offset    int64
+	cancelled bool
+	state     jobs.State
+	queue     string
+	scheduled bool
+}
+
+// NewReplica returns an empty replica of the store.
+func NewReplica(s Store, l zerolog.Logger) *Replica {
+	return &Replica{
+		store: s, logger: l,
+		specs: make(map[string][]byte), cancelled: make(map[string]bool), progress: make(map[string]Record), views: make(map[string]view),
+	}
+}
+
+// Refresh reads both partitions unless what is known of them is younger than the given instant.
+func (r *Replica) Refresh(ctx context.Context, since time.Time) error {
+	for _, p := range []Partition{PartitionRequests, PartitionProgress} {
+		if err := r.Follow(ctx, p, since, time.Time{}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Follow reads a partition to its end, unless that was begun after the given instant, and waits for a record until another.
+func (r *Replica) Follow(ctx context.Context, p Partition, since, until time.Time) error {
+	r.reading[p].Lock()
+	defer r.reading[p].Unlock()
+	for {
+		r.mu.Lock()
+		loaded, next, fresh := r.loaded[p], r.next[p], r.freshAt[p]
+		r.mu.Unlock()
+		if loaded && fresh.After(since) {
+			return nil
+		}
+		begun := time.Now()
+		if !loaded {
+			if err := r.load(ctx, p, begun); err != nil {
+				return err
+			}
+			continue
+		}
+		g, err := r.store.Read(ctx, p, next, until)
+		if errors.Is(err, ErrTruncated) {
+			r.logger.Warn().Int("Partition", int(p)).Int64("Offset", next).Str("Decision", "LoadAgain").Msg("records are no longer in the store")
+			r.mu.Lock()
+			r.loaded[p] = false
+			r.mu.Unlock()
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("follow jobs: %w", err)
+		}
+		if r.apply(p, g, begun) {
+			return nil
+		}
+	}
+}
+
+// load reads the newest record of each key.
+func (r *Replica) load(ctx context.Context, p Partition, begun time.Time) error {
+	first := int64(-1)
+	after := ""
+	for {
+		n, err := r.store.Newest(ctx, p, after)
+		if err != nil {
+			return fmt.Errorf("load jobs: %w", err)
+		}
+		if first < 0 {
+			first = n.End
+		}
+		r.mu.Lock()
+		r.put(p, n.Records)
+		r.mu.Unlock()
+		if n.After == "" {
+			break
+		}
+		after = n.After
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loaded[p] = true
+	r.next[p] = max(first, r.next[p])
+	_ = begun
+	return nil
+}
+
+// apply takes in a page and tells whether it reached the end of the partition.
+func (r *Replica) apply(p Partition, g Page, begun time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.put(p, g.Records)
+	r.next[p] = max(r.next[p], g.Next)
+	if r.next[p] < g.End {
+		return false
+	}
+	r.freshAt[p] = begun
+	return true
+}
+
+// put stores records; r.mu is held.
+func (r *Replica) put(p Partition, l []Record) {
+	for _, x := range l {
+		if p == PartitionProgress {
+			r.putProgress(x)
+			continue
+		}
+		id, ok := strings.CutPrefix(x.Key, submissionPrefix)
+		if ok {
+			r.putSpec(id, x.Value)
+			continue
+		}
+		if id, ok = strings.CutPrefix(x.Key, cancelPrefix); ok && len(x.Value) > 0 {
+			r.cancelled[id] = true
+		}
+	}
+}
+
+func (r *Replica) putSpec(id string, v []byte) {
+	if len(v) == 0 {
+		delete(r.specs, id)
+		delete(r.cancelled, id)
+		delete(r.views, id)
+		return
+	}
+	if _, ok := r.specs[id]; !ok {
+		r.specs[id] = v
+	}
+}
+
+func (r *Replica) putProgress(x Record) {
+	if o, ok := r.progress[x.Key]; ok && o.Offset > x.Offset {
+		return
+	}
+	if len(x.Value) == 0 {
+		delete(r.progress, x.Key)
+		return
+	}
+	r.progress[x.Key] = x
+}
+
+// Committed takes in records that the owner appended at an offset.
+func (r *Replica) Committed(l []Record, first int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range l {
+		l[i].Offset = first + int64(i)
+		r.putProgress(l[i])
+	}
+}
+
+// Knows tells whether a job was accepted, as far as the replica has read.
+func (r *Replica) Knows(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.specs[id]
+	return ok
+}
+
+// State returns what callers are told of a job, and whether it is known.
+func (r *Replica) State(id string) (jobs.State, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v, ok := r.view(id)
+	return v.state, ok
+}
+
+// Waiting returns the number of a queue's accepted jobs of which no task has started.
+func (r *Replica) Waiting(queue string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for id := range r.specs {
+		if v, ok := r.view(id); ok && v.queue == queue && v.state == jobs.StatePending {
+			n++
+		}
+	}
+	return n
+}
+
+// view returns what is known of a job; r.mu is held.
+func (r *Replica) view(id string) (view, bool) {
+	b, ok := r.specs[id]
+	if !ok {
+		return view{}, false
+	}
+	x := r.progress[id]
+	v, seen := r.views[id]
+	if seen && v.offset == x.Offset && v.cancelled == r.cancelled[id] {
+		return v, true
+	}
+	if !seen {
+		s, err := jobs.DecodeSpec(b)
+		if err != nil {
+			r.logger.Error().Err(err).Str("Job", id).Msg("submission cannot be read")
+			return view{}, false
+		}
+		v = view{queue: s.Queue.Name, scheduled: s.Times > 0}
+	}
+	v.offset, v.cancelled = x.Offset, r.cancelled[id]
+	v.state = jobs.StateOf(x.Value, v.cancelled)
+	r.views[id] = v
+	return v, true
+}
+
+// Jobs decodes all jobs; records that cannot be read are logged and left out.
+func (r *Replica) Jobs() []*jobs.Job {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := make([]*jobs.Job, 0, len(r.specs))
+	for id := range r.specs {
+		if j := r.job(id); j != nil {
+			l = append(l, j)
+		}
+	}
+	return l
+}
+
+// Job decodes one job, nil where it is not known or cannot be read.
+func (r *Replica) Job(id string) *jobs.Job {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.job(id)
+}
+
+// job decodes one job; r.mu is held.
+func (r *Replica) job(id string) *jobs.Job {
+	b, ok := r.specs[id]
+	if !ok {
+		return nil
+	}
+	s, err := jobs.DecodeSpec(b)
+	if err != nil {
+		r.logger.Error().Err(err).Str("Job", id).Msg("submission cannot be read")
+		return nil
+	}
+	x, ok := r.progress[id]
+	if !ok {
+		return jobs.New(s)
+	}
+	j, err := jobs.Restore(s, x.Value)
+	if err != nil {
+		r.logger.Error().Err(err).Str("Job", id).Int64("Offset", x.Offset).Msg("progress cannot be read")
+		return nil
+	}
+	return j
+}
+
+// Cancelled lists the jobs whose cancellation is known.
+func (r *Replica) Cancelled() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := make([]string, 0, len(r.cancelled))
+	for id := range r.cancelled {
+		l = append(l, id)
+	}
+	return l
+}
+
+// IDs lists the accepted jobs.
+func (r *Replica) IDs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := make([]string, 0, len(r.specs))
+	for id := range r.specs {
+		l = append(l, id)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/jobserve/workers.go
@@ -0,0 +1,42 @@
+package jobserve
+
+import (
+	"context"
+	"time"
+
+	"currantknot.dev/currantknot/internal/dispatch"
+)
+
+// Sync asks a worker for a report and renews its lease.
+type Sync struct {
+	Worker  string
+	Address string
+	// Life is the incarnation whose ends are acknowledged.
+	Life         int64
+	Fence        int64
+	Acknowledged int64
+	// LeaseUntil is the end of the lease on our clock; it is zero where none is granted.
+	LeaseUntil time.Time
+	// WaitUntil is the instant until which the worker may wait for an end.
+	WaitUntil time.Time
+}
+
+// Start carries out an order with the owner's fence and a lease.
+type Start struct {
+	dispatch.Order
+	Fence      int64
+	LeaseUntil time.Time
+}
+
+// Workers calls workers; an error is a call without an answer, or one that a higher fence refused (ErrFenced).
+type Workers interface {
+	Sync(ctx context.Context, s Sync) (dispatch.Report, error)
+	Carry(ctx context.Context, s Start) (dispatch.Answer, error)
+	// Forget drops what is known of the clock of a worker.
+	Forget(worker string)
+}
+
+// Directory lists the workers as the platform knows them.
+type Directory interface {
+	Members(ctx context.Context) ([]dispatch.Member, error)
+}
