Learn by pair how best-effort images press on long-running ones

A trace of figures showed that only some pairs of images press on each other, in proportion to the processors in use.

Change: a model by pair, corrected by each figure; best-effort tasks go where the expected tails stay below a limit; long-running tasks gather by image; only the images that press are slowed.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -52,7 +52,7 @@
 
 // order plans the start of a task that was assigned.
 func (p *Planner) order(j *jobs.Job, t *jobs.Task, w *worker, now time.Time) {
-	a := &attempt{job: j, task: t, run: t.Run, life: w.Life, plannedAt: now, pace: fullPace, paceSent: fullPace}
+	a := &attempt{job: j, task: t, run: t.Run, life: w.Life, plannedAt: now, pace: fullPace}
 	w.add(a)
 	p.dirty[j.ID] = j
 	p.orders = append(p.orders, Order{
@@ -123,6 +123,9 @@
 		f, ok := p.bestEffortScore(w, c, now)
 		return s + f, ok
 	}
+	if c.step.TailBound > 0 {
+		return s + p.serviceScore(w, c), true
+	}
 	f := w.free()
 	s += float64(f.MilliCPU) / float64(max(w.Room.MilliCPU, leastRoom))
 	return s, true
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -107,7 +107,7 @@
 	}
 	j.Attempts(func(t *jobs.Task) {
 		w := p.worker(t.Worker)
-		w.add(&attempt{job: j, task: t, run: t.Run, life: t.Life, phase: phaseUncertain, plannedAt: now, pace: fullPace, paceSent: fullPace})
+		w.add(&attempt{job: j, task: t, run: t.Run, life: t.Life, phase: phaseUncertain, plannedAt: now, pace: fullPace})
 	})
 }
 
@@ -161,7 +161,7 @@
 func (p *Planner) worker(id string) *worker {
 	w := p.workers[id]
 	if w == nil {
-		w = &worker{Member: Member{ID: id}, attempts: make(map[jobs.Ref]*attempt), paceCeiling: fullPace}
+		w = &worker{Member: Member{ID: id}, attempts: make(map[jobs.Ref]*attempt)}
 		w.leaseUntil = p.takenAt.Add(p.Detached + time.Duration(float64(p.Lease)*clockSlack) + leaseMargin)
 		p.workers[id] = w
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -47,7 +47,9 @@
 		p.running(w, x, now)
 	}
 	p.missing(w, present, r.AskedAt)
-	p.learnPressure(w)
+	w.figuresAt = now
+	p.learnPressure(w, now)
+	p.logFigures(w, now)
 }
 
 func (p *Planner) ended(w *worker, e Ended, now time.Time) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -78,11 +78,12 @@
 	stopSentAt     time.Time
 	stopAnsweredAt time.Time
 	// Load and percent are the worker's latest figures, and loadAt their age.
-	load     float64
-	percent  int
-	loadAt   time.Time
-	pace     int
-	paceSent int
+	load    float64
+	percent int
+	loadAt  time.Time
+	pace    int
+	// OverSince is when the tail went over its bound, zero while it is below.
+	overSince time.Time
 	// progressAt is when percent last rose.
 	progressAt time.Time
 }
@@ -95,16 +96,17 @@
 	used     jobs.Resources
 	attempts map[jobs.Ref]*attempt
 	// LeaseUntil is the instant at which the last lease that any owner may have granted has surely ended.
-	leaseUntil  time.Time
-	contactAt   time.Time
-	askedAt     time.Time
-	failures    int
-	avoidUntil  time.Time
-	ackable     int64
-	actedAt     time.Time
-	strikes     int
-	paceAt      time.Time
-	paceCeiling int
+	leaseUntil time.Time
+	contactAt  time.Time
+	askedAt    time.Time
+	failures   int
+	avoidUntil time.Time
+	ackable    int64
+	actedAt    time.Time
+	strikes    int
+	pacedAt    time.Time
+	learnedAt  time.Time
+	figuresAt  time.Time
 }
 
 func (w *worker) free() jobs.Resources { return w.Room.Minus(w.used) }
