--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -21,7 +21,8 @@
 //
 // The order answers a burst: what has passed its objective yields to what may
 // still meet it, and among these the least slack goes first. Long-running work
-// goes first, since it earns from its first moment on.
+// of the same priority comes after work that ends, which is worth more for the
+// processors that it holds and gives them back.
 func (p *Planner) candidates(now time.Time) []candidate {
 	var l []candidate
 	for _, j := range p.active {
@@ -74,13 +75,16 @@
 	return from.Add(objective).Sub(now) - j.RemainingChain(k, e)
 }
 
+// ranks is the number of kinds of work within a priority.
+const ranks = 3
+
 // rank orders the kinds of work before their slack.
 func (c *candidate) rank() int {
 	switch {
 	case c.step.LongRunning:
-		return c.job.Queue.Priority * 4
+		return c.job.Queue.Priority*ranks + 1
 	case c.slack >= 0:
-		return c.job.Queue.Priority*4 + 1
+		return c.job.Queue.Priority * ranks
 	}
-	return c.job.Queue.Priority*4 + 2
+	return c.job.Queue.Priority*ranks + 2
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -11,6 +11,7 @@
 func (p *Planner) Plan(now time.Time) {
 	p.Expire(now)
 	p.repeatStops(now)
+	p.reserve.observe(p.workers, now)
 	for _, c := range p.candidates(now) {
 		if c.step.Gang {
 			p.placeGang(&c, now)
@@ -35,6 +36,9 @@
 // placeStep starts as many tasks of a step as there is room for.
 func (p *Planner) placeStep(c *candidate, now time.Time) {
 	for _, t := range c.tasks {
+		if c.step.LongRunning && !p.reserve.allows(c.step, p.workers) {
+			return
+		}
 		w := p.choose(c, t, now)
 		if w == nil {
 			return
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -84,6 +84,7 @@
 	takenAt     time.Time
 	learned     *estimates
 	pressure    *pressure
+	reserve     reserve
 }
 
 // New returns a planner that took over at the given instant.
