--- /dev/null
+++ b/internal/dispatch/planner_test.go
@@ -0,0 +1,258 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+const (
+	testLease    = 6 * time.Second
+	testDetached = 6 * time.Second
+	testLife     = 1000
+)
+
+// scene is a planner with a clock and the orders that it gave.
+type scene struct {
+	*testing.T
+	p   *Planner
+	now time.Time
+}
+
+func newScene(t *testing.T, workers int) *scene {
+	t.Helper()
+	s := &scene{T: t, now: time.Unix(1_700_000_000, 0)}
+	s.p = New(Config{Lease: testLease, Detached: testDetached, Logger: zerolog.Nop()}, s.now)
+	s.list(workers)
+	return s
+}
+
+func member(i int) Member {
+	return Member{
+		ID: fmt.Sprintf("i-%02d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Pool: "pool", FailureDomain: fmt.Sprintf("domain-%d", i%3),
+		Labels: []string{"a", fmt.Sprintf("rack-%d", i/4)}, Room: jobs.Resources{MilliCPU: 32000, MemoryMB: 128000}, Life: testLife,
+	}
+}
+
+// list lists workers and lets each answer that it runs nothing.
+func (s *scene) list(n int) {
+	l := make([]Member, n)
+	for i := range l {
+		l[i] = member(i)
+	}
+	s.p.SetMembers(l, s.now)
+	for _, m := range l {
+		s.report(m.ID, nil)
+	}
+}
+
+// report lets a worker answer a question that left a moment ago.
+func (s *scene) report(id string, running []Running, ended ...Ended) {
+	s.p.Report(Report{Worker: id, Life: testLife, AskedAt: s.now, Running: running, Ended: ended}, s.now)
+}
+
+func (s *scene) after(d time.Duration) { s.now = s.now.Add(d) }
+
+// plan plans and commits, and returns the orders by their kind.
+func (s *scene) plan() map[OrderKind][]Order {
+	s.Helper()
+	s.p.Plan(s.now)
+	_, l := s.p.Take()
+	m := make(map[OrderKind][]Order)
+	for _, o := range s.p.Committed(l, s.now) {
+		m[o.Kind] = append(m[o.Kind], o)
+	}
+	return m
+}
+
+func testQueue() jobs.Queue {
+	return jobs.Queue{Name: "queue", Pool: "pool", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}
+}
+
+func testID(n int) string { return fmt.Sprintf("%016x", n) }
+
+func testJob(id string, now time.Time, steps ...jobs.Step) *jobs.Job {
+	return jobs.New(jobs.Spec{ID: id, Queue: testQueue(), Payload: "payload", Steps: steps, SubmittedAt: now})
+}
+
+func plainStep(n int) jobs.Step {
+	return jobs.Step{Tasks: n, Size: jobs.Resources{MilliCPU: 2000, MemoryMB: 1000}, Estimate: time.Second}
+}
+
+func TestStepsStartInOrder(t *testing.T) {
+	s := newScene(t, 3)
+	second := plainStep(1)
+	second.After = []int{0}
+	j := testJob(testID(1), s.now, plainStep(2), second)
+	s.p.AddJob(j, s.now)
+	first := s.plan()[OrderStart]
+	require.Len(t, first, 2)
+	require.Empty(t, s.plan()[OrderStart])
+	for i, o := range first {
+		s.p.StartAnswered(o, AnswerAccepted, s.now)
+		s.after(time.Second)
+		s.report(o.Worker, nil, Ended{Ref: o.Ref, Number: int64(i + 1), Run: o.Run, How: jobs.EndDone})
+	}
+	l := s.plan()[OrderStart]
+	require.Len(t, l, 1)
+	require.Equal(t, 1, l[0].Step)
+	require.Equal(t, jobs.StateRunning, j.State())
+	s.p.StartAnswered(l[0], AnswerAccepted, s.now)
+	s.report(l[0].Worker, nil, Ended{Ref: l[0].Ref, Number: 9, Run: 1, How: jobs.EndDone})
+	require.Equal(t, jobs.StateCompleted, j.State())
+}
+
+func TestStartWithoutAnswerIsNotRunAgainBeforeItsStopIsAnswered(t *testing.T) {
+	s := newScene(t, 2)
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	o := s.plan()[OrderStart][0]
+	s.p.StartAnswered(o, AnswerUnknown, s.now)
+	s.after(100 * time.Millisecond)
+	s.report(o.Worker, nil)
+	x := s.plan()
+	require.Empty(t, x[OrderStart], "the start may still be carried out")
+	require.Len(t, x[OrderStop], 1)
+	s.p.StopAnswered(x[OrderStop][0], AnswerAccepted, s.now)
+	require.Empty(t, s.plan()[OrderStart], "what runs is not known yet")
+	s.after(100 * time.Millisecond)
+	s.report(o.Worker, nil)
+	l := s.plan()[OrderStart]
+	require.Len(t, l, 1)
+	require.Equal(t, 2, l[0].Run)
+}
+
+func TestSilentWorkerKeepsItsTasksUntilItsLeaseHasEnded(t *testing.T) {
+	s := newScene(t, 2)
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	o := s.plan()[OrderStart][0]
+	s.p.StartAnswered(o, AnswerAccepted, s.now)
+	// The lease that an earlier owner may have granted has ended, so that only our own counts.
+	s.after(testDetached + 2*testLease)
+	s.p.Granted(o.Worker, s.now)
+	other := "i-00"
+	if o.Worker == other {
+		other = "i-01"
+	}
+	s.p.Unreachable(o.Worker, s.now)
+	for range 6 {
+		s.after(time.Second)
+		s.report(other, nil)
+		require.Empty(t, s.plan()[OrderStart])
+	}
+	s.after(time.Second)
+	s.report(other, nil)
+	l := s.plan()[OrderStart]
+	require.Len(t, l, 1)
+	require.Equal(t, other, l[0].Worker)
+}
+
+func TestTakeoverAdoptsWhatRunsAndRestartsWhatDoesNot(t *testing.T) {
+	s := newScene(t, 2)
+	j := testJob(testID(1), s.now, plainStep(2))
+	require.True(t, j.Assign(j.Tasks[0][0][0], "i-00", testLife, s.now))
+	require.True(t, j.Assign(j.Tasks[0][0][1], "i-00", testLife, s.now))
+	s.p = New(Config{Lease: testLease, Detached: testDetached, Logger: zerolog.Nop()}, s.now)
+	s.p.AddJob(j, s.now)
+	s.p.SetMembers([]Member{member(0), member(1)}, s.now)
+	require.Empty(t, s.plan()[OrderStart])
+	s.after(50 * time.Millisecond)
+	s.report("i-00", []Running{{Ref: j.Tasks[0][0][0].Ref, Run: 1}})
+	s.report("i-01", nil)
+	l := s.plan()[OrderStart]
+	require.Len(t, l, 1)
+	require.Equal(t, j.Tasks[0][0][1].Ref, l[0].Ref)
+	require.Equal(t, 2, l[0].Run)
+}
+
+// An owner that took over found a cancelled job whose attempt was still out, and left it running.
+func TestTakeoverStopsAttemptsOfJobsThatAreOver(t *testing.T) {
+	s := newScene(t, 1)
+	step := plainStep(1)
+	step.LongRunning = true
+	j := testJob(testID(1), s.now, step)
+	require.True(t, j.Assign(j.Tasks[0][0][0], "i-00", testLife, s.now))
+	j.Cancel()
+	s.p = New(Config{Lease: testLease, Detached: testDetached, Logger: zerolog.Nop()}, s.now)
+	s.p.SetMembers([]Member{member(0)}, s.now)
+	s.p.AddJob(j, s.now)
+	s.report("i-00", []Running{{Ref: j.Tasks[0][0][0].Ref, Run: 1}})
+	s.after(stopEvery)
+	require.NotEmpty(t, s.plan()[OrderStop])
+}
+
+func TestNewLifeOfAWorkerFreesItsTasks(t *testing.T) {
+	s := newScene(t, 1)
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	o := s.plan()[OrderStart][0]
+	s.p.StartAnswered(o, AnswerAccepted, s.now)
+	s.after(time.Second)
+	s.p.Report(Report{Worker: o.Worker, Life: testLife + 1, AskedAt: s.now}, s.now)
+	l := s.plan()[OrderStart]
+	require.Len(t, l, 1)
+	require.Equal(t, 2, l[0].Run)
+}
+
+func TestStartOfAnEarlierLifeWithoutAnswerIsStoppedInTheNewOne(t *testing.T) {
+	s := newScene(t, 1)
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	s.plan()
+	s.after(100 * time.Millisecond)
+	s.p.Report(Report{Worker: "i-00", Life: testLife + 1, AskedAt: s.now}, s.now)
+	x := s.plan()
+	require.Empty(t, x[OrderStart])
+	require.Len(t, x[OrderStop], 1)
+}
+
+func TestDrainingWorkersAndUnavailableDomainsGetNothing(t *testing.T) {
+	s := newScene(t, 3)
+	d := member(1)
+	d.Draining = true
+	s.p.SetMembers([]Member{member(0), d, member(2)}, s.now)
+	s.p.SetUnavailable(map[string]bool{"domain-0": true})
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(8)), s.now)
+	for _, o := range s.plan()[OrderStart] {
+		require.Equal(t, "i-02", o.Worker)
+	}
+}
+
+func TestPlanThatWaitedTooLongForItsCommitIsNotCarriedOut(t *testing.T) {
+	s := newScene(t, 1)
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	s.p.Plan(s.now)
+	_, l := s.p.Take()
+	require.Len(t, l, 1)
+	require.Empty(t, s.p.Committed(l, s.now.Add(2*planLimit)))
+	require.Len(t, s.plan()[OrderStart], 1)
+}
+
+func TestFailuresBeyondTheBudgetEndTheJob(t *testing.T) {
+	s := newScene(t, 4)
+	j := testJob(testID(1), s.now, plainStep(1))
+	s.p.AddJob(j, s.now)
+	for i := range 3 {
+		l := s.plan()[OrderStart]
+		require.Len(t, l, 1)
+		s.p.StartAnswered(l[0], AnswerAccepted, s.now)
+		s.after(time.Second)
+		s.report(l[0].Worker, nil, Ended{Ref: l[0].Ref, Number: int64(i + 1), Run: l[0].Run, How: jobs.EndFailed})
+	}
+	require.Equal(t, jobs.StateFailed, j.State())
+	require.Empty(t, s.plan()[OrderStart])
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	s := newScene(t, 1)
+	step := plainStep(17)
+	step.Gang = true
+	j := testJob(testID(1), s.now, step)
+	s.p.AddJob(j, s.now)
+	require.Empty(t, s.plan()[OrderStart], "17 tasks of 2 cores need more than 32")
+	step.Tasks = 16
+	s.p.AddJob(testJob(testID(2), s.now, step), s.now)
+	require.Len(t, s.plan()[OrderStart], 16)
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -165,7 +165,7 @@
 		return true
 	case a.phase == phaseRunning:
 		return askedAt.After(a.confirmedAt)
-	case a.phase == phaseUncertain && a.plannedAt.Equal(p.takenAt):
+	case a.inherited:
 		// The report answers a call with the fence of this owner, so that starts of earlier owners are refused from now on.
 		return true
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -65,11 +65,13 @@
 
 // attempt is an attempt that is out at a worker.
 type attempt struct {
-	job         *jobs.Job
-	task        *jobs.Task
-	run         int
-	life        int64
-	phase       phase
+	job   *jobs.Job
+	task  *jobs.Task
+	run   int
+	life  int64
+	phase phase
+	// Inherited tells that an earlier owner sent the start.
+	inherited   bool
 	plannedAt   time.Time
 	confirmedAt time.Time
 	// Stopping tells that the attempt shall end; StopSentAt and stopAnsweredAt belong to the latest stop call.
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -81,6 +81,8 @@
 		o.Logger.Warn().Err(err).Int64("Epoch", epoch).Str("Decision", "TakeoverFailed").Msg("ownership not taken")
 		return
 	}
+	o.Replica.SetOwned(true)
+	defer o.Replica.SetOwned(false)
 	o.spawn(func() { o.followRequests(ctx) })
 	o.spawn(func() { o.followMembers(ctx) })
 	err := o.loop(ctx)
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -35,6 +35,10 @@
 	next      [2]int64
 	loaded    [2]bool
 	freshAt   [2]time.Time
+	// watched tells that a read waits for the next record, so that what is known is new without another read.
+	watched [2]bool
+	// owned tells that all progress is written by this instance.
+	owned bool
 }
 
 // view is what callers are told of a job, as of one record.
@@ -57,6 +61,9 @@
 // Refresh reads both partitions unless what is known of them is younger than the given instant.
 func (r *Replica) Refresh(ctx context.Context, since time.Time) error {
 	for _, p := range []Partition{PartitionRequests, PartitionProgress} {
+		if r.isCurrent(p) {
+			continue
+		}
 		if err := r.Follow(ctx, p, since, time.Time{}); err != nil {
 			return err
 		}
@@ -64,6 +71,26 @@
 	return nil
 }
 
+// isCurrent tells whether a partition is known to its end without a read.
+func (r *Replica) isCurrent(p Partition) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded[p] && (r.watched[p] || r.owned && p == PartitionProgress)
+}
+
+// SetOwned tells the replica whether all progress is written by this instance.
+func (r *Replica) SetOwned(owned bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.owned = owned
+}
+
+func (r *Replica) setWatched(p Partition, watched bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watched[p] = watched
+}
+
 // Follow reads a partition to its end, unless that was begun after the given instant, and waits for a record until another.
 func (r *Replica) Follow(ctx context.Context, p Partition, since, until time.Time) error {
 	r.reading[p].Lock()
@@ -82,7 +109,9 @@
 			}
 			continue
 		}
+		r.setWatched(p, time.Until(until) > 0)
 		g, err := r.store.Read(ctx, p, next, until)
+		r.setWatched(p, false)
 		if errors.Is(err, ErrTruncated) {
 			r.logger.Warn().Int("Partition", int(p)).Int64("Offset", next).Str("Decision", "LoadAgain").Msg("records are no longer in the store")
 			r.mu.Lock()
