Take services as queues: load by job, slowdown by pair

Traces show that all tasks of a job share its load, and that a tail is that of an idle service divided by what load times slowdown leaves.

Change: that model, with a trend of the load, so that paces follow the load expected when they take effect; tasks that stay slow beside services move where they are not.

--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -1,63 +1,75 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
 
 const (
 	// serviceUse is the part of what long-running tasks hold that they are expected to use.
 	serviceUse = 0.5
 	// leastPart is the part of its size that a best-effort task must find free.
 	leastPart = 0.6
-	// tailLimit is the part of its bound up to which a tail may be expected to rise by a placement.
-	tailLimit = 0.75
-	// pressureWeight weighs the expected rise of tails against free processors.
-	pressureWeight = 4.0
+	// placeAhead is the time for which a placement looks ahead.
+	placeAhead = time.Second
+	// usualLoad is the load of a service that a placement expects at least, since loads swing.
+	usualLoad = 0.45
+	// paceWeight weighs the pace that a task would find against free processors.
+	paceWeight = 3.0
+	// leastExpectedPace is the part of its speed that a best-effort task must find.
+	leastExpectedPace = 0.75
 	// unlikeWeight weighs the difference of images beside each other against the use of a worker.
 	unlikeWeight = 3.0
+	// leastRise is the slowdown of a service that does not matter.
+	leastRise = 0.02
 )
 
-// bestEffortScore rates a worker for a best-effort task by the processors it would find and the tails it would raise.
-func (p *Planner) bestEffortScore(w *worker, c *candidate, _ time.Time) (float64, bool) {
-	room := float64(max(w.Room.MilliCPU, 1))
-	left, planned := w.spare()
+// bestEffortScore rates a worker for a best-effort task by the processors and the pace that it would find.
+//
+// A long-running task over its bound costs more than the best-effort task
+// beside it earns, so that a worker is refused where the task could not work
+// at most of its speed.
+func (p *Planner) bestEffortScore(w *worker, c *candidate, now time.Time) (float64, bool) {
+	left := w.spare()
 	if left < leastPart*float64(c.step.Size.MilliCPU) {
 		return 0, false
 	}
-	added := float64(c.step.Size.MilliCPU) / room
-	var rise float64
+	e := p.expectedPace(w, c.step, now)
+	return left/float64(max(w.Room.MilliCPU, 1)) + paceWeight*e, e >= leastExpectedPace
+}
+
+// expectedPace returns the part of its speed at which a best-effort task would work beside the services of a worker.
+func (p *Planner) expectedPace(w *worker, s *jobs.Step, now time.Time) float64 {
+	added := float64(s.Size.MilliCPU) / float64(max(w.Room.MilliCPU, 1))
+	wanted := w.wanted()
+	e := 1.0
 	for _, a := range w.attempts {
 		if a.task.Spec.TailBound <= 0 {
 			continue
 		}
-		s := p.pressure.of(a.task.Spec.Image)
-		r := s.pair(c.step.Image).Mean * added
-		if r > leastRise && s.base.Mean+s.sum(planned)+r > tailLimit {
-			return 0, false
+		x := p.pressure.of(a.task.Spec.Image)
+		r := x.pair(s.Image).cautious() * added
+		if r < leastRise {
+			continue
 		}
-		rise = max(rise, r)
+		l := max(usualLoad, p.pressure.load(a.task.Job).ahead(now.Add(placeAhead)))
+		e = min(e, max(0, x.bearable(l)-x.slowdown(wanted))/r)
 	}
-	return left/room - pressureWeight*rise, true
+	return e
 }
 
-// leastRise is the rise of a tail that is not worth a refusal.
-const leastRise = 0.02
-
-// spare returns the processors that best-effort tasks may expect besides what runs, and the shares that those at the worker want.
-func (w *worker) spare() (float64, map[string]float64) {
+// spare returns the processors that another best-effort task may expect besides what runs.
+func (w *worker) spare() float64 {
 	left := float64(w.Room.MilliCPU)
-	planned := make(map[string]float64)
 	for _, a := range w.attempts {
 		n := float64(a.task.Spec.Size.MilliCPU)
-		switch {
-		case a.task.Spec.BestEffort:
-			planned[a.task.Spec.Image] += n * float64(max(a.pace, 0)) / fullPace / float64(max(w.Room.MilliCPU, 1))
-			left -= n
-		case a.task.Spec.LongRunning:
-			left -= serviceUse * n
-		default:
-			left -= n
+		if a.task.Spec.LongRunning {
+			n *= serviceUse
 		}
+		left -= n
 	}
-	return left, planned
+	return left
 }
 
 // serviceScore rates a worker for a long-running task: like images gather, so that each best-effort image finds
--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -32,3 +34,26 @@
 	}
 	return "C"
 }
+
+// logModelEvery is the time between two log lines of the learned pressures.
+const logModelEvery = 5 * time.Second
+
+// logModel writes what is believed of the pressures of best-effort images on long-running ones.
+//
+// Each pair is written as long-running image, best-effort image, mean and variance; the
+// part of its bound that the tail of an idle service takes up stands under floor, with the number of figures.
+func (p *Planner) logModel(now time.Time) {
+	if now.Sub(p.modelLoggedAt) < logModelEvery || len(p.pressure.images) == 0 {
+		return
+	}
+	p.modelLoggedAt = now
+	var b strings.Builder
+	for _, i := range slices.Sorted(maps.Keys(p.pressure.images)) {
+		s := p.pressure.images[i]
+		fmt.Fprintf(&b, "%s,floor,%.2f,%d;", i, s.floor(), s.figures)
+		for _, f := range slices.Sorted(maps.Keys(s.pairs)) {
+			fmt.Fprintf(&b, "%s,%s,%.2f,%.2f;", i, f, s.pairs[f].Mean, s.pairs[f].Variance)
+		}
+	}
+	p.Logger.Info().Str("Decision", "Pressures").Str("Model", b.String()).Msg("learned pressures")
+}
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -7,35 +7,34 @@
 const (
 	// fullPace is the share of their speed at which tasks work unless told otherwise, in percent.
 	fullPace = 100
-	// paceEvery is the time between two changes of pace at a worker, in which the first shows in the figures.
-	paceEvery = 500 * time.Millisecond
+	// paceEvery is the least time between two changes of pace at a worker.
+	paceEvery = 200 * time.Millisecond
+	// paceDelay is the time until a change of pace, with the age of the figures, has its effect.
+	paceDelay = 500 * time.Millisecond
 	// tailGoal is the part of its bound at which the tail of a long-running task is kept.
-	tailGoal = 0.78
-	// tailAlarm is the part beyond which best-effort tasks are slowed whether or not they are known to press.
+	tailGoal = 0.72
+	// tailAlarm is the part beyond which best-effort tasks are slowed whatever the model says.
 	tailAlarm = 1.0
+	// alarmCut is the pace that best-effort tasks keep beside a task over its bound, in percent.
+	alarmCut = 25
 	// alarmLimit is the time over the bound after which all best-effort tasks beside stand still.
-	alarmLimit = 1200 * time.Millisecond
-	// alarmCut is the factor by which a pace falls while a tail is over its bound.
-	alarmCut = 0.35
-	// leastFactor and mostFactor bound one change of pace.
-	leastFactor = 0.3
-	mostFactor  = 1.5
-	// leastPace is the pace below which a task stands still, and from which it begins again, in percent.
-	leastPace = 6
+	alarmLimit = 900 * time.Millisecond
+	// leastPace is the pace below which a task stands still, in percent.
+	leastPace = 5
 	// paceDeadband is the change of pace that is not worth a call, in percent.
-	paceDeadband = 4
-	// leastPressure is the pressure below which an image does not press.
-	leastPressure = 0.6
+	paceDeadband = 6
+	// leastPressure is the pressure below which an image is not slowed for a service.
+	leastPressure = 0.35
 )
 
 // control keeps the tails of long-running tasks below their bounds by the pace of the best-effort tasks beside them.
 //
-// It answers a worker whose services near their bounds as their own load
-// swings: only the images that are known to press on such a service are slowed,
-// in proportion to how far the tail is above its goal; others work on.
+// It answers services that near their bounds as their load swings: from the
+// load that is expected when the change has its effect follows the slowdown
+// that each service can bear, and the images that press on it share that.
 func (p *Planner) control(now time.Time) {
 	for _, w := range p.workers {
-		if now.Sub(w.pacedAt) < paceEvery || !w.isReachable(now) || w.figuresAt.Before(w.pacedAt.Add(paceEvery)) {
+		if now.Sub(w.pacedAt) < paceEvery || !w.isReachable(now) {
 			continue
 		}
 		p.controlWorker(w, now)
@@ -43,109 +42,105 @@
 }
 
 func (p *Planner) controlWorker(w *worker, now time.Time) {
-	factors := p.factors(w, now)
-	changed := false
+	wanted := w.wanted()
+	if len(wanted) == 0 {
+		return
+	}
+	paces := p.paces(w, wanted, now)
 	for _, a := range w.attempts {
 		if !a.task.Spec.BestEffort || a.phase != phaseRunning || a.stopping {
 			continue
 		}
-		n := nextPace(a.pace, factors.of(a.task.Spec.Image))
+		n := paces[a.task.Spec.Image]
 		if n == a.pace || n != 0 && n != fullPace && max(n-a.pace, a.pace-n) < paceDeadband {
 			continue
 		}
+		if n <= slowPace && a.pace > slowPace {
+			a.slowSince = now
+		}
 		a.pace = n
-		changed = true
-		p.orders = append(p.orders, Order{Ref: a.task.Ref, Kind: OrderPace, Run: a.run, Worker: w.ID, Address: w.Address, Percent: n})
-	}
-	if changed {
 		w.pacedAt = now
+		p.orders = append(p.orders, Order{Ref: a.task.Ref, Kind: OrderPace, Run: a.run, Worker: w.ID, Address: w.Address, Percent: n})
 	}
 }
 
-// nextPace returns the pace after a change by a factor.
-func nextPace(pace int, f float64) int {
-	n := int(float64(max(pace, leastPace)) * f)
-	if n < leastPace {
-		return 0
+// wanted returns the share of the worker's processors that each best-effort image would use at full pace.
+func (w *worker) wanted() map[string]float64 {
+	m := make(map[string]float64)
+	for _, a := range w.attempts {
+		if a.task.Spec.BestEffort {
+			m[a.task.Spec.Image] += float64(a.task.Spec.Size.MilliCPU) / float64(max(w.Room.MilliCPU, 1))
+		}
 	}
-	return min(n, fullPace)
-}
-
-// paceFactors holds the factors by which the paces of images change at a worker.
-type paceFactors struct {
-	all    float64
-	images map[string]float64
+	return m
 }
 
-func (f paceFactors) of(image string) float64 {
-	x, ok := f.images[image]
-	if !ok {
-		x = mostFactor
+// paces returns the pace of each image that leaves every service below its goal.
+func (p *Planner) paces(w *worker, wanted map[string]float64, now time.Time) map[string]int {
+	part := make(map[string]float64, len(wanted))
+	for f := range wanted {
+		part[f] = 1
 	}
-	return min(x, f.all)
-}
-
-// factors returns how the paces shall change so that each tail comes to its goal.
-func (p *Planner) factors(w *worker, now time.Time) paceFactors {
-	f := paceFactors{all: mostFactor, images: make(map[string]float64)}
-	u := w.use()
+	most := 1.0
 	for _, a := range w.attempts {
 		if a.task.Spec.TailBound <= 0 || a.phase != phaseRunning {
 			continue
 		}
-		t := tailPart(a)
-		f.alarm(a, t, now)
-		s := p.pressure.of(a.task.Spec.Image)
-		x := factorFor(t, s.sum(u))
-		for i := range w.bestEffortImages() {
-			if s.pair(i).Mean < leastPressure {
-				continue
-			}
-			if o, ok := f.images[i]; !ok || x < o {
-				f.images[i] = x
-			}
+		most = min(most, alarm(a, now))
+		p.limit(a, wanted, part, now.Add(paceDelay))
+	}
+	paces := make(map[string]int, len(part))
+	for f, x := range part {
+		n := int(fullPace * min(x, most))
+		if n < leastPace {
+			n = 0
 		}
+		paces[f] = n
 	}
-	return f
+	return paces
 }
 
-// alarm slows all best-effort tasks beside a task that is over its bound.
-func (f *paceFactors) alarm(a *attempt, tail float64, now time.Time) {
-	if tail <= tailAlarm {
-		a.overSince = time.Time{}
-		return
+// limit lowers the parts of the images that press on a service to what it can bear at an instant.
+func (p *Planner) limit(a *attempt, wanted, part map[string]float64, at time.Time) {
+	s := p.pressure.of(a.task.Spec.Image)
+	room := s.bearable(p.pressure.load(a.task.Job).ahead(at))
+	var light, heavy float64
+	for f, u := range wanted {
+		if x := s.pair(f).Mean; x < leastPressure {
+			light += x * u
+		} else {
+			heavy += x * u
+		}
 	}
-	if a.overSince.IsZero() {
-		a.overSince = now
+	if heavy == 0 || heavy <= room-light {
+		return
 	}
-	f.all = min(f.all, alarmCut)
-	if now.Sub(a.overSince) > alarmLimit {
-		f.all = 0
+	x := max(0, room-light) / heavy
+	for f := range wanted {
+		if s.pair(f).Mean >= leastPressure {
+			part[f] = min(part[f], x)
+		}
 	}
 }
 
-// factorFor returns the factor for images that press on a task, of whose tail they are believed to add a part.
-func factorFor(tail, added float64) float64 {
-	if added <= 0 {
-		return mostFactor
-	}
-	alone := max(tail-added, 0)
-	x := (tailGoal - alone) / max(tail-alone, leastAdded)
-	return min(max(x, leastFactor), mostFactor)
+// bearable returns the slowdown, as a part, that leaves the tail of a service with the given load at its goal.
+func (s *sensitivity) bearable(load float64) float64 {
+	return s.utilisation(tailGoal)/load - 1
 }
 
-// leastAdded bounds the divisor of a factor.
-const leastAdded = 0.02
-
-// bestEffortImages returns the best-effort images that run at the worker.
-func (w *worker) bestEffortImages() map[string]bool {
-	m := make(map[string]bool)
-	for _, a := range w.attempts {
-		if a.task.Spec.BestEffort {
-			m[a.task.Spec.Image] = true
-		}
+// alarm returns the part of their speed that best-effort tasks keep beside a service that is over its bound.
+func alarm(a *attempt, now time.Time) float64 {
+	if tailPart(a) <= tailAlarm {
+		a.overSince = time.Time{}
+		return 1
 	}
-	return m
+	if a.overSince.IsZero() {
+		a.overSince = now
+	}
+	if now.Sub(a.overSince) > alarmLimit {
+		return 0
+	}
+	return float64(alarmCut) / fullPace
 }
 
 // tailPart returns the part of its bound that a long-running task has reached.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,6 +20,8 @@
 		p.placeStep(&c, now)
 	}
 	p.control(now)
+	p.relocate(now)
+	p.logModel(now)
 }
 
 // repeatStops sends stops again that have not led to an end.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -75,16 +75,18 @@
 type Planner struct {
 	Config
 	// orphans holds attempts whose worker is not known.
-	workers     map[string]*worker
-	jobs        map[string]*jobs.Job
-	active      map[string]*jobs.Job
-	unavailable map[string]bool
-	dirty       map[string]*jobs.Job
-	orders      []Order
-	takenAt     time.Time
-	learned     *estimates
-	pressure    *pressure
-	reserve     reserve
+	workers       map[string]*worker
+	jobs          map[string]*jobs.Job
+	active        map[string]*jobs.Job
+	unavailable   map[string]bool
+	dirty         map[string]*jobs.Job
+	orders        []Order
+	takenAt       time.Time
+	learned       *estimates
+	pressure      *pressure
+	reserve       reserve
+	relocatedAt   time.Time
+	modelLoggedAt time.Time
 }
 
 // New returns a planner that took over at the given instant.
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// priorPressure is the expected pressure of a pair of images of which nothing is known, in parts of the bound
-	// for a worker whose processors all work for the best-effort image.
+	// priorPressure is the expected pressure of a pair of images of which nothing is known: the part by which the
+	// service slows down beside a worker full of the best-effort image.
 	priorPressure = 1.5
 	// priorVariance is the variance of that expectation.
 	priorVariance = 6.0
@@ -15,14 +15,25 @@
 	leastVariance = 0.02
 	// variancePerRound is added for each observation, since pressures change.
 	variancePerRound = 0.002
-	// noiseVariance is the variance of a tail figure that the load of a task itself explains, in parts of the bound.
-	noiseVariance = 0.03
-	// priorBase is the part of its bound that the tail of a task takes up without neighbours.
-	priorBase = 0.35
-	// priorBaseVariance is the variance of that part.
-	priorBaseVariance = 0.04
+	// caution is the number of standard deviations by which a pressure is overrated before a placement.
+	caution = 0.7
+	// noiseVariance is the variance of an observed utilisation.
+	noiseVariance = 0.0016
+	// saturation is the utilisation beyond which a tail tells little more than that a queue has built up.
+	saturation = 0.88
+	// saturatedVariance is the variance of an observation beyond it.
+	saturatedVariance = 0.02
+	// priorFloor is the part of its bound that the tail of an idle service takes up.
+	priorFloor = 0.22
+	// floorPart is the part of the least tail of an image that an idle service would have.
+	floorPart = 0.8
+	// floorFigures is the number of figures after which the least tail is trusted.
+	floorFigures = 40
+	// leastFloor and mostFloor bound what is believed of an idle service.
+	leastFloor = 0.1
+	mostFloor  = 0.45
 	// learnEvery is the time between two observations at a worker; its figures cover the last half second.
-	learnEvery = 400 * time.Millisecond
+	learnEvery = 300 * time.Millisecond
 	// settleTime is the time in which the figures of a new attempt mean little.
 	settleTime = 700 * time.Millisecond
 	// knownVariance is the variance below which a pressure counts as known.
@@ -37,33 +48,61 @@
 	Variance float64
 }
 
+// cautious returns a value that the estimated one hardly exceeds.
+func (x *estimate) cautious() float64 { return x.Mean + caution*math.Sqrt(x.Variance) }
+
+// correct moves the estimate by its part of an error: g is how strongly the observation depends on it, and d the
+// variance of the whole observation.
+func (x *estimate) correct(g, e, d float64) {
+	k := x.Variance * g / d
+	x.Mean = max(0, x.Mean+k*e)
+	x.Variance = max(leastVariance, x.Variance*(1-k*g))
+}
+
 // sensitivity is what is known of one long-running image.
 type sensitivity struct {
-	base  estimate
-	pairs map[string]*estimate
+	leastTail float64
+	figures   int
+	pairs     map[string]*estimate
 }
 
 // pressure holds what is known of how best-effort images disturb long-running ones.
 //
-// The tail of a task, in parts of its bound, is taken as a base of its image
-// plus the sum over the best-effort images beside it of the pair's pressure
-// times the share of the worker's processors that the image uses. Each figure
-// corrects the terms in proportion to how uncertain they are.
+// A service is taken as a queue: its tail is that of an idle service divided
+// by what its utilisation leaves. The utilisation is the load of its job, which
+// all tasks of the job share and which swings within seconds, times a slowdown,
+// which is 1 plus the sum over the best-effort images beside the task of the
+// pair's pressure times the share of the worker's processors that the image
+// uses. Each figure corrects load and pressures in proportion to how uncertain
+// they are, so that a task that differs from the others of its job tells of
+// its neighbours, and what all show at once tells of the load.
 type pressure struct {
 	images map[string]*sensitivity
+	loads  map[string]*load
 }
 
-func newPressure() *pressure { return &pressure{images: make(map[string]*sensitivity)} }
+func newPressure() *pressure {
+	return &pressure{images: make(map[string]*sensitivity), loads: make(map[string]*load)}
+}
 
 func (p *pressure) of(image string) *sensitivity {
 	s := p.images[image]
 	if s == nil {
-		s = &sensitivity{base: estimate{priorBase, priorBaseVariance}, pairs: make(map[string]*estimate)}
+		s = &sensitivity{leastTail: mostFloor / floorPart, pairs: make(map[string]*estimate)}
 		p.images[image] = s
 	}
 	return s
 }
 
+func (p *pressure) load(job string) *load {
+	l := p.loads[job]
+	if l == nil {
+		l = &load{estimate: estimate{priorLoad, priorLoadVariance}}
+		p.loads[job] = l
+	}
+	return l
+}
+
 func (s *sensitivity) pair(image string) *estimate {
 	e := s.pairs[image]
 	if e == nil {
@@ -73,8 +112,21 @@
 	return e
 }
 
-// sum returns the part of the bound that the given use of a worker adds.
-func (s *sensitivity) sum(use map[string]float64) float64 {
+// floor returns the part of the bound that the tail of an idle service takes up.
+func (s *sensitivity) floor() float64 {
+	if s.figures < floorFigures {
+		return priorFloor
+	}
+	return min(max(floorPart*s.leastTail, leastFloor), mostFloor)
+}
+
+// utilisation returns the utilisation that a tail shows, in parts of its bound.
+func (s *sensitivity) utilisation(tail float64) float64 {
+	return min(max(1-s.floor()/tail, 0), 1)
+}
+
+// slowdown returns the part by which the given use of a worker slows a service down.
+func (s *sensitivity) slowdown(use map[string]float64) float64 {
 	var t float64
 	for f, u := range use {
 		t += s.pair(f).Mean * u
@@ -82,24 +134,28 @@
 	return t
 }
 
-// learn takes in one figure of a tail beside the given use of the worker.
-func (s *sensitivity) learn(tail float64, use map[string]float64) {
-	d := noiseVariance + s.base.Variance
+// learn takes in one figure of a tail, in parts of its bound, beside the given use of the worker.
+func (s *sensitivity) learn(l *load, tail float64, use map[string]float64, now time.Time) {
+	s.figures++
+	s.leastTail = min(s.leastTail, tail)
+	l.advance(now)
+	z := s.utilisation(tail)
+	r := l.Mean
+	k := 1 + s.slowdown(use)
+	d := noiseVariance + l.Variance*k*k
+	if z > saturation {
+		d += saturatedVariance
+	}
 	for f, u := range use {
-		d += s.pair(f).Variance * u * u
+		d += s.pair(f).Variance * r * r * u * u
 	}
-	e := tail - s.base.Mean - s.sum(use)
+	e := z - min(r*k, 1)
 	for f, u := range use {
-		s.pair(f).correct(u, e, d)
+		x := s.pair(f)
+		x.correct(r*u, e, d)
+		x.Variance += variancePerRound * min(1, u)
 	}
-	s.base.correct(1, e, d)
-}
-
-// correct moves the estimate by its part of an error; d is the variance of the whole observation.
-func (x *estimate) correct(u, e, d float64) {
-	k := x.Variance * u / d
-	x.Mean = max(0, x.Mean+k*e)
-	x.Variance = max(leastVariance*u, x.Variance*(1-k*u)+variancePerRound*u)
+	l.observe(k, e, d)
 }
 
 // unlike returns how much the pressures on two images differ, from 0 to 1.
@@ -143,6 +199,6 @@
 		if a.task.Spec.TailBound <= 0 || a.phase != phaseRunning || now.Sub(a.confirmedAt) < settleTime || a.load <= 0 {
 			continue
 		}
-		p.pressure.of(a.task.Spec.Image).learn(tailPart(a), u)
+		p.pressure.of(a.task.Spec.Image).learn(p.pressure.load(a.task.Job), tailPart(a), u, now)
 	}
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -84,6 +84,8 @@
 	percent int
 	loadAt  time.Time
 	pace    int
+	// SlowSince is when the pace fell below slowPace.
+	slowSince time.Time
 	// OverSince is when the tail went over its bound, zero while it is below.
 	overSince time.Time
 	// progressAt is when percent last rose.
