Keep the reserve for short work at each worker

Cause: the reserve was a sum over the fleet taken from what short work held; starved, it held little, and long-running tasks grew to 0.94 of the fleet. Change: a part of each worker, from the demand held and waited for.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -11,8 +11,9 @@
 func (p *Planner) Plan(now time.Time) {
 	p.Expire(now)
 	p.repeatStops(now)
-	p.reserve.observe(p.workers, now)
-	for _, c := range p.candidates(now) {
+	l := p.candidates(now)
+	p.reserve.observe(p.workers, l, now)
+	for _, c := range l {
 		if c.step.Gang {
 			p.placeGang(&c, now)
 			continue
@@ -38,17 +39,32 @@
 // placeStep starts as many tasks of a step as there is room for.
 func (p *Planner) placeStep(c *candidate, now time.Time) {
 	for _, t := range c.tasks {
-		if c.step.LongRunning && !p.reserve.allows(c.step, p.workers) {
-			return
+		w := p.choose(c, t, c.step.LongRunning, now)
+		if w == nil && c.step.LongRunning && p.reserve.overdue(t, now) && p.roomFor(c, t, now) >= ampleRoom {
+			w = p.choose(c, t, false, now)
 		}
-		w := p.choose(c, t, now)
 		if w == nil {
 			return
 		}
+		delete(p.reserve.waiting, t.Ref)
 		p.assign(c.job, t, w, now)
 	}
 }
 
+// ampleRoom is the number of tasks for which there has to be room before a long-running one takes from the reserve.
+const ampleRoom = 2
+
+// roomFor returns for how many tasks like the given one there is room.
+func (p *Planner) roomFor(c *candidate, t *jobs.Task, now time.Time) int {
+	n := 0
+	for _, w := range p.workers {
+		if p.isEligible(w, c.job, c.step, now) && !p.isCrowded(w, c, t) && w.free().Holds(c.step.Held()) {
+			n += w.free().MilliCPU / max(c.step.Size.MilliCPU, 1)
+		}
+	}
+	return n
+}
+
 func (p *Planner) assign(j *jobs.Job, t *jobs.Task, w *worker, now time.Time) {
 	if !j.Assign(t, w.ID, w.Life, now) {
 		return
@@ -69,7 +85,9 @@
 }
 
 // choose returns the worker for a task, nil where none has room.
-func (p *Planner) choose(c *candidate, t *jobs.Task, now time.Time) *worker {
+//
+// With the reserve kept, workers are left out that the task would fill beyond it.
+func (p *Planner) choose(c *candidate, t *jobs.Task, keepReserve bool, now time.Time) *worker {
 	var (
 		best *worker
 		top  float64
@@ -78,6 +96,9 @@
 		if !p.isEligible(w, c.job, c.step, now) || !w.free().Holds(c.step.Held()) || p.isCrowded(w, c, t) {
 			continue
 		}
+		if keepReserve && !p.reserve.allows(w, c.step) {
+			continue
+		}
 		if slices.Contains(t.FailedAt, w.ID) && len(t.FailedAt) < len(p.workers)/2 {
 			continue
 		}
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -7,60 +7,82 @@
 )
 
 const (
-	// reserveFactor is the part of the recent use of work that ends which is kept from long-running work.
-	reserveFactor = 1.3
-	// reserveAtFirst is the part of the fleet that is kept before anything is known of that use.
+	// reserveFactor is the part of the recent demand of work that ends which is kept from long-running work.
+	reserveFactor = 1.7
+	// reserveAtFirst is the part of each worker that is kept before anything is known of that demand.
 	reserveAtFirst = 0.08
-	// reserveMemory is the time in which half of a past use is forgotten.
-	reserveMemory = 5 * time.Second
+	// leastReserve and mostReserve bound the part of each worker that is kept.
+	leastReserve = 0.02
+	mostReserve  = 0.12
+	// reserveMemory is the time over which the demand is averaged.
+	reserveMemory = 8 * time.Second
+	// reserveWait is the time for which a long-running task waits although there is room for two of its size.
+	reserveWait = 2 * time.Second
 )
 
-// reserve keeps processors for work that ends.
+// reserve keeps a part of each worker's processors for work that ends.
 //
 // It answers a fleet that long-running work fills to the last core: short work
 // would then wait until some of that is cancelled, though it is worth more for
-// the processors that it holds.
+// the processors that it holds. The part is kept at each worker, where it is
+// mostly too small for a long-running task, so that none waits beside room for it.
 type reserve struct {
-	milliCPU float64
-	seenAt   time.Time
-	// Learned tells that work that ends was seen.
+	demand  float64
+	seenAt  time.Time
 	learned bool
+	// waiting holds since when long-running tasks have found no room.
+	waiting map[jobs.Ref]time.Time
 }
 
-// observe takes in how much work that ends holds now.
-func (r *reserve) observe(l map[string]*worker, now time.Time) {
-	held, room := 0.0, 0.0
+// observe takes in the part of the fleet that work that ends holds or waits for.
+func (r *reserve) observe(l map[string]*worker, c []candidate, now time.Time) {
+	var wanted, room float64
 	for _, w := range l {
 		room += float64(w.Room.MilliCPU)
 		for _, a := range w.attempts {
 			if !a.task.Spec.LongRunning {
-				held += float64(a.task.Spec.Held().MilliCPU)
+				wanted += float64(a.task.Spec.Held().MilliCPU)
 			}
 		}
 	}
-	if r.seenAt.IsZero() || held == 0 && !r.learned {
-		r.seenAt, r.milliCPU = now, reserveAtFirst*room/reserveFactor
+	for _, x := range c {
+		if !x.step.LongRunning {
+			wanted += float64(x.step.Held().MilliCPU * len(x.tasks))
+		}
+	}
+	if r.waiting == nil {
+		r.waiting = make(map[jobs.Ref]time.Time)
+	}
+	if room == 0 || wanted == 0 && !r.learned {
 		return
 	}
-	r.learned = true
-	part := min(1, float64(now.Sub(r.seenAt))/float64(2*reserveMemory))
+	if !r.learned {
+		r.learned, r.seenAt, r.demand = true, now, reserveAtFirst/reserveFactor
+	}
+	part := min(1, float64(now.Sub(r.seenAt))/float64(reserveMemory))
 	r.seenAt = now
-	r.milliCPU += part * (held - r.milliCPU)
+	r.demand += part * (min(wanted/room, mostReserve) - r.demand)
 }
 
-// allows tells whether a long-running task leaves the reserve to work that ends.
-func (r *reserve) allows(s *jobs.Step, l map[string]*worker) bool {
-	var free, held int
-	for _, w := range l {
-		if !w.listed || w.Draining {
-			continue
-		}
-		free += w.free().MilliCPU
-		for _, a := range w.attempts {
-			if !a.task.Spec.LongRunning {
-				held += a.task.Spec.Held().MilliCPU
-			}
-		}
+// part returns the part of each worker that is kept.
+func (r *reserve) part() float64 {
+	if !r.learned {
+		return reserveAtFirst
+	}
+	return min(max(reserveFactor*r.demand, leastReserve), mostReserve)
+}
+
+// allows tells whether a long-running task leaves the reserve of a worker.
+func (r *reserve) allows(w *worker, s *jobs.Step) bool {
+	return float64(w.free().MilliCPU-s.Size.MilliCPU) >= r.part()*float64(w.Room.MilliCPU)
+}
+
+// overdue tells whether a task that finds no room outside the reserve has waited long enough to take from it.
+func (r *reserve) overdue(t *jobs.Task, now time.Time) bool {
+	s, ok := r.waiting[t.Ref]
+	if !ok {
+		r.waiting[t.Ref] = now
+		return false
 	}
-	return float64(free-s.Size.MilliCPU+held) >= reserveFactor*r.milliCPU
+	return now.Sub(s) >= reserveWait
 }
