--- /dev/null
+++ b/internal/dispatch/knowledge.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// pairRecord is what was learned of a pair of images.
+type pairRecord struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Image    string
+	Mean     float64
+	Variance float64
+}
+
+// imageRecord is what was learned of a long-running image.
+type imageRecord struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Image     string
+	LeastTail float64
+	Figures   int
+	Pairs     []pairRecord
+}
+
+// knowledgeRecord is what an owner leaves to the next one, so that it need not learn it again.
+type knowledgeRecord struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Images   []imageRecord
+	RunTimes map[string]float64
+	Demand   float64
+}
+
+// inheritedVariance is added to what an earlier owner learned, since it may have changed.
+const inheritedVariance = 0.05
+
+// Knowledge encodes what was learned, nil where there is nothing yet.
+func (p *Planner) Knowledge() ([]byte, error) {
+	r := knowledgeRecord{RunTimes: p.learned.factors}
+	if p.reserve.learned {
+		r.Demand = p.reserve.demand
+	}
+	for i, s := range p.pressure.images {
+		x := imageRecord{Image: i, LeastTail: s.leastTail, Figures: s.figures}
+		for f, e := range s.pairs {
+			x.Pairs = append(x.Pairs, pairRecord{Image: f, Mean: e.Mean, Variance: e.Variance})
+		}
+		r.Images = append(r.Images, x)
+	}
+	if len(r.Images) == 0 && len(r.RunTimes) == 0 {
+		return nil, nil
+	}
+	b, err := msgpack.Marshal(&r)
+	if err != nil {
+		return nil, fmt.Errorf("encode what was learned: %w", err)
+	}
+	return b, nil
+}
+
+// Inherit takes in what an earlier owner learned.
+func (p *Planner) Inherit(b []byte) error {
+	var r knowledgeRecord
+	if err := msgpack.Unmarshal(b, &r); err != nil {
+		return fmt.Errorf("read what was learned: %w", err)
+	}
+	if r.RunTimes != nil {
+		p.learned.factors = r.RunTimes
+	}
+	if r.Demand > 0 {
+		p.reserve.learned, p.reserve.demand, p.reserve.seenAt = true, r.Demand, p.takenAt
+	}
+	for _, x := range r.Images {
+		s := p.pressure.of(x.Image)
+		s.leastTail, s.figures = x.LeastTail, x.Figures
+		for _, f := range x.Pairs {
+			s.pairs[f.Image] = &estimate{f.Mean, min(priorVariance, f.Variance+inheritedVariance)}
+		}
+	}
+	return nil
+}
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -26,6 +26,10 @@
 	followFor = time.Second
 	// followTimeout is added to the wait for the answer.
 	followTimeout = 900 * time.Millisecond
+	// knowledgeEvery is the time between two records of what was learned.
+	knowledgeEvery = 3 * time.Second
+	// knowledgeKey is the key of that record; no job has such an identity.
+	knowledgeKey = "knowledge"
 	// failurePause is the pause after a failed call to the store.
 	failurePause = 150 * time.Millisecond
 )
@@ -51,9 +55,12 @@
 	OwnerConfig
 	epoch    int64
 	sequence int64
+	latency  latency
 	signal   chan struct{}
 	contacts map[string]context.CancelFunc
 	work     sync.WaitGroup
+	// knowledgeAt is the instant of the latest record of what was learned.
+	knowledgeAt time.Time
 
 	mu      sync.Mutex
 	planner *dispatch.Planner
@@ -130,6 +137,11 @@
 	}
 	now := time.Now()
 	p := dispatch.New(dispatch.Config{Lease: o.Lease, Detached: o.Detached, Logger: o.Logger}, now)
+	if b := o.Replica.Progress(knowledgeKey); b != nil {
+		if err := p.Inherit(b); err != nil {
+			o.Logger.Warn().Err(err).Msg("what was learned before is lost")
+		}
+	}
 	p.SetUnavailable(o.State.Unavailable())
 	p.SetMembers(l, now)
 	for _, j := range o.Replica.Jobs() {
@@ -167,7 +179,7 @@
 	o.planner.SetUnavailable(o.State.Unavailable())
 	o.planner.Plan(now)
 	changed, orders := o.planner.Take()
-	r, err := records(changed)
+	r, err := o.records(changed, now)
 	acks := make(map[string]acknowledgement)
 	contacts := o.planner.Contacts()
 	for _, m := range contacts {
@@ -192,7 +204,8 @@
 	return nil
 }
 
-func records(l []*jobs.Job) ([]Record, error) {
+// records encodes changed jobs and, from time to time, what was learned; o.mu is held.
+func (o *Owner) records(l []*jobs.Job, now time.Time) ([]Record, error) {
 	r := make([]Record, 0, len(l))
 	for _, j := range l {
 		b, err := j.EncodeProgress()
@@ -201,7 +214,15 @@
 		}
 		r = append(r, Record{Key: j.ID, Value: b})
 	}
-	return r, nil
+	if len(r) == 0 || now.Sub(o.knowledgeAt) < knowledgeEvery {
+		return r, nil
+	}
+	o.knowledgeAt = now
+	b, err := o.planner.Knowledge()
+	if err != nil || b == nil {
+		return r, err
+	}
+	return append(r, Record{Key: knowledgeKey, Value: b}), nil
 }
 
 // notify asks for a plan soon.
@@ -220,9 +241,13 @@
 	o.sequence++
 	w := &Writer{Epoch: o.epoch, Sequence: o.sequence}
 	for {
-		c, cancel := context.WithTimeout(ctx, appendTimeout)
+		begun := time.Now()
+		c, cancel := context.WithTimeout(ctx, o.latency.timeout())
 		end, err := o.Store.Append(c, PartitionProgress, r, w)
 		cancel()
+		if !isNotDone(err) {
+			o.latency.observe(time.Since(begun))
+		}
 		switch {
 		case err == nil:
 			o.Replica.Committed(r, end-int64(len(r)))
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -317,6 +317,13 @@
 	return j
 }
 
+// Progress returns the newest record of progress under a key, nil where there is none.
+func (r *Replica) Progress(key string) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.progress[key].Value
+}
+
 // Cancelled lists the jobs whose cancellation is known.
 func (r *Replica) Cancelled() []string {
 	r.mu.Lock()
