Few members in the group, hand-over at once, fewer reads for GETs

Cause: each instance that came or went changed the group and moved the ownership; a new owner learned of it up to 1.2 s late. Three members are enough; others look on and join when fewer are left. GETs of ended jobs need no read; both partitions are read at once.

--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +14,14 @@
 	// memberLease is the silence after which the store gives this instance's part to another.
 	memberLease = 2500 * time.Millisecond
 	// joinEvery is the time between two renewals of the membership.
-	joinEvery = 600 * time.Millisecond
+	joinEvery = 300 * time.Millisecond
+	// lookEvery is the time between two looks at the group by an instance outside it.
+	lookEvery = 700 * time.Millisecond
+	// wantedMembers is the number of instances that the group needs, so that the jobs find an owner when one is lost.
+	// More would change the group, and with it the owner, whenever any instance is replaced.
+	wantedMembers = 3
+	// firstLook is the longest delay of the first look, so that not all instances join when all start.
+	firstLook = 500 * time.Millisecond
 	// joinTimeout bounds one renewal.
 	joinTimeout = 900 * time.Millisecond
 	// leaveTimeout bounds the call that gives the membership up.
@@ -29,6 +37,8 @@
 	contactAt atomic.Int64
 	suspends  *suspensions
 
+	// joined tells that the store may hold a membership of this instance.
+	joined     bool
 	generation int64
 	// terms counts the ownerships within a generation, so that each has an epoch of its own.
 	terms int64
@@ -43,23 +53,43 @@
 	return &Member{store: s, logger: l, run: run, suspends: newSuspensions()}
 }
 
-// Run renews the membership until the context ends, and then gives it up.
+// Run keeps the instance in the group while that needs it, until the context ends.
 func (m *Member) Run(ctx context.Context) {
-	t := time.NewTicker(joinEvery)
-	defer t.Stop()
-	for {
+	pause(ctx, rand.N(firstLook))
+	for ctx.Err() == nil {
+		if !m.joined && !m.isNeeded(ctx) {
+			pause(ctx, lookEvery)
+			continue
+		}
 		m.renew(ctx)
-		select {
-		case <-ctx.Done():
-			m.leave()
-			return
-		case <-t.C:
+		pause(ctx, joinEvery)
+	}
+	if m.joined {
+		m.leave()
+	}
+}
+
+// isNeeded tells whether the group has too few members.
+func (m *Member) isNeeded(ctx context.Context) bool {
+	c, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	n, err := m.store.Members(c)
+	if err != nil {
+		if ctx.Err() == nil {
+			m.logger.Warn().Err(err).Str("Decision", "LookFailed").Msg("members of the group are not known")
 		}
+		return false
+	}
+	if n < wantedMembers {
+		m.logger.Info().Int("Members", n).Str("Decision", "Join").Msg("the group needs this instance")
+		return true
 	}
+	return false
 }
 
 // renew keeps the membership and begins or ends the ownership that follows from it.
 func (m *Member) renew(ctx context.Context) {
+	m.joined = true
 	if m.suspends.passed() {
 		m.logger.Warn().Str("Decision", "Suspended").Msg("the instance stood still; what it owned is given up")
 		m.end("the instance stood still")
@@ -80,7 +110,10 @@
 	}
 	m.generation = x.Generation
 	if !x.Owner {
-		m.end("the store named another owner")
+		if m.end("the store named another owner") {
+			// The next owner may begin once the store hears of the new generation from this one.
+			m.renew(ctx)
+		}
 		return
 	}
 	m.begin(ctx, x.Generation)
@@ -130,17 +163,18 @@
 	}()
 }
 
-// end stops the owner and waits for it.
-func (m *Member) end(reason string) {
+// end stops the owner, waits for it, and tells whether there was one.
+func (m *Member) end(reason string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stop == nil {
-		return
+		return false
 	}
 	m.stop()
 	<-m.stopped
 	m.stop = nil
 	m.logger.Info().Str("Decision", "OwnershipEnded").Str("Reason", reason).Msg("this instance no longer owns the jobs")
+	return true
 }
 
 func (m *Member) leave() {
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"currantknot.dev/currantknot/internal/jobs"
 )
@@ -60,15 +61,13 @@
 
 // Refresh reads both partitions unless what is known of them is younger than the given instant.
 func (r *Replica) Refresh(ctx context.Context, since time.Time) error {
+	g, ctx := errgroup.WithContext(ctx)
 	for _, p := range []Partition{PartitionRequests, PartitionProgress} {
-		if r.isCurrent(p) {
-			continue
-		}
-		if err := r.Follow(ctx, p, since, time.Time{}); err != nil {
-			return err
+		if !r.isCurrent(p) {
+			g.Go(func() error { return r.Follow(ctx, p, since, time.Time{}) })
 		}
 	}
-	return nil
+	return g.Wait()
 }
 
 // isCurrent tells whether a partition is known to its end without a read.
--- a/internal/jobserve/service.go
+++ b/internal/jobserve/service.go
@@ -50,11 +50,13 @@
 
 // Cancel ends a job for its caller; it tells whether the job is known.
 func (s *Service) Cancel(ctx context.Context, id string) (bool, error) {
-	_, ok, err := s.State(ctx, id)
-	if err != nil || !ok {
-		return ok, err
+	if !s.replica.Knows(id) {
+		_, ok, err := s.State(ctx, id)
+		if err != nil || !ok {
+			return ok, err
+		}
 	}
-	err = s.batch.append(ctx, Record{Key: cancelPrefix + id, Value: []byte{1}})
+	err := s.batch.append(ctx, Record{Key: cancelPrefix + id, Value: []byte{1}})
 	s.logOutcome(err, "Cancel").Str("Job", id).Msg("job cancelled")
 	return true, err
 }
@@ -68,6 +70,9 @@
 
 // State returns what callers are told of a job, and whether it is known.
 func (s *Service) State(ctx context.Context, id string) (jobs.State, bool, error) {
+	if x, ok := s.replica.State(id); ok && x != jobs.StatePending && x != jobs.StateRunning {
+		return x, true, nil
+	}
 	err := s.replica.Refresh(ctx, time.Now().Add(-freshEnough))
 	x, ok := s.replica.State(id)
 	if ok {
