--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -21,8 +21,6 @@
 	leastExpectedPace = 0.75
 	// unlikeWeight weighs the difference of images beside each other against the use of a worker.
 	unlikeWeight = 3.0
-	// leastRise is the slowdown of a service that does not matter.
-	leastRise = 0.02
 )
 
 // bestEffortScore rates a worker for a best-effort task by the processors and the pace that it would find.
@@ -49,10 +47,11 @@
 			continue
 		}
 		x := p.pressure.of(a.task.Spec.Image)
-		r := x.pair(s.Image).cautious() * added
-		if r < leastRise {
+		q := x.pair(s.Image).cautious()
+		if q < leastPressure {
 			continue
 		}
+		r := q * added
 		l := max(usualLoad, p.pressure.load(a.task.Job).ahead(now.Add(placeAhead)))
 		e = min(e, max(0, x.bearable(l)-x.slowdown(wanted))/r)
 	}
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -24,7 +24,7 @@
 	// paceDeadband is the change of pace that is not worth a call, in percent.
 	paceDeadband = 6
 	// leastPressure is the pressure below which an image is not slowed for a service.
-	leastPressure = 0.35
+	leastPressure = 0.6
 )
 
 // control keeps the tails of long-running tasks below their bounds by the pace of the best-effort tasks beside them.
