--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -62,6 +62,22 @@
 	AnswerUnknown
 )
 
+// String returns the outcome in lower case, for logs and metrics.
+func (a Answer) String() string {
+	switch a {
+	case AnswerAccepted:
+		return "accepted"
+	case AnswerRefused:
+		return "refused"
+	case AnswerNoRoom:
+		return "no-room"
+	case AnswerUnhealthy:
+		return "unhealthy"
+	case AnswerUnknown:
+	}
+	return "unknown"
+}
+
 // Config is what the planner has to know of its surroundings.
 type Config struct {
 	// Lease is the longest lease that a worker is granted.
--- a/internal/jobserve/contact.go
+++ b/internal/jobserve/contact.go
@@ -152,7 +152,7 @@
 		a = dispatch.AnswerUnknown
 	}
 	if err != nil || a != dispatch.AnswerAccepted {
-		o.Logger.Warn().Err(err).Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Str("Order", string(x.Kind)).Uint8("Answer", uint8(a)).Dur("Took", time.Since(now)).Msg("order was not carried out")
+		o.Logger.Warn().Err(err).Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Str("Order", string(x.Kind)).Str("Answer", a.String()).Dur("Took", time.Since(now)).Msg("order was not carried out")
 	}
 	o.answered(x, a)
 }
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -50,7 +50,11 @@
 	State      *State
 	Replica    *Replica
 	Front      http.Handler
-	Logger     zerolog.Logger
+	// MetricsListen is the address that serves metrics, empty for none.
+	MetricsListen string
+	Metrics       *Metrics
+	Log           *LogWriter
+	Logger        zerolog.Logger
 }
 
 // Instance is one process of the system on the users' platform.
@@ -67,14 +71,42 @@
 // NewInstance returns an instance.
 func NewInstance(c InstanceConfig) *Instance {
 	i := &Instance{InstanceConfig: c}
+	i.Front = measuredHandler(c.Metrics, c.Front)
+	i.gauges()
 	i.member = NewMember(c.Store, c.Logger, i.own)
 	return i
 }
 
+// gauges registers what is known of the instance's state.
+func (i *Instance) gauges() {
+	i.Metrics.Gauge(metricOwner, func() float64 { return number(i.member.IsOwner()) })
+	i.Metrics.Gauge(metricReady, func() float64 { return number(i.isReady()) })
+	i.Metrics.Gauge(metricStoreAge, func() float64 { return i.storeAge().Seconds() })
+	i.Metrics.Gauge(metricJobs, func() float64 { return float64(len(i.Replica.IDs())) })
+	i.Metrics.Gauge(metricLinesDropped, func() float64 { return float64(i.Log.Dropped()) })
+	i.Metrics.Gauge(metricVersion, func() float64 {
+		if c := i.State.Configuration(); c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// storeAge returns the age of the last word from the store.
+func (i *Instance) storeAge() time.Duration { return time.Since(time.Unix(0, i.storeAt.Load())) }
+
 func (i *Instance) own(ctx context.Context, epoch int64) {
+	i.Metrics.Add(metricTakeovers, "", 1)
 	RunOwner(ctx, OwnerConfig{
 		Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, State: i.State,
-		ContactAt: i.member.ContactAt, Lease: i.Lease, Detached: detachedLimit, Logger: i.Logger,
+		ContactAt: i.member.ContactAt, Lease: i.Lease, Detached: detachedLimit, Metrics: i.Metrics, Logger: i.Logger,
 	}, epoch)
 }
 
@@ -88,6 +120,11 @@
 	if err != nil {
 		return err
 	}
+	if i.MetricsListen != "" {
+		if _, err := i.listen(ctx, i.MetricsListen, i.Metrics); err != nil {
+			return err
+		}
+	}
 	i.Logger.Info().Str("Decision", "Started").Str("Callers", i.CallerListen).Dur("Lease", i.Lease).Msg("instance started")
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -144,7 +181,7 @@
 }
 
 func (i *Instance) isReady() bool {
-	return !i.stopping.Load() && i.State.Configuration() != nil && time.Since(time.Unix(0, i.storeAt.Load())) < readyLimit
+	return !i.stopping.Load() && i.State.Configuration() != nil && i.storeAge() < readyLimit
 }
 
 func (i *Instance) followOperators(ctx context.Context) {
@@ -157,7 +194,7 @@
 		case err == nil:
 			i.contact()
 		case ctx.Err() == nil:
-			i.Logger.Warn().Err(err).Dur("StoreAge", time.Since(time.Unix(0, i.storeAt.Load()))).Str("Decision", "StoreSilent").Msg("operators' decisions are not followed")
+			i.Logger.Warn().Err(err).Dur("StoreAge", i.storeAge()).Str("Decision", "StoreSilent").Msg("operators' decisions are not followed")
 			pause(ctx, failurePause)
 		}
 	}
--- /dev/null
+++ b/internal/jobserve/measured.go
@@ -0,0 +1,133 @@
+package jobserve
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"currantknot.dev/currantknot/internal/dispatch"
+)
+
+// measuredStore counts and times the calls to a store.
+type measuredStore struct {
+	Store
+	metrics *Metrics
+}
+
+// MeasureStore returns a store that counts and times its calls.
+func MeasureStore(s Store, m *Metrics) Store { return &measuredStore{s, m} }
+
+// MeasureWorkers returns workers whose calls are counted and timed.
+func MeasureWorkers(w Workers, m *Metrics) Workers { return &measuredWorkers{w, m} }
+
+func (s *measuredStore) observe(call string, begun time.Time, err error) {
+	s.metrics.Observe(metricStoreCalls, label("call", call, "outcome", outcomeOf(err)), begun)
+}
+
+// outcomeOf returns the outcome of a call as a label.
+func outcomeOf(err error) string {
+	var e *StoreError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, ErrFenced):
+		return "fenced"
+	case errors.Is(err, ErrTruncated):
+		return "truncated"
+	case errors.As(err, &e) && e.Status != 0:
+		return strconv.Itoa(e.Status)
+	}
+	return "unknown"
+}
+
+// Append implements Store.
+func (s *measuredStore) Append(ctx context.Context, p Partition, r []Record, w *Writer) (int64, error) {
+	t := time.Now()
+	n, err := s.Store.Append(ctx, p, r, w)
+	s.observe("append", t, err)
+	return n, err
+}
+
+// Read implements Store; the time includes the wait for a record.
+func (s *measuredStore) Read(ctx context.Context, p Partition, from int64, until time.Time) (Page, error) {
+	t := time.Now()
+	g, err := s.Store.Read(ctx, p, from, until)
+	s.observe("read", t, err)
+	return g, err
+}
+
+// Newest implements Store.
+func (s *measuredStore) Newest(ctx context.Context, p Partition, after string) (Newest, error) {
+	t := time.Now()
+	n, err := s.Store.Newest(ctx, p, after)
+	s.observe("newest", t, err)
+	return n, err
+}
+
+// Join implements Store.
+func (s *measuredStore) Join(ctx context.Context, generation int64, lease time.Duration) (Membership, error) {
+	t := time.Now()
+	m, err := s.Store.Join(ctx, generation, lease)
+	s.observe("join", t, err)
+	return m, err
+}
+
+// Members implements Store.
+func (s *measuredStore) Members(ctx context.Context) (int, error) {
+	t := time.Now()
+	n, err := s.Store.Members(ctx)
+	s.observe("members", t, err)
+	return n, err
+}
+
+// measuredWorkers counts and times the calls to workers.
+type measuredWorkers struct {
+	Workers
+	metrics *Metrics
+}
+
+// Sync implements Workers; the time includes the wait for an end.
+func (w *measuredWorkers) Sync(ctx context.Context, s Sync) (dispatch.Report, error) {
+	t := time.Now()
+	r, err := w.Workers.Sync(ctx, s)
+	w.metrics.Observe(metricWorkerCalls, label("call", "sync", "outcome", outcomeOf(err)), t)
+	for _, e := range r.Ended {
+		w.metrics.Add(metricEnds, label("how", string(e.How)), 1)
+	}
+	return r, err
+}
+
+// Carry implements Workers.
+func (w *measuredWorkers) Carry(ctx context.Context, s Start) (dispatch.Answer, error) {
+	t := time.Now()
+	a, err := w.Workers.Carry(ctx, s)
+	w.metrics.Observe(metricWorkerCalls, label("call", string(s.Kind), "outcome", outcomeOf(err)), t)
+	if err == nil {
+		w.metrics.Add(metricOrders, label("order", string(s.Kind), "answer", a.String()), 1)
+	}
+	return a, err
+}
+
+// statusWriter notes the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// measuredHandler times the requests of callers by method and status.
+func measuredHandler(m *Metrics, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		t := time.Now()
+		s := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		h.ServeHTTP(s, r)
+		m.Observe(metricRequests, label("method", r.Method, "status", strconv.Itoa(s.status)), t)
+	})
+}
--- /dev/null
+++ b/internal/jobserve/metrics.go
@@ -0,0 +1,154 @@
+package jobserve
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The names of the metrics; docs/METRICS.md describes them.
+const (
+	metricStoreCalls   = "currantknot_store_call_seconds"
+	metricWorkerCalls  = "currantknot_worker_call_seconds"
+	metricRequests     = "currantknot_request_seconds"
+	metricCommits      = "currantknot_commit_records_total"
+	metricOrders       = "currantknot_orders_total"
+	metricEnds         = "currantknot_ends_total"
+	metricTakeovers    = "currantknot_takeovers_total"
+	metricOwner        = "currantknot_owner"
+	metricReady        = "currantknot_ready"
+	metricVersion      = "currantknot_configuration_version"
+	metricStoreAge     = "currantknot_store_age_seconds"
+	metricJobs         = "currantknot_jobs"
+	metricLinesDropped = "currantknot_log_lines_dropped_total"
+)
+
+// bucketBounds are the upper bounds of the buckets of a histogram.
+var bucketBounds = []time.Duration{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second,
+}
+
+// Metrics holds the counters and histograms of an instance.
+type Metrics struct {
+	counters expvar.Map
+
+	mu         sync.Mutex
+	histograms map[string]*histogram
+	gauges     map[string]func() float64
+}
+
+// NewMetrics returns empty metrics.
+func NewMetrics() *Metrics {
+	return &Metrics{histograms: make(map[string]*histogram), gauges: make(map[string]func() float64)}
+}
+
+// Gauge serves what the function returns under a name.
+func (m *Metrics) Gauge(name string, f func() float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gauges[name] = f
+}
+
+// Add adds to a counter; the label is a pair of name and quoted value, or empty.
+func (m *Metrics) Add(name, label string, n int) { m.counters.Add(series(name, label), int64(n)) }
+
+// Observe adds the time since an instant to a histogram.
+func (m *Metrics) Observe(name, label string, since time.Time) {
+	d := time.Since(since)
+	k := series(name, label)
+	m.mu.Lock()
+	h := m.histograms[k]
+	if h == nil {
+		h = &histogram{name: name, label: label, buckets: make([]int64, len(bucketBounds))}
+		m.histograms[k] = h
+	}
+	m.mu.Unlock()
+	h.observe(d)
+}
+
+func series(name, label string) string {
+	if label == "" {
+		return name
+	}
+	return name + "{" + label + "}"
+}
+
+// label returns a pair of name and quoted value, and further pairs.
+func label(pairs ...string) string {
+	l := make([]string, 0, len(pairs)/2)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		l = append(l, fmt.Sprintf("%s=%q", pairs[i], pairs[i+1]))
+	}
+	return strings.Join(l, ",")
+}
+
+// histogram counts durations by buckets.
+type histogram struct {
+	name  string
+	label string
+
+	mu      sync.Mutex
+	buckets []int64
+	count   int64
+	sum     time.Duration
+}
+
+func (h *histogram) observe(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.count++
+	h.sum += d
+	if i, _ := slices.BinarySearch(bucketBounds, d); i < len(h.buckets) {
+		h.buckets[i]++
+	}
+}
+
+func (h *histogram) write(w io.Writer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.label
+	if l != "" {
+		l += ","
+	}
+	var n int64
+	for i, b := range bucketBounds {
+		n += h.buckets[i]
+		fmt.Fprintf(w, "%s_bucket{%sle=\"%g\"} %d\n", h.name, l, b.Seconds(), n)
+	}
+	fmt.Fprintf(w, "%s_bucket{%sle=\"+Inf\"} %d\n", h.name, l, h.count)
+	fmt.Fprintf(w, "%s %g\n", series(h.name+"_sum", h.label), h.sum.Seconds())
+	fmt.Fprintf(w, "%s %d\n", series(h.name+"_count", h.label), h.count)
+}
+
+// ServeHTTP writes all metrics as text.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	m.write(w)
+}
+
+func (m *Metrics) write(w io.Writer) {
+	m.counters.Do(func(k expvar.KeyValue) { fmt.Fprintf(w, "%s %s\n", k.Key, k.Value) })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range sortedKeys(m.gauges) {
+		fmt.Fprintf(w, "%s %g\n", k, m.gauges[k]())
+	}
+	for _, k := range sortedKeys(m.histograms) {
+		m.histograms[k].write(w)
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	l := make([]string, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	slices.Sort(l)
+	return l
+}
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -47,6 +47,7 @@
 	Lease time.Duration
 	// Detached is the longest time without word from the store for which leases are granted.
 	Detached time.Duration
+	Metrics  *Metrics
 	Logger   zerolog.Logger
 }
 
@@ -251,6 +252,7 @@
 		switch {
 		case err == nil:
 			o.Replica.Committed(r, end-int64(len(r)))
+			o.Metrics.Add(metricCommits, "", len(r))
 			return nil
 		case errors.Is(err, ErrFenced):
 			return err
