--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -220,7 +220,8 @@
 	w.listed = true
 }
 
-// newLife ends the attempts of a worker's earlier incarnation, except those whose start may still reach the new one.
+// newLife ends the attempts that the worker's earlier incarnation reported; the start of any other may have reached the
+// new one, or still will, since both have the same identity.
 func (p *Planner) newLife(w *worker, life int64, now time.Time) {
 	p.Logger.Info().Str("Worker", w.ID).Int64("Life", life).Str("Decision", "WorkerReborn").Int("Attempts", len(w.attempts)).Msg("worker began a new life")
 	w.Life = life
@@ -230,7 +231,7 @@
 		if a.life == life {
 			continue
 		}
-		if a.phase == phaseRunning {
+		if a.reported {
 			p.release(w, a, "worker began a new life")
 			continue
 		}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -121,6 +121,7 @@
 		p.stray(w, x, now)
 		return
 	}
+	a.reported = true
 	if a.phase != phaseRunning {
 		a.phase = phaseRunning
 		a.confirmedAt = now
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -71,7 +71,9 @@
 	life  int64
 	phase phase
 	// Inherited tells that an earlier owner sent the start.
-	inherited   bool
+	inherited bool
+	// Reported tells that the incarnation of the attempt listed it.
+	reported    bool
 	plannedAt   time.Time
 	confirmedAt time.Time
 	// Stopping tells that the attempt shall end; StopSentAt and stopAnsweredAt belong to the latest stop call.
