Permits of the adviser, waves of maintenance, and tasks that leave draining workers

Cause: the settings list contracts for advice and upkeep that nothing served, and long-running tasks stayed on draining workers until these ended them.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -41,6 +41,7 @@
 	err = jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, StopWithin: s.StopWithin,
 		Lease: min(s.LongestLease, longestLease), Store: store, Workers: jobserve.MeasureWorkers(platform.NewWorkers(), m), Directory: platform.NewDirectory(log, l),
+		Adviser: platform.NewAdviser(s.AdviserAddress), Machines: platform.NewMachines(s.MachinesAddress, s.Name, log), TurnAfter: s.TurnAfter,
 		Operators: platform.NewOperator(log, l), State: state, Replica: replica, Front: platform.NewFront(state, service, l),
 		MetricsListen: c.Metrics, Metrics: m, Log: w, Logger: l,
 	}).Run(ctx)
--- a/internal/dispatch/knowledge.go
+++ b/internal/dispatch/knowledge.go
@@ -29,6 +29,8 @@
 	Images   []imageRecord
 	RunTimes map[string]float64
 	Demand   float64
+	// Maintained holds the machines of each wave whose maintenance is over.
+	Maintained map[int][]string
 }
 
 // inheritedVariance is added to what an earlier owner learned, since it may have changed.
@@ -36,7 +38,7 @@
 
 // Knowledge encodes what was learned, nil where there is nothing yet.
 func (p *Planner) Knowledge() ([]byte, error) {
-	r := knowledgeRecord{RunTimes: p.learned.factors}
+	r := knowledgeRecord{RunTimes: p.learned.factors, Maintained: p.maintained}
 	if p.reserve.learned {
 		r.Demand = p.reserve.demand
 	}
@@ -47,7 +49,7 @@
 		}
 		r.Images = append(r.Images, x)
 	}
-	if len(r.Images) == 0 && len(r.RunTimes) == 0 {
+	if len(r.Images) == 0 && len(r.RunTimes) == 0 && len(r.Maintained) == 0 {
 		return nil, nil
 	}
 	b, err := msgpack.Marshal(&r)
@@ -66,6 +68,9 @@
 	if r.RunTimes != nil {
 		p.learned.factors = r.RunTimes
 	}
+	if r.Maintained != nil {
+		p.maintained = r.Maintained
+	}
 	if r.Demand > 0 {
 		p.reserve.learned, p.reserve.demand, p.reserve.seenAt = true, r.Demand, p.takenAt
 	}
--- /dev/null
+++ b/internal/dispatch/maintenance_test.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+func machines(up map[string]string) []Machine {
+	l := make([]Machine, 0, len(up))
+	for id, w := range up {
+		l = append(l, Machine{ID: id, Worker: w, Up: w != ""})
+	}
+	return l
+}
+
+func TestWaveTakesAtMostItsCapAtATime(t *testing.T) {
+	s := newScene(t, 3)
+	m := map[string]string{"m-0": "i-00", "m-1": "i-01", "m-2": "i-02"}
+	s.p.SetMachines(machines(m), s.now)
+	s.p.SetWaves([]Wave{{Number: 1, Machines: []string{"m-0", "m-1"}, Cap: 1, Deadline: s.now.Add(20 * time.Second)}})
+	x := s.plan()
+	require.Len(t, x[OrderMaintain], 1)
+	require.Equal(t, "m-0", x[OrderMaintain][0].Machine)
+	require.Equal(t, WaveRunning, x[OrderReport][0].State)
+	s.p.Maintained(x[OrderMaintain][0], AnswerAccepted, s.now)
+	for range 3 {
+		s.after(time.Second)
+		require.Empty(t, s.plan()[OrderMaintain], "the first machine is not back")
+	}
+	m["m-0"] = "i-10"
+	s.p.SetMachines(machines(m), s.now)
+	x = s.plan()
+	require.Len(t, x[OrderMaintain], 1)
+	require.Equal(t, "m-1", x[OrderMaintain][0].Machine)
+	s.p.Maintained(x[OrderMaintain][0], AnswerAccepted, s.now)
+	m["m-1"] = "i-11"
+	s.p.SetMachines(machines(m), s.now)
+	x = s.plan()
+	require.Len(t, x[OrderReport], 1)
+	require.Equal(t, WaveCompleted, x[OrderReport][0].State)
+}
+
+func TestMaintenanceWithoutAnswerIsOrderedAgain(t *testing.T) {
+	s := newScene(t, 1)
+	s.p.SetMachines(machines(map[string]string{"m-0": "i-00"}), s.now)
+	s.p.SetWaves([]Wave{{Number: 1, Machines: []string{"m-0"}, Cap: 1}})
+	x := s.plan()[OrderMaintain]
+	require.Len(t, x, 1)
+	s.p.Maintained(x[0], AnswerUnknown, s.now)
+	require.Empty(t, s.plan()[OrderMaintain])
+	s.after(maintainRetry)
+	require.Len(t, s.plan()[OrderMaintain], 1)
+}
+
+func TestMachineIsEmptiedWithinWhatItsTasksMayMiss(t *testing.T) {
+	s := newScene(t, 2)
+	step := jobs.Step{Tasks: 4, Size: jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, LongRunning: true, MaxUnavailable: 1}
+	s.p.AddJob(testJob(testID(1), s.now, step), s.now)
+	var l []Running
+	held := make(map[string][]Running)
+	for _, o := range s.plan()[OrderStart] {
+		s.p.StartAnswered(o, AnswerAccepted, s.now)
+		held[o.Worker] = append(held[o.Worker], Running{Ref: o.Ref, Run: o.Run, Percent: 100})
+		l = append(l, Running{Ref: o.Ref, Run: o.Run})
+	}
+	require.Len(t, l, 4)
+	s.after(2 * atWorkAfter)
+	for id, r := range held {
+		s.report(id, r)
+	}
+	busy := l[0]
+	w := s.p.workers[s.p.jobs[testID(1)].Task(busy.Ref).Worker]
+	s.p.SetMachines(machines(map[string]string{"m-0": w.ID}), s.now)
+	s.p.SetWaves([]Wave{{Number: 1, Machines: []string{"m-0"}, Cap: 1}})
+	x := s.plan()
+	require.Empty(t, x[OrderMaintain])
+	require.Len(t, x[OrderStop], 1, "one task of the step may be away at a time")
+}
+
+func TestStartOnAQueueWithAdviceCarriesAPermit(t *testing.T) {
+	s := newScene(t, 3)
+	j := testJob(testID(1), s.now, plainStep(2))
+	j.Queue.NeedsPermit = true
+	s.p.AddJob(j, s.now)
+	x := s.plan()
+	require.Empty(t, x[OrderStart])
+	require.Len(t, x[OrderAdvise], 1)
+	require.Len(t, x[OrderAdvise][0].Candidates, 3)
+	require.Empty(t, s.plan()[OrderAdvise], "one call at a time")
+	s.p.Advised(x[OrderAdvise][0], []Permit{{"i-01", "permit"}}, s.now.Add(3*time.Second), true, s.now)
+	l := s.plan()[OrderStart]
+	require.Len(t, l, 2)
+	for _, o := range l {
+		require.Equal(t, "i-01", o.Worker)
+		require.Equal(t, "permit", o.Permit)
+	}
+}
+
+func TestPermitThatEndsIsAskedForAgain(t *testing.T) {
+	s := newScene(t, 1)
+	j := testJob(testID(1), s.now, plainStep(1))
+	j.Queue.NeedsPermit = true
+	s.p.AddJob(j, s.now)
+	o := s.plan()[OrderAdvise][0]
+	s.p.Advised(o, nil, time.Time{}, false, s.now)
+	require.Empty(t, s.plan()[OrderAdvise], "a failed call is repeated after a pause")
+	s.after(adviceRetry)
+	o = s.plan()[OrderAdvise][0]
+	s.p.Advised(o, []Permit{{"i-00", "permit"}}, s.now.Add(permitMargin/2), true, s.now)
+	x := s.plan()
+	require.Empty(t, x[OrderStart])
+	require.Len(t, x[OrderAdvise], 1)
+}
+
+func TestLongRunningTasksLeaveADrainingWorker(t *testing.T) {
+	s := newScene(t, 2)
+	step := jobs.Step{Tasks: 1, Size: jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, LongRunning: true}
+	s.p.AddJob(testJob(testID(1), s.now, step), s.now)
+	o := s.plan()[OrderStart][0]
+	s.p.StartAnswered(o, AnswerAccepted, s.now)
+	d := []Member{member(0), member(1)}
+	for i := range d {
+		d[i].Draining = d[i].ID == o.Worker
+	}
+	s.p.SetMembers(d, s.now)
+	require.Len(t, s.plan()[OrderStop], 1)
+	s.report(o.Worker, nil, Ended{Ref: o.Ref, Number: 1, Run: 1, How: jobs.EndStopped})
+	l := s.plan()[OrderStart]
+	require.Len(t, l, 1)
+	require.NotEqual(t, o.Worker, l[0].Worker)
+}
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -18,12 +18,6 @@
 	modelRoom    = 8000
 )
 
-// modelRun is an attempt that is present at a modelled worker.
-type modelRun struct {
-	ref jobs.Ref
-	run int
-}
-
 // modelWorker is a worker with fence, lease, lives and ends.
 type modelWorker struct {
 	id      string
@@ -181,7 +175,7 @@
 		m.p.StartAnswered(o, a, m.now)
 	case OrderStop:
 		m.p.StopAnswered(o, a, m.now)
-	case OrderPace:
+	case OrderPace, OrderAdvise, OrderMaintain, OrderReport:
 	}
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,6 +20,8 @@
 		}
 		p.placeStep(&c, now)
 	}
+	p.vacate(now)
+	p.maintain(now)
 	p.control(now)
 	p.relocate(now)
 	p.logModel(now)
@@ -44,6 +46,9 @@
 			w = p.choose(c, t, false, now)
 		}
 		if w == nil {
+			if c.job.Queue.NeedsPermit {
+				p.askAdvice(c, now)
+			}
 			return
 		}
 		delete(p.reserve.waiting, t.Ref)
@@ -77,8 +82,9 @@
 	a := &attempt{job: j, task: t, run: t.Run, life: w.Life, plannedAt: now, pace: fullPace}
 	w.add(a)
 	p.dirty[j.ID] = j
+	x, _ := p.permitted(w, j, StepRef{t.Job, t.Occurrence, t.Step}, now)
 	p.orders = append(p.orders, Order{
-		Ref: t.Ref, Kind: OrderStart, Run: t.Run, Worker: w.ID, Address: w.Address, Payload: j.Payload, Saved: t.Saved,
+		Ref: t.Ref, Kind: OrderStart, Run: t.Run, Worker: w.ID, Address: w.Address, Payload: j.Payload, Saved: t.Saved, Permit: x,
 	})
 	p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Str("Worker", w.ID).Int64("Life", w.Life).Str("Decision", "Start").
 		Int("FreeMilliCPU", w.free().MilliCPU).Int("FreeMemoryMB", w.free().MemoryMB).Dur("ReportAge", now.Sub(w.contactAt)).Dur("JobAge", now.Sub(j.SubmittedAt)).Msg("task is placed")
@@ -96,6 +102,9 @@
 		if !p.isEligible(w, c.job, c.step, now) || !w.free().Holds(c.step.Held()) || p.isCrowded(w, c, t) {
 			continue
 		}
+		if _, ok := p.permitted(w, c.job, StepRef{t.Job, t.Occurrence, t.Step}, now); !ok {
+			continue
+		}
 		if keepReserve && !p.reserve.allows(w, c.step) {
 			continue
 		}
@@ -115,7 +124,7 @@
 
 // isEligible tells whether a worker may get tasks of a step at all.
 func (p *Planner) isEligible(w *worker, j *jobs.Job, s *jobs.Step, now time.Time) bool {
-	return w.listed && !w.Draining && w.Pool == j.Queue.Pool && !p.unavailable[w.FailureDomain] &&
+	return w.listed && !w.Draining && !w.cordoned && w.Pool == j.Queue.Pool && !p.unavailable[w.FailureDomain] &&
 		w.isReachable(now) && !now.Before(w.avoidUntil) && w.hasLabel(s.Label)
 }
 
@@ -182,6 +191,9 @@
 		}
 		return
 	}
+	if c.job.Queue.NeedsPermit {
+		p.askAdvice(c, now)
+	}
 }
 
 // racks lists the labels that name racks or kinds, in order.
@@ -205,7 +217,8 @@
 	left := make(map[*worker]jobs.Resources)
 	count := make(map[*worker]int)
 	for _, w := range p.workers {
-		if p.isEligible(w, c.job, c.step, now) && w.hasLabel(label) {
+		_, ok := p.permitted(w, c.job, StepRef{c.tasks[0].Job, c.tasks[0].Occurrence, c.tasks[0].Step}, now)
+		if ok && p.isEligible(w, c.job, c.step, now) && w.hasLabel(label) {
 			left[w] = w.free()
 		}
 	}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -29,6 +29,11 @@
 	OrderStart OrderKind = "Start"
 	OrderStop  OrderKind = "Stop"
 	OrderPace  OrderKind = "Pace"
+	// OrderAdvise asks which of the candidates may run a step.
+	OrderAdvise OrderKind = "Advise"
+	// OrderMaintain takes a machine down for its maintenance, and OrderReport tells operators the state of a wave.
+	OrderMaintain OrderKind = "Maintain"
+	OrderReport   OrderKind = "Report"
 )
 
 // Order is a call to a worker.
@@ -41,8 +46,12 @@
 	Payload string
 	Saved   string
 	// Percent is the share of its speed at which the task shall work.
-	Percent int
-	Permit  string
+	Percent    int
+	Permit     string
+	Candidates []string
+	Machine    string
+	Wave       int
+	State      string
 }
 
 // Answer is the outcome of an order.
@@ -84,23 +93,29 @@
 	Lease time.Duration
 	// Detached is the longest time for which an owner grants leases without word from the store.
 	Detached time.Duration
-	Logger   zerolog.Logger
+	// TurnAfter is the time after a takeover in which no machine is ordered, so that orders of two owners do not mix.
+	TurnAfter time.Duration
+	Logger    zerolog.Logger
 }
 
 // Planner decides for all jobs and workers of one owner.
 type Planner struct {
 	Config
-	// orphans holds attempts whose worker is not known.
-	workers       map[string]*worker
-	jobs          map[string]*jobs.Job
-	active        map[string]*jobs.Job
-	unavailable   map[string]bool
-	dirty         map[string]*jobs.Job
-	orders        []Order
-	takenAt       time.Time
-	learned       *estimates
-	pressure      *pressure
-	reserve       reserve
+	workers     map[string]*worker
+	jobs        map[string]*jobs.Job
+	active      map[string]*jobs.Job
+	unavailable map[string]bool
+	dirty       map[string]*jobs.Job
+	orders      []Order
+	takenAt     time.Time
+	learned     *estimates
+	pressure    *pressure
+	reserve     reserve
+	advice      map[StepRef]*advice
+	waves       map[int]*waveState
+	machines    map[string]Machine
+	// maintained holds the machines of each wave whose maintenance is over.
+	maintained    map[int][]string
 	relocatedAt   time.Time
 	modelLoggedAt time.Time
 }
@@ -111,7 +126,8 @@
 		Config: c, takenAt: now,
 		workers: make(map[string]*worker), jobs: make(map[string]*jobs.Job), active: make(map[string]*jobs.Job),
 		unavailable: make(map[string]bool), dirty: make(map[string]*jobs.Job),
-		learned: newEstimates(), pressure: newPressure(),
+		learned: newEstimates(), pressure: newPressure(), advice: make(map[StepRef]*advice),
+		waves: make(map[int]*waveState), maintained: make(map[int][]string),
 	}
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -97,8 +97,10 @@
 // worker is what the planner knows of a worker.
 type worker struct {
 	Member
-	listed   bool
-	synced   bool
+	listed bool
+	synced bool
+	// Cordoned tells that the worker is emptied for the maintenance of its machine.
+	cordoned bool
 	used     jobs.Resources
 	attempts map[jobs.Ref]*attempt
 	// LeaseUntil is the instant at which the last lease that any owner may have granted has surely ended.
--- a/internal/jobserve/config.go
+++ b/internal/jobserve/config.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
@@ -35,6 +36,7 @@
 type State struct {
 	configuration atomic.Pointer[Configuration]
 	unavailable   atomic.Pointer[map[string]bool]
+	waves         atomic.Pointer[[]dispatch.Wave]
 }
 
 // Configuration returns the newest configuration, nil before the first.
@@ -62,6 +64,18 @@
 // SetUnavailable replaces the failure domains that are out of service.
 func (s *State) SetUnavailable(m map[string]bool) { s.unavailable.Store(&m) }
 
+// SetWaves replaces the waves of maintenance that operators ask for.
+func (s *State) SetWaves(l []dispatch.Wave) { s.waves.Store(&l) }
+
+// Waves returns the waves of maintenance that operators ask for.
+func (s *State) Waves() []dispatch.Wave {
+	l := s.waves.Load()
+	if l == nil {
+		return nil
+	}
+	return *l
+}
+
 // Route returns the route with the longest path prefix of a host, nil where there is none.
 func (c *Configuration) Route(host, path string) *Route {
 	var best *Route
--- a/internal/jobserve/contact.go
+++ b/internal/jobserve/contact.go
@@ -134,6 +134,19 @@
 
 // carry carries an order out and reports its outcome.
 func (o *Owner) carry(ctx context.Context, x dispatch.Order) {
+	switch x.Kind {
+	case dispatch.OrderAdvise:
+		o.advise(ctx, x)
+	case dispatch.OrderMaintain:
+		o.maintain(ctx, x)
+	case dispatch.OrderReport:
+		o.reportWave(ctx, x)
+	case dispatch.OrderStart, dispatch.OrderStop, dispatch.OrderPace:
+		o.carryToWorker(ctx, x)
+	}
+}
+
+func (o *Owner) carryToWorker(ctx context.Context, x dispatch.Order) {
 	s := Start{Order: x, Fence: o.epoch}
 	now := time.Now()
 	if x.Kind == dispatch.OrderStart {
@@ -167,6 +180,7 @@
 		o.planner.StopAnswered(x, a, now)
 	case dispatch.OrderPace:
 		o.planner.PaceAnswered(x, a, now)
+	case dispatch.OrderAdvise, dispatch.OrderMaintain, dispatch.OrderReport:
 	}
 	o.mu.Unlock()
 	if x.Kind != dispatch.OrderPace && a != dispatch.AnswerAccepted {
--- /dev/null
+++ b/internal/jobserve/errands.go
@@ -0,0 +1,84 @@
+package jobserve
+
+import (
+	"context"
+	"time"
+
+	"currantknot.dev/currantknot/internal/dispatch"
+)
+
+const (
+	// adviseTimeout bounds a call to the adviser, which answers one call after the other.
+	adviseTimeout = 3 * time.Second
+	// maintainTimeout bounds a call to the service for machines.
+	maintainTimeout = 2 * time.Second
+	// machinesEvery is the time between two reads of the list of machines while a wave is open.
+	machinesEvery = 700 * time.Millisecond
+)
+
+// advise asks which workers may run a step.
+func (o *Owner) advise(ctx context.Context, x dispatch.Order) {
+	c, cancel := context.WithTimeout(ctx, adviseTimeout)
+	defer cancel()
+	l, until, err := o.Adviser.Advise(c, dispatch.StepRef{Job: x.Job, Occurrence: x.Occurrence, Step: x.Step}, x.Candidates)
+	if err != nil && ctx.Err() == nil {
+		o.Logger.Warn().Err(err).Str("Task", x.String()).Str("Decision", "AdviceFailed").Msg("adviser did not answer")
+	}
+	o.mu.Lock()
+	o.planner.Advised(x, l, until, err == nil, time.Now())
+	o.mu.Unlock()
+	o.notify()
+}
+
+// maintain orders the maintenance of a machine.
+func (o *Owner) maintain(ctx context.Context, x dispatch.Order) {
+	c, cancel := context.WithTimeout(ctx, maintainTimeout)
+	defer cancel()
+	a, err := o.Machines.Maintain(c, x.Machine, x.Wave, o.epoch)
+	if err != nil && ctx.Err() == nil {
+		o.Logger.Warn().Err(err).Str("Machine", x.Machine).Int("Wave", x.Wave).Str("Decision", "MaintainFailed").Msg("maintenance was not ordered")
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.planner.Maintained(x, a, time.Now())
+}
+
+// reportWave tells operators the state of a wave.
+func (o *Owner) reportWave(ctx context.Context, x dispatch.Order) {
+	c, cancel := context.WithTimeout(ctx, maintainTimeout)
+	defer cancel()
+	a := dispatch.AnswerAccepted
+	if err := o.Machines.Report(c, x.Wave, x.State); err != nil {
+		a = dispatch.AnswerUnknown
+		o.Logger.Warn().Err(err).Int("Wave", x.Wave).Str("State", x.State).Msg("state of a wave was not written")
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.planner.Reported(x, a)
+}
+
+// followMachines reads the list of machines while a wave is open.
+func (o *Owner) followMachines(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, machinesEvery)
+		o.mu.Lock()
+		open := o.planner.HasMaintenance()
+		o.mu.Unlock()
+		if !open {
+			continue
+		}
+		c, cancel := context.WithTimeout(ctx, maintainTimeout)
+		l, err := o.Machines.List(c)
+		cancel()
+		if err != nil {
+			if ctx.Err() == nil {
+				o.Logger.Warn().Err(err).Msg("machines are not listed")
+			}
+			continue
+		}
+		o.mu.Lock()
+		o.planner.SetMachines(l, time.Now())
+		o.mu.Unlock()
+		o.notify()
+	}
+}
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -46,10 +46,14 @@
 	Store      Store
 	Workers    Workers
 	Directory  Directory
-	Operators  Operators
-	State      *State
-	Replica    *Replica
-	Front      http.Handler
+	Adviser    Adviser
+	Machines   Machines
+	// TurnAfter is the time in which two owners may not take turns in ordering a machine.
+	TurnAfter time.Duration
+	Operators Operators
+	State     *State
+	Replica   *Replica
+	Front     http.Handler
 	// MetricsListen is the address that serves metrics, empty for none.
 	MetricsListen string
 	Metrics       *Metrics
@@ -105,7 +109,8 @@
 func (i *Instance) own(ctx context.Context, epoch int64) {
 	i.Metrics.Add(metricTakeovers, "", 1)
 	RunOwner(ctx, OwnerConfig{
-		Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, State: i.State,
+		Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Adviser: i.Adviser, Machines: i.Machines,
+		State: i.State, TurnAfter: i.TurnAfter,
 		ContactAt: i.member.ContactAt, Lease: i.Lease, Detached: detachedLimit, Metrics: i.Metrics, Logger: i.Logger,
 	}, epoch)
 }
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -40,6 +40,8 @@
 	Replica   *Replica
 	Workers   Workers
 	Directory Directory
+	Adviser   Adviser
+	Machines  Machines
 	State     *State
 	// ContactAt returns the instant of the latest word from the store that this instance is the owner.
 	ContactAt func() time.Time
@@ -47,8 +49,10 @@
 	Lease time.Duration
 	// Detached is the longest time without word from the store for which leases are granted.
 	Detached time.Duration
-	Metrics  *Metrics
-	Logger   zerolog.Logger
+	// TurnAfter is the time after a takeover in which no machine is ordered.
+	TurnAfter time.Duration
+	Metrics   *Metrics
+	Logger    zerolog.Logger
 }
 
 // Owner runs all jobs for as long as this instance owns them.
@@ -93,6 +97,7 @@
 	defer o.Replica.SetOwned(false)
 	o.spawn(func() { o.followRequests(ctx) })
 	o.spawn(func() { o.followMembers(ctx) })
+	o.spawn(func() { o.followMachines(ctx) })
 	err := o.loop(ctx)
 	o.Logger.Info().AnErr("Cause", err).Int64("Epoch", epoch).Str("Decision", "OwnerStops").Msg("owner stops")
 }
@@ -137,7 +142,7 @@
 		return fmt.Errorf("list workers: %w", err)
 	}
 	now := time.Now()
-	p := dispatch.New(dispatch.Config{Lease: o.Lease, Detached: o.Detached, Logger: o.Logger}, now)
+	p := dispatch.New(dispatch.Config{Lease: o.Lease, Detached: o.Detached, TurnAfter: o.TurnAfter, Logger: o.Logger}, now)
 	if b := o.Replica.Progress(knowledgeKey); b != nil {
 		if err := p.Inherit(b); err != nil {
 			o.Logger.Warn().Err(err).Msg("what was learned before is lost")
@@ -178,6 +183,7 @@
 	o.mu.Lock()
 	now := time.Now()
 	o.planner.SetUnavailable(o.State.Unavailable())
+	o.planner.SetWaves(o.State.Waves())
 	o.planner.Plan(now)
 	changed, orders := o.planner.Take()
 	r, err := o.records(changed, now)
--- a/internal/jobserve/workers.go
+++ b/internal/jobserve/workers.go
@@ -40,3 +40,18 @@
 type Directory interface {
 	Members(ctx context.Context) ([]dispatch.Member, error)
 }
+
+// Adviser knows which workers may run a step of a queue that needs permits.
+type Adviser interface {
+	// Advise returns permits for those of the workers that may run the step, and until when they hold.
+	Advise(ctx context.Context, s dispatch.StepRef, workers []string) ([]dispatch.Permit, time.Time, error)
+}
+
+// Machines orders the maintenance of machines.
+type Machines interface {
+	List(ctx context.Context) ([]dispatch.Machine, error)
+	// Maintain takes a machine down; repeated for the same wave it has no further effect.
+	Maintain(ctx context.Context, machine string, wave int, fence int64) (dispatch.Answer, error)
+	// Report tells operators the state of a wave.
+	Report(ctx context.Context, wave int, state string) error
+}
