--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 docs:
 	go test ./internal/settings -run TestSettingsDocument -update
 	go test ./internal/serve -run TestMetricsDocument -update
+	go test ./internal/jobserve -run TestMetricsDocument -update
 
 demo: build
 	bin/currantknot demo
--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -1,61 +1,103 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/settings"
 	"currantknot.dev/currantknot/platform"
 )
 
-// jobsCommand runs one instance on the users' platform, with the settings file that the platform provides.
+const (
+	// longestLease bounds the leases of workers, and with them the time for which the work of a silent worker is held.
+	longestLease = 6 * time.Second
+	// logCloseLimit bounds the wait for a slow reader of the log at the end.
+	logCloseLimit = 300 * time.Millisecond
+	// reloadEvery is the time between two looks at the settings file.
+	reloadEvery = time.Second
+)
+
+// jobsCommand runs one instance on the users' platform.
 type jobsCommand struct {
-	Settings string `arg:"--settings,env:CURRANTKNOT_SETTINGS" placeholder:"FILE" help:"settings file that the platform provides"`
-	Metrics  string `arg:"--metrics-listen,env:CURRANTKNOT_METRICS_LISTEN" default:":9464" placeholder:"ADDRESS" help:"address that serves metrics as text; empty for none"`
-	LogLevel string `arg:"--log-level,env:CURRANTKNOT_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"least level that is logged: debug, info, warn, error"`
+	settings.Jobs
 }
 
 func (c *jobsCommand) run(ctx context.Context, _ io.Writer) error {
-	if c.Settings == "" {
+	if c.File == "" {
 		return &argumentError{"--settings is empty"}
 	}
-	s, err := platform.ReadSettings(c.Settings)
+	s, err := platform.ReadSettings(c.File)
 	if err != nil {
 		return err
 	}
 	w := jobserve.NewLogWriter(os.Stdout)
 	defer func() { w.Close(time.Now().Add(logCloseLimit)) }()
 	l := newJobsLogger(w, c.LogLevel, s.Name)
-	m := jobserve.NewMetrics()
 	log := platform.NewStore(s.StoreAddress, s.Name+"-"+strconv.FormatInt(time.Now().UnixNano(), 36))
-	store := jobserve.MeasureStore(log, m)
-	state := &jobserve.State{}
-	replica := jobserve.NewReplica(store, l)
-	service := jobserve.NewService(store, replica, l)
-	err = jobserve.NewInstance(jobserve.InstanceConfig{
-		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, StopWithin: s.StopWithin,
-		Lease: min(s.LongestLease, longestLease), Store: store, Workers: jobserve.MeasureWorkers(platform.NewWorkers(), m), Directory: platform.NewDirectory(log, l),
-		Adviser: platform.NewAdviser(s.AdviserAddress), Machines: platform.NewMachines(s.MachinesAddress, s.Name, log), TurnAfter: s.TurnAfter,
-		Operators: platform.NewOperator(log, l), State: state, Replica: replica, Front: platform.NewFront(state, service, l),
-		MetricsListen: c.Metrics, Metrics: m, Log: w, Logger: l,
-	}).Run(ctx)
-	if err != nil {
+	go c.reload(ctx, log, l)
+	if err := newJobsInstance(s, c.MetricsListen, log, w, l).Run(ctx); err != nil {
 		return fmt.Errorf("instance %s: %w", s.Name, err)
 	}
 	return nil
 }
 
-// longestLease bounds the leases of workers, and with them the time for which the work of a silent worker is held.
-const longestLease = 6 * time.Second
+// newJobsInstance connects the product with the adapter of the platform.
+func newJobsInstance(s *platform.Settings, metrics string, log *platform.Store, w *jobserve.LogWriter, l zerolog.Logger) *jobserve.Instance {
+	m := jobserve.NewMetrics()
+	store := jobserve.MeasureStore(log, m)
+	state := &jobserve.State{}
+	replica := jobserve.NewReplica(store, l)
+	return jobserve.NewInstance(jobserve.InstanceConfig{
+		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, StopWithin: s.StopWithin,
+		Lease: min(s.LongestLease, longestLease), TurnAfter: s.TurnAfter,
+		Store: store, Replica: replica, State: state,
+		Workers: jobserve.MeasureWorkers(platform.NewWorkers(), m), Directory: platform.NewDirectory(log, l),
+		Adviser: platform.NewAdviser(s.AdviserAddress), Machines: platform.NewMachines(s.MachinesAddress, s.Name, log),
+		Operators: platform.NewOperator(log, l), Front: platform.NewFront(state, jobserve.NewService(store, replica, l), l),
+		MetricsListen: metrics, Metrics: m, Log: w, Logger: l,
+	})
+}
 
-// logCloseLimit bounds the wait for a slow reader of the log at the end.
-const logCloseLimit = 300 * time.Millisecond
+// reload reads the settings file again when it changes or a signal tells so; listening addresses stay as they are.
+func (c *jobsCommand) reload(ctx context.Context, log *platform.Store, l zerolog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	t := time.NewTicker(reloadEvery)
+	defer t.Stop()
+	known, _ := os.ReadFile(c.File)
+	for {
+		reason := "the file changed"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			reason = "signal"
+		case <-t.C:
+		}
+		b, err := os.ReadFile(c.File)
+		if err == nil && reason != "signal" && bytes.Equal(b, known) {
+			continue
+		}
+		known = b
+		s, err := platform.ReadSettings(c.File)
+		if err != nil {
+			l.Error().Err(err).Str("Decision", "KeepSettings").Str("Reason", reason).Msg("settings cannot be read; the earlier ones stay in force")
+			continue
+		}
+		log.SetAddress(s.StoreAddress)
+		l.Info().Str("Decision", "Reload").Str("Reason", reason).Str("Store", s.StoreAddress).Msg("settings were read again")
+	}
+}
 
 func newJobsLogger(w io.Writer, level, instance string) zerolog.Logger {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
--- a/cmd/currantknot/main.go
+++ b/cmd/currantknot/main.go
@@ -15,6 +15,7 @@
 	"currantknot.dev/currantknot/internal/operator"
 	"currantknot.dev/currantknot/internal/settings"
 	"currantknot.dev/currantknot/pkg/document"
+	"currantknot.dev/currantknot/platform"
 )
 
 // The exit codes of all commands.
@@ -134,9 +135,10 @@
 		d *document.FindingsError
 		f *operator.FailedError
 		a *argumentError
+		p *platform.SettingsError
 	)
 	switch {
-	case errors.As(err, &s), errors.As(err, &d), errors.As(err, &a):
+	case errors.As(err, &s), errors.As(err, &d), errors.As(err, &a), errors.As(err, &p):
 		return exitInput
 	case errors.As(err, &f):
 		return exitCodeOfStatus(f.Status)
--- a/internal/settings/markdown.go
+++ b/internal/settings/markdown.go
@@ -38,6 +38,7 @@
 		value any
 	}{
 		{"currantknot serve", Serve{}},
+		{"currantknot jobs", Jobs{}},
 		{"currantknot platform", Platform{}},
 		{"Commands for operators", Operator{}},
 	} {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,3 +52,10 @@
 	ServiceTime      time.Duration `arg:"--service-time,env:CURRANTKNOT_STANDIN_SERVICE_TIME" default:"10ms" placeholder:"TIME" help:"mean time of a request at an upstream"`
 	Seed             uint64        `arg:"--seed,env:CURRANTKNOT_STANDIN_SEED" default:"1" placeholder:"N" help:"seed of all dice"`
 }
+
+// Jobs holds the settings of an instance that accepts and runs jobs on the users' platform.
+type Jobs struct {
+	Log
+	File          string `arg:"--settings,env:CURRANTKNOT_SETTINGS" placeholder:"FILE" help:"settings file that the platform provides; read again when it changes"`
+	MetricsListen string `arg:"--metrics-listen,env:CURRANTKNOT_METRICS_LISTEN" default:":9464" placeholder:"ADDRESS" help:"address that serves metrics as text, empty for none"`
+}
