Set inherited paces anew; move tasks that stand still in the end

A new owner took the paces that it found for full ones, and a task over 85% or without checkpoints was never moved.

--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -142,7 +142,7 @@
 	}
 	j.Attempts(func(t *jobs.Task) {
 		w := p.worker(t.Worker)
-		w.add(&attempt{job: j, task: t, run: t.Run, life: t.Life, phase: phaseUncertain, inherited: true, plannedAt: now, pace: fullPace})
+		w.add(&attempt{job: j, task: t, run: t.Run, life: t.Life, phase: phaseUncertain, inherited: true, plannedAt: now, pace: unknownPace})
 	})
 	if j.Over() {
 		p.stopAll(j, "its job is over", now)
--- a/internal/dispatch/pressure_test.go
+++ b/internal/dispatch/pressure_test.go
@@ -274,3 +274,53 @@
 	s.report("i-01", nil)
 	require.NotEmpty(t, s.plan()[OrderStart])
 }
+
+// A new owner took the paces of tasks that it found for full ones, and left them standing still.
+func TestPaceOfAnInheritedTaskIsSetAnew(t *testing.T) {
+	s := newScene(t, 1)
+	j := testJob(testID(1), s.now, jobs.Step{Tasks: 1, Size: jobs.Resources{MilliCPU: 2000, MemoryMB: 100}, BestEffort: true, Image: "batch"})
+	require.True(t, j.Assign(j.Tasks[0][0][0], "i-00", testLife, s.now))
+	s.p = New(Config{Lease: testLease, Detached: testDetached, Logger: zerolog.Nop()}, s.now)
+	s.p.SetMembers([]Member{member(0)}, s.now)
+	s.p.AddJob(j, s.now)
+	s.after(time.Second)
+	s.report("i-00", []Running{{Ref: j.Tasks[0][0][0].Ref, Run: 1}})
+	l := s.plan()[OrderPace]
+	require.Len(t, l, 1)
+	require.Equal(t, fullPace, l[0].Percent)
+}
+
+// Tasks that were nearly done, or keep no checkpoints, stood still beside a service until the end of the day.
+func TestTaskThatStandsStillIsMovedInTheEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		checkpoints bool
+		percent     int
+	}{"nearly done": {true, 95}, "without checkpoints": {false, 50}, "begun": {true, 30}} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t, 2)
+			s.p.AddJob(testJob(testID(2), s.now, jobs.Step{
+				Tasks: 1, Size: jobs.Resources{MilliCPU: 2000, MemoryMB: 100}, BestEffort: true, Image: "batch", Checkpoints: c.checkpoints,
+			}), s.now)
+			o := s.plan()[OrderStart][0]
+			s.p.StartAnswered(o, AnswerAccepted, s.now)
+			a := s.p.workers[o.Worker].attempts[o.Ref]
+			a.pace, a.percent, a.slowSince = 0, c.percent, s.now
+			moved := false
+			for range 14 {
+				s.after(400 * time.Millisecond)
+				s.report("i-00", held(a, "i-00", o))
+				s.report("i-01", held(a, "i-01", o))
+				s.p.relocate(s.now)
+				moved = moved || a.stopping
+			}
+			require.True(t, moved)
+		})
+	}
+}
+
+func held(a *attempt, id string, o Order) []Running {
+	if o.Worker != id {
+		return nil
+	}
+	return []Running{{Ref: o.Ref, Run: o.Run, Percent: a.percent}}
+}
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -7,8 +7,11 @@
 	slowPace = 60
 	// slowFor is the time at a slow pace after which a task is moved.
 	slowFor = 900 * time.Millisecond
-	// relocatedDone is the percentage of its work beyond which a task stays where it is.
-	relocatedDone = 85
+	// nearlyDone is the percentage of its work beyond which a task is given longer.
+	nearlyDone = 85
+	// slowForNearlyDone is that time for a task with checkpoints, and slowForWhole for one that begins anew by a move.
+	slowForNearlyDone = 2500 * time.Millisecond
+	slowForWhole      = 4 * time.Second
 	// relocationsPerPlan bounds the tasks that one plan moves.
 	relocationsPerPlan = 4
 	// relocateEvery is the time between two plans that move tasks.
@@ -40,13 +43,19 @@
 	}
 }
 
-// isHeldBack tells whether a best-effort task has been slow for a while and loses little by a move.
+// isHeldBack tells whether a best-effort task has been slow for longer than a move costs it.
 func isHeldBack(a *attempt, now time.Time) bool {
 	if !a.task.Spec.BestEffort || a.phase != phaseRunning || a.stopping || a.pace > slowPace {
 		return false
 	}
-	cheap := a.task.Spec.Checkpoints || a.percent < 100-relocatedDone
-	return cheap && a.percent < relocatedDone && now.Sub(a.slowSince) > slowFor
+	limit := slowFor
+	switch {
+	case !a.task.Spec.Checkpoints && a.percent >= fullPace-nearlyDone:
+		limit = slowForWhole
+	case a.percent >= nearlyDone:
+		limit = slowForNearlyDone
+	}
+	return now.Sub(a.slowSince) > limit
 }
 
 // hasBetterPlace tells whether another worker would take the task at its speed.
