Stop within the time to stop, whatever the store does

Giving the membership up, waiting for the balancer and finishing requests followed each other with a limit each, 6.9 s together at a slow store. They share one deadline now.

--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -22,8 +22,8 @@
 	readyLimit = 2200 * time.Millisecond
 	// balancerDelay is the time in which the balancer notices that an instance is not ready.
 	balancerDelay = 2500 * time.Millisecond
-	// stopMargin is kept of the time to stop, for giving the membership up.
-	stopMargin = 1500 * time.Millisecond
+	// stopMargin is kept of the time to stop, for the log and the end of the process.
+	stopMargin = 1200 * time.Millisecond
 	// readHeaderTimeout and idleTimeout bound what callers may leave open.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 30 * time.Second
@@ -134,31 +134,41 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	member, leave := context.WithCancel(background)
-	var g, o sync.WaitGroup
+	var o sync.WaitGroup
 	o.Go(func() { i.member.Run(member) })
-	g.Go(func() { i.followOperators(background) })
-	g.Go(func() { i.followReplica(background) })
+	go i.followOperators(background)
+	go i.followReplica(background)
 	<-ctx.Done()
 	i.stop(front, leave, &o)
 	cancel()
-	g.Wait()
 	_ = ready.Close()
 	i.Logger.Info().Str("Decision", "Stopped").Msg("instance stopped")
 	return nil
 }
 
-// stop gives the ownership up and serves callers until the balancer sends no more.
+// stop gives the ownership up, serves callers until the balancer sends no more, and finishes what is in flight.
 func (i *Instance) stop(front *http.Server, leave context.CancelFunc, o *sync.WaitGroup) {
 	i.stopping.Store(true)
-	i.Logger.Info().Str("Decision", "Stopping").Msg("instance stops")
+	begun := time.Now()
+	i.Logger.Info().Str("Decision", "Stopping").Bool("Owner", i.member.IsOwner()).Msg("instance stops")
+	c, cancel := context.WithDeadline(context.Background(), begun.Add(i.StopWithin-stopMargin))
+	defer cancel()
 	front.SetKeepAlivesEnabled(false)
 	leave()
-	o.Wait()
-	c, cancel := context.WithTimeout(context.Background(), max(i.StopWithin-stopMargin, 0))
-	defer cancel()
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		o.Wait()
+	}()
 	pause(c, balancerDelay)
 	if err := front.Shutdown(c); err != nil {
-		i.Logger.Warn().Err(err).Msg("requests were still open at the end")
+		i.Logger.Warn().Err(err).Dur("After", time.Since(begun)).Str("Decision", "CutRequests").Msg("requests were still open at the end")
+		_ = front.Close()
+	}
+	select {
+	case <-left:
+	case <-c.Done():
+		i.Logger.Warn().Dur("After", time.Since(begun)).Str("Decision", "LeftBehind").Msg("membership was not given up in time; it will lapse")
 	}
 }
 
