Hold the grown deployments with one owner: look at each worker less, prefer strong instances

Cause: at 350 and 490 workers the owner ran on an instance with 0.11 of a core; plans looked at all attempts of all workers for each task. Leases lapsed and nothing was served. Change: each worker keeps sums of what it holds; a plan gathers the open workers once and remembers which kinds found no room; steps come less often when they take long; instances with more processors join the group first.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -59,7 +59,7 @@
 	replica := jobserve.NewReplica(store, l)
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, StopWithin: s.StopWithin,
-		Lease: min(s.LongestLease, longestLease), TurnAfter: s.TurnAfter,
+		Lease: min(s.LongestLease, longestLease), TurnAfter: s.TurnAfter, Processors: s.Processors,
 		Store: store, Replica: replica, State: state,
 		Workers: jobserve.MeasureWorkers(platform.NewWorkers(), m), Directory: platform.NewDirectory(log, l),
 		Adviser: platform.NewAdviser(s.AdviserAddress), Machines: platform.NewMachines(s.MachinesAddress, s.Name, log),
--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -34,18 +34,14 @@
 		return 0, false
 	}
 	e := p.expectedPace(w, c.step, now)
-	return left/float64(max(w.Room.MilliCPU, 1)) + paceWeight*e, e >= leastExpectedPace
+	return w.part(left) + paceWeight*e, e >= leastExpectedPace
 }
 
 // expectedPace returns the part of its speed at which a best-effort task would work beside the services of a worker.
 func (p *Planner) expectedPace(w *worker, s *jobs.Step, now time.Time) float64 {
-	added := float64(s.Size.MilliCPU) / float64(max(w.Room.MilliCPU, 1))
-	wanted := w.wanted()
+	added := w.part(float64(s.Size.MilliCPU))
 	e := 1.0
-	for _, a := range w.attempts {
-		if a.task.Spec.TailBound <= 0 {
-			continue
-		}
+	for _, a := range w.services {
 		x := p.pressure.of(a.task.Spec.Image)
 		q := x.pair(s.Image).cautious()
 		if q < leastPressure {
@@ -53,35 +49,31 @@
 		}
 		r := q * added
 		l := max(usualLoad, p.pressure.load(a.task.Job).ahead(now.Add(placeAhead)))
-		e = min(e, max(0, x.bearable(l)-x.slowdown(wanted))/r)
+		e = min(e, max(0, x.bearable(l)-x.slowdownAt(w))/r)
 	}
 	return e
 }
 
 // spare returns the processors that another best-effort task may expect besides what runs.
-func (w *worker) spare() float64 {
-	left := float64(w.Room.MilliCPU)
-	for _, a := range w.attempts {
-		n := float64(a.task.Spec.Size.MilliCPU)
-		if a.task.Spec.LongRunning {
-			n *= serviceUse
-		}
-		left -= n
+func (w *worker) spare() float64 { return float64(w.Room.MilliCPU - w.expected) }
+
+// expectedUse returns the processors that a task is expected to use, in thousandths of a core.
+func expectedUse(s *jobs.Step) int {
+	if s.LongRunning {
+		return int(serviceUse * float64(s.Size.MilliCPU))
 	}
-	return left
+	return s.Size.MilliCPU
 }
 
 // serviceScore rates a worker for a long-running task: like images gather, so that each best-effort image finds
 // workers where it presses on none.
 func (p *Planner) serviceScore(w *worker, c *candidate) float64 {
 	var sum, n float64
-	for _, a := range w.attempts {
-		if a.task.Spec.TailBound > 0 {
-			sum += p.pressure.unlike(c.step.Image, a.task.Spec.Image)
-			n++
-		}
+	for _, a := range w.services {
+		sum += p.pressure.unlike(c.step.Image, a.task.Spec.Image)
+		n++
 	}
-	s := float64(w.used.MilliCPU) / float64(max(w.Room.MilliCPU, 1))
+	s := w.part(float64(w.used.MilliCPU))
 	if n > 0 {
 		s -= unlikeWeight * sum / n
 	}
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -42,11 +42,10 @@
 }
 
 func (p *Planner) controlWorker(w *worker, now time.Time) {
-	wanted := w.wanted()
-	if len(wanted) == 0 {
+	if len(w.wanted) == 0 {
 		return
 	}
-	paces := p.paces(w, wanted, now)
+	paces := p.paces(w, now)
 	for _, a := range w.attempts {
 		if !a.task.Spec.BestEffort || a.phase != phaseRunning || a.stopping {
 			continue
@@ -64,30 +63,19 @@
 	}
 }
 
-// wanted returns the share of the worker's processors that each best-effort image would use at full pace.
-func (w *worker) wanted() map[string]float64 {
-	m := make(map[string]float64)
-	for _, a := range w.attempts {
-		if a.task.Spec.BestEffort {
-			m[a.task.Spec.Image] += float64(a.task.Spec.Size.MilliCPU) / float64(max(w.Room.MilliCPU, 1))
-		}
-	}
-	return m
-}
-
 // paces returns the pace of each image that leaves every service below its goal.
-func (p *Planner) paces(w *worker, wanted map[string]float64, now time.Time) map[string]int {
-	part := make(map[string]float64, len(wanted))
-	for f := range wanted {
+func (p *Planner) paces(w *worker, now time.Time) map[string]int {
+	part := make(map[string]float64, len(w.wanted))
+	for f := range w.wanted {
 		part[f] = 1
 	}
 	most := 1.0
-	for _, a := range w.attempts {
-		if a.task.Spec.TailBound <= 0 || a.phase != phaseRunning {
+	for _, a := range w.services {
+		if a.phase != phaseRunning {
 			continue
 		}
 		most = min(most, alarm(a, now))
-		p.limit(a, wanted, part, now.Add(paceDelay))
+		p.limit(w, a, part, now.Add(paceDelay))
 	}
 	paces := make(map[string]int, len(part))
 	for f, x := range part {
@@ -101,11 +89,12 @@
 }
 
 // limit lowers the parts of the images that press on a service to what it can bear at an instant.
-func (p *Planner) limit(a *attempt, wanted, part map[string]float64, at time.Time) {
+func (p *Planner) limit(w *worker, a *attempt, part map[string]float64, at time.Time) {
 	s := p.pressure.of(a.task.Spec.Image)
 	room := s.bearable(p.pressure.load(a.task.Job).ahead(at))
 	var light, heavy float64
-	for f, u := range wanted {
+	for f, n := range w.wanted {
+		u := w.part(float64(n))
 		if x := s.pair(f).Mean; x < leastPressure {
 			light += x * u
 		} else {
@@ -116,7 +105,7 @@
 		return
 	}
 	x := max(0, room-light) / heavy
-	for f := range wanted {
+	for f := range w.wanted {
 		if s.pair(f).Mean >= leastPressure {
 			part[f] = min(part[f], x)
 		}
@@ -169,10 +158,5 @@
 	if w == nil {
 		return false
 	}
-	var bounded, free bool
-	for _, a := range w.attempts {
-		bounded = bounded || a.task.Spec.TailBound > 0
-		free = free || a.task.Spec.BestEffort
-	}
-	return bounded && free
+	return len(w.services) > 0 && len(w.wanted) > 0
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -13,6 +13,8 @@
 	p.repeatStops(now)
 	l := p.candidates(now)
 	p.reserve.observe(p.workers, l, now)
+	p.open = p.openWorkers(now)
+	p.full = make(map[fullKey]jobs.Resources)
 	for _, c := range l {
 		if c.step.Gang {
 			p.placeGang(&c, now)
@@ -98,17 +100,11 @@
 		best *worker
 		top  float64
 	)
-	for _, w := range p.workers {
-		if !p.isEligible(w, c.job, c.step, now) || !w.free().Holds(c.step.Held()) || p.isCrowded(w, c, t) {
-			continue
-		}
-		if _, ok := p.permitted(w, c.job, StepRef{t.Job, t.Occurrence, t.Step}, now); !ok {
-			continue
-		}
-		if keepReserve && !p.reserve.allows(w, c.step) {
-			continue
-		}
-		if slices.Contains(t.FailedAt, w.ID) && len(t.FailedAt) < len(p.workers)/2 {
+	if p.isFull(c, t) {
+		return nil
+	}
+	for _, w := range p.open {
+		if !p.takes(w, c, t, keepReserve, now) {
 			continue
 		}
 		s, ok := p.score(w, c, now)
@@ -119,13 +115,68 @@
 			best, top = w, s
 		}
 	}
+	if best == nil {
+		p.noteFull(c, t)
+	}
 	return best
 }
 
+// takes tells whether a worker that may get new tasks may get the given one.
+func (p *Planner) takes(w *worker, c *candidate, t *jobs.Task, keepReserve bool, now time.Time) bool {
+	if w.Pool != c.job.Queue.Pool || !w.hasLabel(c.step.Label) || !w.free().Holds(c.step.Held()) || p.isCrowded(w, c, t) {
+		return false
+	}
+	if keepReserve && !p.reserve.allows(w, c.step) {
+		return false
+	}
+	if slices.Contains(t.FailedAt, w.ID) && len(t.FailedAt) < len(p.workers)/2 {
+		return false
+	}
+	_, ok := p.permitted(w, c.job, StepRef{t.Job, t.Occurrence, t.Step}, now)
+	return ok
+}
+
+// fullKey names best-effort work that finds room at the same workers.
+type fullKey struct {
+	pool  string
+	image string
+}
+
+// isFull tells whether smaller work of the kind has found no room in this plan; work with further conditions is tried.
+func (p *Planner) isFull(c *candidate, t *jobs.Task) bool {
+	n, ok := p.full[fullKey{c.job.Queue.Pool, c.step.Image}]
+	return ok && c.step.BestEffort && len(t.FailedAt) == 0 && c.step.Size.Holds(n)
+}
+
+func (p *Planner) noteFull(c *candidate, t *jobs.Task) {
+	s := c.step
+	if !s.BestEffort || len(t.FailedAt) > 0 || s.Label != "" || s.MaxPerWorker > 0 || c.job.Queue.NeedsPermit {
+		return
+	}
+	k := fullKey{c.job.Queue.Pool, s.Image}
+	if n, ok := p.full[k]; !ok || n.Holds(s.Size) {
+		p.full[k] = s.Size
+	}
+}
+
+// openWorkers returns the workers that may get new tasks in this plan.
+func (p *Planner) openWorkers(now time.Time) []*worker {
+	l := make([]*worker, 0, len(p.workers))
+	for _, w := range p.workers {
+		if p.isOpen(w, now) {
+			l = append(l, w)
+		}
+	}
+	return l
+}
+
+func (p *Planner) isOpen(w *worker, now time.Time) bool {
+	return w.listed && !w.Draining && !w.cordoned && !p.unavailable[w.FailureDomain] && w.isReachable(now) && !now.Before(w.avoidUntil)
+}
+
 // isEligible tells whether a worker may get tasks of a step at all.
 func (p *Planner) isEligible(w *worker, j *jobs.Job, s *jobs.Step, now time.Time) bool {
-	return w.listed && !w.Draining && !w.cordoned && w.Pool == j.Queue.Pool && !p.unavailable[w.FailureDomain] &&
-		w.isReachable(now) && !now.Before(w.avoidUntil) && w.hasLabel(s.Label)
+	return p.isOpen(w, now) && w.Pool == j.Queue.Pool && w.hasLabel(s.Label)
 }
 
 // isCrowded tells whether the worker has as many tasks of the step as it may.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -106,14 +106,17 @@
 	active      map[string]*jobs.Job
 	unavailable map[string]bool
 	dirty       map[string]*jobs.Job
-	orders      []Order
-	takenAt     time.Time
-	learned     *estimates
-	pressure    *pressure
-	reserve     reserve
-	advice      map[StepRef]*advice
-	waves       map[int]*waveState
-	machines    map[string]Machine
+	// open holds the workers that may get tasks in the present plan, and full what found no room in it.
+	open     []*worker
+	full     map[fullKey]jobs.Resources
+	orders   []Order
+	takenAt  time.Time
+	learned  *estimates
+	pressure *pressure
+	reserve  reserve
+	advice   map[StepRef]*advice
+	waves    map[int]*waveState
+	machines map[string]Machine
 	// maintained holds the machines of each wave whose maintenance is over.
 	maintained    map[int][]string
 	relocatedAt   time.Time
@@ -199,7 +202,7 @@
 func (p *Planner) worker(id string) *worker {
 	w := p.workers[id]
 	if w == nil {
-		w = &worker{Member: Member{ID: id}, attempts: make(map[jobs.Ref]*attempt)}
+		w = &worker{Member: Member{ID: id}, attempts: make(map[jobs.Ref]*attempt), wanted: make(map[string]int)}
 		w.leaseUntil = p.takenAt.Add(p.Detached + time.Duration(float64(p.Lease)*clockSlack) + leaseMargin)
 		p.workers[id] = w
 	}
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -134,6 +134,15 @@
 	return t
 }
 
+// slowdownAt returns the part by which the best-effort tasks of a worker would slow a service down at full pace.
+func (s *sensitivity) slowdownAt(w *worker) float64 {
+	var t float64
+	for f, n := range w.wanted {
+		t += s.pair(f).Mean * w.part(float64(n))
+	}
+	return t
+}
+
 // learn takes in one figure of a tail, in parts of its bound, beside the given use of the worker.
 func (s *sensitivity) learn(l *load, tail float64, use map[string]float64, now time.Time) {
 	s.figures++
@@ -194,9 +203,12 @@
 		return
 	}
 	w.learnedAt = now
+	if len(w.services) == 0 {
+		return
+	}
 	u := w.use()
-	for _, a := range w.attempts {
-		if a.task.Spec.TailBound <= 0 || a.phase != phaseRunning || now.Sub(a.confirmedAt) < settleTime || a.load <= 0 {
+	for _, a := range w.services {
+		if a.phase != phaseRunning || now.Sub(a.confirmedAt) < settleTime || a.load <= 0 {
 			continue
 		}
 		p.pressure.of(a.task.Spec.Image).learn(p.pressure.load(a.task.Job), tailPart(a), u, now)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -103,6 +103,11 @@
 	cordoned bool
 	used     jobs.Resources
 	attempts map[jobs.Ref]*attempt
+	// Expected is the processor time that the attempts are expected to use, and wanted what the best-effort images among
+	// them would use at full pace, both in thousandths of a core; services are those with a bound.
+	expected int
+	wanted   map[string]int
+	services []*attempt
 	// LeaseUntil is the instant at which the last lease that any owner may have granted has surely ended.
 	leaseUntil time.Time
 	contactAt  time.Time
@@ -124,6 +129,13 @@
 func (w *worker) add(a *attempt) {
 	w.attempts[a.task.Ref] = a
 	w.used = w.used.Plus(a.task.Spec.Held())
+	w.expected += expectedUse(a.task.Spec)
+	if a.task.Spec.BestEffort {
+		w.wanted[a.task.Spec.Image] += a.task.Spec.Size.MilliCPU
+	}
+	if a.task.Spec.TailBound > 0 {
+		w.services = append(w.services, a)
+	}
 }
 
 func (w *worker) remove(a *attempt) {
@@ -132,8 +144,19 @@
 	}
 	delete(w.attempts, a.task.Ref)
 	w.used = w.used.Minus(a.task.Spec.Held())
+	w.expected -= expectedUse(a.task.Spec)
+	if i := a.task.Spec.Image; a.task.Spec.BestEffort {
+		w.wanted[i] -= a.task.Spec.Size.MilliCPU
+		if w.wanted[i] == 0 {
+			delete(w.wanted, i)
+		}
+	}
+	w.services = slices.DeleteFunc(w.services, func(o *attempt) bool { return o == a })
 }
 
+// part returns thousandths of a core as a part of the worker's processors.
+func (w *worker) part(milliCPU float64) float64 { return milliCPU / float64(max(w.Room.MilliCPU, 1)) }
+
 // isReachable tells whether the worker answered lately.
 func (w *worker) isReachable(now time.Time) bool {
 	return w.synced && w.failures == 0 && now.Sub(w.contactAt) < contactLimit
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -78,10 +78,13 @@
 	return e.state, e.answer
 }
 
-// Run notes that the request may run at an instance from now on.
+// Run notes that the request may run at an instance from now on; one that has ended stays so.
 func (t *Table) Run(key, at string, deadline time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if e := t.entries[key]; e != nil && e.state == Done {
+		return
+	}
 	t.entries[key] = &entry{state: Running, entry: at, until: deadline}
 }
 
@@ -101,11 +104,12 @@
 	t.entries[key] = &entry{state: Done, entry: at, until: now.Add(Memory), answer: a}
 }
 
-// Item is one key whose request has run.
+// Item is one key whose request has run, or may run until the given instant.
 type Item struct {
 	Key    string
 	Entry  string
 	Answer *Answer
+	Until  time.Time
 }
 
 // Done returns the keys whose requests have run, in no order.
@@ -115,7 +119,20 @@
 	var a []Item
 	for k := range t.entries {
 		if e := t.get(k, now); e != nil && e.state == Done {
-			a = append(a, Item{k, e.entry, e.answer})
+			a = append(a, Item{Key: k, Entry: e.entry, Answer: e.answer})
+		}
+	}
+	return a
+}
+
+// Known returns the keys whose requests have run or may be running, in no order.
+func (t *Table) Known(now time.Time) []Item {
+	a := t.Done(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, e := range t.entries {
+		if e.state == Running && now.Before(e.until) {
+			a = append(a, Item{Key: k, Entry: e.entry, Until: e.until})
 		}
 	}
 	return a
--- a/internal/idempotency/table_test.go
+++ b/internal/idempotency/table_test.go
@@ -57,3 +57,16 @@
 	s, _ = k.Peek("k", now)
 	require.Equal(t, idempotency.New, s, "a key that is only asked about has not run")
 }
+
+// A note that comes after the end of its request, from an instance that knew no better, must not let it run again.
+func TestRequestThatHasEndedDoesNotRunAgain(t *testing.T) {
+	x := idempotency.NewTable()
+	n := time.Now()
+	x.Run("k", "a", n.Add(time.Second))
+	require.Equal(t, []idempotency.Item{{Key: "k", Entry: "a", Until: n.Add(time.Second)}}, x.Known(n))
+	x.Finish("k", "a", nil, n)
+	x.Run("k", "a", n.Add(time.Second))
+	s, _ := x.Peek("k", n)
+	require.Equal(t, idempotency.Done, s)
+	require.Equal(t, []idempotency.Item{{Key: "k", Entry: "a"}}, x.Known(n))
+}
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -43,6 +43,8 @@
 	// StopWithin is the time between the signal to stop and the kill.
 	StopWithin time.Duration
 	Lease      time.Duration
+	// Processors is the processor time that the process may use, in cores.
+	Processors float64
 	Store      Store
 	Workers    Workers
 	Directory  Directory
@@ -77,7 +79,7 @@
 	i := &Instance{InstanceConfig: c}
 	i.Front = measuredHandler(c.Metrics, c.Front)
 	i.gauges()
-	i.member = NewMember(c.Store, c.Logger, i.own)
+	i.member = NewMember(c.Store, c.Processors, c.Logger, i.own)
 	return i
 }
 
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -20,8 +20,11 @@
 	// wantedMembers is the number of instances that the group needs, so that the jobs find an owner when one is lost.
 	// More would change the group, and with it the owner, whenever any instance is replaced.
 	wantedMembers = 3
-	// firstLook is the longest delay of the first look, so that not all instances join when all start.
-	firstLook = 500 * time.Millisecond
+	// firstLook is the longest random delay of the first look, so that not all instances join when all start.
+	firstLook = 200 * time.Millisecond
+	// weakness over an instance's processors is how long it leaves it to stronger ones to join, up to mostPatience.
+	weakness     = 150 * time.Millisecond
+	mostPatience = 2 * time.Second
 	// joinTimeout bounds one renewal.
 	joinTimeout = 900 * time.Millisecond
 	// leaveTimeout bounds the call that gives the membership up.
@@ -38,7 +41,10 @@
 	suspends  *suspensions
 
 	// joined tells that the store may hold a membership of this instance.
-	joined     bool
+	joined bool
+	// looked tells that the first look was waited for already.
+	looked     bool
+	patience   time.Duration
 	generation int64
 	// terms counts the ownerships within a generation, so that each has an epoch of its own.
 	terms int64
@@ -48,16 +54,21 @@
 	stopped chan struct{}
 }
 
-// NewMember returns a member that runs the function while this instance is the owner.
-func NewMember(s Store, l zerolog.Logger, run func(ctx context.Context, epoch int64)) *Member {
-	return &Member{store: s, logger: l, run: run, suspends: newSuspensions()}
+// NewMember returns a member that runs the function while this instance is the owner; the owner has most to do, so that
+// instances with more processors join first.
+func NewMember(s Store, processors float64, l zerolog.Logger, run func(ctx context.Context, epoch int64)) *Member {
+	p := mostPatience
+	if processors > 0 {
+		p = min(p, time.Duration(float64(weakness)/processors))
+	}
+	return &Member{store: s, logger: l, run: run, patience: p, suspends: newSuspensions()}
 }
 
 // Run keeps the instance in the group while that needs it, until the context ends.
 func (m *Member) Run(ctx context.Context) {
-	pause(ctx, rand.N(firstLook))
+	pause(ctx, m.patience+rand.N(firstLook))
 	for ctx.Err() == nil {
-		if !m.joined && !m.isNeeded(ctx) {
+		if !m.joined && !m.isStillNeeded(ctx) {
 			pause(ctx, lookEvery)
 			continue
 		}
@@ -69,6 +80,19 @@
 	}
 }
 
+// isStillNeeded tells whether the group has too few members, also after stronger instances had time to join.
+func (m *Member) isStillNeeded(ctx context.Context) bool {
+	if !m.isNeeded(ctx) {
+		return false
+	}
+	if !m.looked {
+		m.looked = true
+		return true
+	}
+	pause(ctx, m.patience)
+	return m.isNeeded(ctx)
+}
+
 // isNeeded tells whether the group has too few members.
 func (m *Member) isNeeded(ctx context.Context) bool {
 	c, cancel := context.WithTimeout(ctx, joinTimeout)
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -18,6 +18,8 @@
 	planEvery = 100 * time.Millisecond
 	// gatherFor is the time for which events gather before they are planned and committed together.
 	gatherFor = 10 * time.Millisecond
+	// gatherFactor times the time of the latest step is gathered, so that a busy owner steps less often.
+	gatherFactor = 1
 	// listEvery is the time between two reads of the list of workers.
 	listEvery = 500 * time.Millisecond
 	// takeoverTimeout bounds one try to take over.
@@ -164,17 +166,20 @@
 func (o *Owner) loop(ctx context.Context) error {
 	t := time.NewTicker(planEvery)
 	defer t.Stop()
+	var took time.Duration
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
 		case <-o.signal:
-			pause(ctx, gatherFor)
+			pause(ctx, max(gatherFor, gatherFactor*took))
 		}
+		begun := time.Now()
 		if err := o.step(ctx); err != nil {
 			return err
 		}
+		took = min(time.Since(begun), planEvery)
 	}
 }
 
--- a/internal/serve/keys.go
+++ b/internal/serve/keys.go
@@ -35,6 +35,8 @@
 	// homes is a hash of the set of instances that keys were last hashed over, and homesSince its beginning.
 	homes      uint64
 	homesSince time.Time
+	// incarnations holds those of the other instances that were seen last.
+	incarnations map[string]int64
 }
 
 func (i *Instance) newKeys() *keys {
@@ -164,10 +166,7 @@
 	now := time.Now()
 	silent := map[string]bool{k.instance.Name: true}
 	for _, x := range k.table.Done(now) {
-		m := peer.Key{Verb: peer.KeyEnd, Key: x.Key, Entry: x.Entry, State: peer.KeyDone}
-		if x.Answer != nil {
-			m.Status, m.Header, m.Body = x.Answer.Status, x.Answer.Header, x.Answer.Body
-		}
+		m := itemMessage(x)
 		ms, _ := k.ranked(x.Key, now)
 		told := 0
 		for _, n := range ms {
@@ -183,6 +182,70 @@
 	}
 }
 
+// onMembers tells a third instance of the keys that this one shared with one that is gone or has begun anew.
+func (k *keys) onMembers(ms []peer.Member) {
+	k.mu.Lock()
+	seen := make(map[string]int64, len(ms))
+	for _, m := range ms {
+		seen[m.Name] = m.Incarnation
+	}
+	var lost []string
+	for n, x := range k.incarnations {
+		if seen[n] != x {
+			lost = append(lost, n)
+		}
+	}
+	k.incarnations = seen
+	k.mu.Unlock()
+	for _, n := range lost {
+		go k.spread(n)
+	}
+}
+
+// spread tells another instance of each key that this one knows and shared with a lost one.
+func (k *keys) spread(lost string) {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	now := time.Now()
+	silent := map[string]bool{k.instance.Name: true, lost: true}
+	for _, x := range k.table.Known(now) {
+		ms, _ := k.ranked(x.Key, now)
+		if x.Entry != lost && !slices.Contains(ms[:min(witnesses, len(ms))], lost) && len(ms) > witnesses && slices.Contains(ms, lost) {
+			continue
+		}
+		k.tellOne(ctx, x, ms, silent)
+	}
+}
+
+// witnesses is the number of instances that know a key besides the one that sends its request.
+const witnesses = 2
+
+// tellOne tells a key to the first instance that answers.
+func (k *keys) tellOne(ctx context.Context, x idempotency.Item, ms []string, silent map[string]bool) {
+	m := itemMessage(x)
+	for _, n := range ms {
+		if silent[n] {
+			continue
+		}
+		if k.askOne(ctx, n, &m).State != peer.KeyRefused {
+			return
+		}
+		silent[n] = true
+	}
+}
+
+// itemMessage returns the message that tells of a key.
+func itemMessage(x idempotency.Item) peer.Key {
+	if !x.Until.IsZero() {
+		return peer.Key{Verb: peer.KeyNote, Key: x.Key, Entry: x.Entry, Deadline: x.Until}
+	}
+	m := peer.Key{Verb: peer.KeyEnd, Key: x.Key, Entry: x.Entry, State: peer.KeyDone}
+	if x.Answer != nil {
+		m.Status, m.Header, m.Body = x.Answer.Status, x.Answer.Header, x.Answer.Body
+	}
+	return m
+}
+
 // tell sends a message about a key without waiting for its effect.
 func (k *keys) tell(home string, m peer.Key) {
 	go func() {
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -78,6 +78,7 @@
 	}
 	caller.Deliver(i.router.SetDemands(d, remote, now))
 	i.noteKnown(ms)
+	i.keys.onMembers(ms)
 }
 
 func (i *Instance) noteKnown(ms []peer.Member) {
