--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -148,14 +149,24 @@
 	return c
 }
 
+// freeAddress returns a loopback address below the ports that outgoing connections take, so that none takes it before
+// the process listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
 }
 
+const (
+	firstPort = 10000
+	ports     = 20000
+)
+
 func (c *cluster) proxy(to string) *toxiproxy.Proxy {
 	p := toxiproxy.NewProxy()
 	p.Name, p.Listen, p.Upstream = to, freeAddress(c.t), to
