--- a/internal/dispatch/knowledge.go
+++ b/internal/dispatch/knowledge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -31,14 +32,17 @@
 	Demand   float64
 	// Maintained holds the machines of each wave whose maintenance is over.
 	Maintained map[int][]string
+	// Silent holds the workers that do not answer and are granted nothing, with the milliseconds until their lease has
+	// ended. They count from the takeover, which is later than this record, since instances share no clock.
+	Silent map[string]int64
 }
 
 // inheritedVariance is added to what an earlier owner learned, since it may have changed.
 const inheritedVariance = 0.05
 
-// Knowledge encodes what was learned, nil where there is nothing yet.
-func (p *Planner) Knowledge() ([]byte, error) {
-	r := knowledgeRecord{RunTimes: p.learned.factors, Maintained: p.maintained}
+// Knowledge encodes what was learned, nil where there is nothing yet; KnowledgeCommitted follows once it is stored.
+func (p *Planner) Knowledge(now time.Time) ([]byte, error) {
+	r := knowledgeRecord{RunTimes: p.learned.factors, Maintained: p.maintained, Silent: p.noteSilent(now)}
 	if p.reserve.learned {
 		r.Demand = p.reserve.demand
 	}
@@ -49,7 +53,7 @@
 		}
 		r.Images = append(r.Images, x)
 	}
-	if len(r.Images) == 0 && len(r.RunTimes) == 0 && len(r.Maintained) == 0 {
+	if len(r.Images) == 0 && len(r.RunTimes) == 0 && len(r.Maintained) == 0 && len(r.Silent) == 0 && !p.silentChanged {
 		return nil, nil
 	}
 	b, err := msgpack.Marshal(&r)
@@ -59,6 +63,45 @@
 	return b, nil
 }
 
+// noteSilent bars the workers that do not answer from leases, and returns how long their last ones may still last.
+//
+// A later owner relies on that: a barred worker gets no lease again before a
+// record without it was committed.
+func (p *Planner) noteSilent(now time.Time) map[string]int64 {
+	m := make(map[string]int64)
+	for id, w := range p.workers {
+		if len(w.attempts) > 0 && w.failures >= silentFailures {
+			w.barred = true
+			m[id] = max(0, w.leaseUntil.Sub(now).Milliseconds())
+		}
+	}
+	p.silent = m
+	return m
+}
+
+// KnowledgeCommitted notes that the record of Knowledge is stored.
+func (p *Planner) KnowledgeCommitted() {
+	for id, w := range p.workers {
+		_, w.barred = p.silent[id]
+	}
+	p.silentChanged = false
+}
+
+// HasNewSilence tells whether a worker that holds attempts has fallen silent, or answers again, since the last record.
+func (p *Planner) HasNewSilence() bool {
+	for _, w := range p.workers {
+		silent := len(w.attempts) > 0 && w.failures >= silentFailures
+		if silent != w.barred {
+			p.silentChanged = true
+			return true
+		}
+	}
+	return false
+}
+
+// silentFailures is the number of calls without an answer after which a worker is granted no lease.
+const silentFailures = 2
+
 // Inherit takes in what an earlier owner learned.
 func (p *Planner) Inherit(b []byte) error {
 	var r knowledgeRecord
@@ -71,6 +114,9 @@
 	if r.Maintained != nil {
 		p.maintained = r.Maintained
 	}
+	for id, ms := range r.Silent {
+		p.worker(id).leaseUntil = p.takenAt.Add(time.Duration(ms)*time.Millisecond + leaseMargin)
+	}
 	if r.Demand > 0 {
 		p.reserve.learned, p.reserve.demand, p.reserve.seenAt = true, r.Demand, p.takenAt
 	}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -118,7 +118,10 @@
 	waves    map[int]*waveState
 	machines map[string]Machine
 	// maintained holds the machines of each wave whose maintenance is over.
-	maintained    map[int][]string
+	maintained map[int][]string
+	// silent holds the workers of the latest record of what was learned, and silentChanged that the next one is due.
+	silent        map[string]int64
+	silentChanged bool
 	relocatedAt   time.Time
 	modelLoggedAt time.Time
 }
@@ -338,7 +341,7 @@
 // NeedsLease tells whether a worker runs anything that has to go on.
 func (p *Planner) NeedsLease(id string) bool {
 	w := p.workers[id]
-	return w != nil && len(w.attempts) > 0
+	return w != nil && len(w.attempts) > 0 && !w.barred
 }
 
 // Committed returns those of the orders that are still right after their commit; the attempts of the others are taken back.
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -256,3 +256,52 @@
 	s.p.AddJob(testJob(testID(2), s.now, step), s.now)
 	require.Len(t, s.plan()[OrderStart], 16)
 }
+
+// A new owner held the tasks of a worker that had crashed long before for the longest lease that anybody could have
+// granted, so that long-running tasks were away for 17 s.
+func TestSilenceIsKnownToTheNextOwner(t *testing.T) {
+	s := newScene(t, 2)
+	j := testJob(testID(1), s.now, plainStep(1))
+	s.p.AddJob(j, s.now)
+	o := s.plan()[OrderStart][0]
+	s.p.StartAnswered(o, AnswerAccepted, s.now)
+	s.after(testDetached + 2*testLease)
+	s.p.Granted(o.Worker, s.now)
+	s.p.Unreachable(o.Worker, s.now)
+	require.False(t, s.p.HasNewSilence())
+	s.p.Unreachable(o.Worker, s.now)
+	require.True(t, s.p.HasNewSilence())
+	s.after(4 * time.Second)
+	b, err := s.p.Knowledge(s.now)
+	require.NoError(t, err)
+	s.p.KnowledgeCommitted()
+	s.report(o.Worker, []Running{{Ref: o.Ref, Run: 1}})
+	require.False(t, s.p.NeedsLease(o.Worker), "no lease before a record without the worker")
+	p := New(Config{Lease: testLease, Detached: testDetached, Logger: zerolog.Nop()}, s.now)
+	p.SetMembers([]Member{member(0), member(1)}, s.now)
+	require.NoError(t, p.Inherit(b))
+	p.AddJob(j, s.now)
+	p.Expire(s.now.Add(2 * time.Second))
+	require.Equal(t, jobs.TaskAssigned, j.Tasks[0][0][0].State)
+	p.Expire(s.now.Add(3 * time.Second))
+	require.Equal(t, jobs.TaskWaiting, j.Tasks[0][0][0].State)
+}
+
+func TestWorkerThatAnswersAgainIsGrantedALeaseAfterTheNextRecord(t *testing.T) {
+	s := newScene(t, 1)
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	o := s.plan()[OrderStart][0]
+	s.p.StartAnswered(o, AnswerAccepted, s.now)
+	s.p.Unreachable(o.Worker, s.now)
+	s.p.Unreachable(o.Worker, s.now)
+	_, err := s.p.Knowledge(s.now)
+	require.NoError(t, err)
+	s.p.KnowledgeCommitted()
+	s.after(100 * time.Millisecond)
+	s.report(o.Worker, []Running{{Ref: o.Ref, Run: 1}})
+	require.True(t, s.p.HasNewSilence())
+	_, err = s.p.Knowledge(s.now)
+	require.NoError(t, err)
+	s.p.KnowledgeCommitted()
+	require.True(t, s.p.NeedsLease(o.Worker))
+}
--- a/internal/dispatch/pressure_test.go
+++ b/internal/dispatch/pressure_test.go
@@ -215,7 +215,7 @@
 
 func TestWhatWasLearnedOutlivesTheOwner(t *testing.T) {
 	r := mixedFleet(t)
-	b, err := r.p.Knowledge()
+	b, err := r.p.Knowledge(r.now)
 	require.NoError(t, err)
 	p := New(Config{Lease: testLease, Detached: testDetached, Logger: zerolog.Nop()}, r.now)
 	require.NoError(t, p.Inherit(b))
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -99,6 +99,8 @@
 	Member
 	listed bool
 	synced bool
+	// Barred tells that a record names the worker as silent, so that it is granted no lease.
+	barred bool
 	// Cordoned tells that the worker is emptied for the maintenance of its machine.
 	cordoned bool
 	used     jobs.Resources
@@ -159,5 +161,5 @@
 
 // isReachable tells whether the worker answered lately.
 func (w *worker) isReachable(now time.Time) bool {
-	return w.synced && w.failures == 0 && now.Sub(w.contactAt) < contactLimit
+	return w.synced && !w.barred && w.failures == 0 && now.Sub(w.contactAt) < contactLimit
 }
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -1,6 +1,7 @@
 package idempotency
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -125,17 +126,25 @@
 	return a
 }
 
-// Known returns the keys whose requests have run or may be running, in no order.
+// Known returns the keys whose requests have run or may be running: the latter first, then those that ended last.
 func (t *Table) Known(now time.Time) []Item {
-	a := t.Done(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for k, e := range t.entries {
-		if e.state == Running && now.Before(e.until) {
-			a = append(a, Item{Key: k, Entry: e.entry, Until: e.until})
+	var running, done []Item
+	ends := make(map[string]time.Time)
+	for k := range t.entries {
+		e := t.get(k, now)
+		switch {
+		case e == nil || e.state == Asking:
+		case e.state == Running:
+			running = append(running, Item{Key: k, Entry: e.entry, Until: e.until})
+		default:
+			done = append(done, Item{Key: k, Entry: e.entry, Answer: e.answer})
+			ends[k] = e.until
 		}
 	}
-	return a
+	slices.SortFunc(done, func(a, b Item) int { return ends[b.Key].Compare(ends[a.Key]) })
+	return append(running, done...)
 }
 
 // Len returns the number of keys.
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -72,7 +72,7 @@
 }
 
 // detachedLimit is the longest time without word from the store for which an owner renews leases.
-const detachedLimit = 6 * time.Second
+const detachedLimit = 3 * time.Second
 
 // NewInstance returns an instance.
 func NewInstance(c InstanceConfig) *Instance {
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -30,6 +30,8 @@
 	followTimeout = 900 * time.Millisecond
 	// knowledgeEvery is the time between two records of what was learned.
 	knowledgeEvery = 3 * time.Second
+	// silenceEvery is the least time between two records for a worker that has fallen silent.
+	silenceEvery = 500 * time.Millisecond
 	// knowledgeKey is the key of that record; no job has such an identity.
 	knowledgeKey = "knowledge"
 	// failurePause is the pause after a failed call to the store.
@@ -206,6 +208,9 @@
 		return err
 	}
 	o.mu.Lock()
+	if len(r) > 0 && r[len(r)-1].Key == knowledgeKey {
+		o.planner.KnowledgeCommitted()
+	}
 	o.acknowledged = acks
 	orders = o.planner.Committed(orders, time.Now())
 	o.mu.Unlock()
@@ -226,11 +231,13 @@
 		}
 		r = append(r, Record{Key: j.ID, Value: b})
 	}
-	if len(r) == 0 || now.Sub(o.knowledgeAt) < knowledgeEvery {
+	due := len(r) > 0 && now.Sub(o.knowledgeAt) >= knowledgeEvery
+	urgent := now.Sub(o.knowledgeAt) >= silenceEvery && o.planner.HasNewSilence()
+	if !due && !urgent {
 		return r, nil
 	}
 	o.knowledgeAt = now
-	b, err := o.planner.Knowledge()
+	b, err := o.planner.Knowledge(now)
 	if err != nil || b == nil {
 		return r, err
 	}
--- a/internal/serve/keys.go
+++ b/internal/serve/keys.go
@@ -207,30 +207,31 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	now := time.Now()
-	silent := map[string]bool{k.instance.Name: true, lost: true}
+	var g errgroup.Group
+	g.SetLimit(spreadAtOnce)
 	for _, x := range k.table.Known(now) {
 		ms, _ := k.ranked(x.Key, now)
-		if x.Entry != lost && !slices.Contains(ms[:min(witnesses, len(ms))], lost) && len(ms) > witnesses && slices.Contains(ms, lost) {
-			continue
-		}
-		k.tellOne(ctx, x, ms, silent)
+		g.Go(func() error {
+			k.tellOne(ctx, x, ms, lost)
+			return nil
+		})
 	}
+	_ = g.Wait()
 }
 
-// witnesses is the number of instances that know a key besides the one that sends its request.
-const witnesses = 2
+// spreadAtOnce is the number of keys that are told at the same time.
+const spreadAtOnce = 32
 
-// tellOne tells a key to the first instance that answers.
-func (k *keys) tellOne(ctx context.Context, x idempotency.Item, ms []string, silent map[string]bool) {
+// tellOne tells a key to the first other instance that answers.
+func (k *keys) tellOne(ctx context.Context, x idempotency.Item, ms []string, lost string) {
 	m := itemMessage(x)
 	for _, n := range ms {
-		if silent[n] {
+		if n == k.instance.Name || n == lost || ctx.Err() != nil {
 			continue
 		}
 		if k.askOne(ctx, n, &m).State != peer.KeyRefused {
 			return
 		}
-		silent[n] = true
 	}
 }
 
