--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -7,7 +7,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -43,23 +42,24 @@
 	w := jobserve.NewLogWriter(os.Stdout)
 	defer func() { w.Close(time.Now().Add(logCloseLimit)) }()
 	l := newJobsLogger(w, c.LogLevel, s.Name)
-	log := platform.NewStore(s.StoreAddress, s.Name+"-"+strconv.FormatInt(time.Now().UnixNano(), 36))
+	x := jobserve.NewIdentity(s.Name, s.Processors, time.Now())
+	log := platform.NewStore(s.StoreAddress, x.String())
 	go c.reload(ctx, log, l)
-	if err := newJobsInstance(s, c.MetricsListen, log, w, l).Run(ctx); err != nil {
+	if err := newJobsInstance(s, x, c.MetricsListen, log, w, l).Run(ctx); err != nil {
 		return fmt.Errorf("instance %s: %w", s.Name, err)
 	}
 	return nil
 }
 
 // newJobsInstance connects the product with the adapter of the platform.
-func newJobsInstance(s *platform.Settings, metrics string, log *platform.Store, w *jobserve.LogWriter, l zerolog.Logger) *jobserve.Instance {
+func newJobsInstance(s *platform.Settings, x jobserve.Identity, metrics string, log *platform.Store, w *jobserve.LogWriter, l zerolog.Logger) *jobserve.Instance {
 	m := jobserve.NewMetrics()
 	store := jobserve.MeasureStore(log, m)
 	state := &jobserve.State{}
 	replica := jobserve.NewReplica(store, l)
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, StopWithin: s.StopWithin,
-		Lease: min(s.LongestLease, longestLease), TurnAfter: s.TurnAfter, Processors: s.Processors,
+		Lease: min(s.LongestLease, longestLease), TurnAfter: s.TurnAfter, Identity: x,
 		Store: store, Replica: replica, State: state,
 		Workers: jobserve.MeasureWorkers(platform.NewWorkers(), m), Directory: platform.NewDirectory(log, l),
 		Adviser: platform.NewAdviser(s.AdviserAddress), Machines: platform.NewMachines(s.MachinesAddress, s.Name, log),
--- /dev/null
+++ b/internal/jobserve/group_test.go
@@ -0,0 +1,63 @@
+package jobserve
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func testIdentity(n int, processors float64) Identity {
+	return NewIdentity(fmt.Sprintf("node-%02d", n), processors, time.Unix(int64(n), 0))
+}
+
+func TestIdentitySurvivesItsText(t *testing.T) {
+	x := testIdentity(3, 0.16)
+	require.Equal(t, x, parseIdentity(x.String()))
+	require.Equal(t, Identity{Name: "foreign"}, parseIdentity("foreign"))
+}
+
+// After all instances were lost together, all 41 joined, and a weak one came to own the jobs of 350 workers.
+func TestGroupEndsWithTheStrongestMembers(t *testing.T) {
+	var g group
+	for n := range 41 {
+		p := 0.11
+		if n%8 == 0 {
+			p = 0.8
+		}
+		g = append(g, testIdentity(n, p))
+	}
+	for changed := true; changed; {
+		changed = false
+		for i, x := range g {
+			if g.isSuperfluous(x, i == 1) {
+				g = append(g[:i:i], g[i+1:]...)
+				changed = true
+				break
+			}
+		}
+	}
+	require.Len(t, g, wantedMembers)
+	for _, x := range g {
+		require.InDelta(t, 0.8, x.Processors, 1e-9)
+	}
+}
+
+func TestEqualInstancesDoNotTakeTurns(t *testing.T) {
+	g := group{testIdentity(5, 0.4), testIdentity(6, 0.4), testIdentity(7, 0.4)}
+	require.False(t, g.isNeeded(testIdentity(1, 0.4)))
+	for _, x := range g {
+		require.False(t, g.isSuperfluous(x, false))
+	}
+	require.True(t, g.isNeeded(testIdentity(1, 0.8)), "a stronger instance joins")
+	require.True(t, g[:2].isNeeded(testIdentity(1, 0.1)), "a weak one is better than none")
+}
+
+func TestOwnerYieldsToStrongerMembersOnly(t *testing.T) {
+	g := group{testIdentity(1, 0.4), testIdentity(2, 0.4), testIdentity(3, 0.4), testIdentity(4, 0.4)}
+	require.True(t, g.isSuperfluous(g[3], false))
+	require.False(t, g.isSuperfluous(g[3], true))
+	weak := testIdentity(9, 0.1)
+	require.True(t, append(g, weak).isSuperfluous(weak, true))
+}
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -43,13 +43,13 @@
 	// StopWithin is the time between the signal to stop and the kill.
 	StopWithin time.Duration
 	Lease      time.Duration
-	// Processors is the processor time that the process may use, in cores.
-	Processors float64
-	Store      Store
-	Workers    Workers
-	Directory  Directory
-	Adviser    Adviser
-	Machines   Machines
+	// Identity is how the group of instances names this process.
+	Identity  Identity
+	Store     Store
+	Workers   Workers
+	Directory Directory
+	Adviser   Adviser
+	Machines  Machines
 	// TurnAfter is the time in which two owners may not take turns in ordering a machine.
 	TurnAfter time.Duration
 	Operators Operators
@@ -79,7 +79,7 @@
 	i := &Instance{InstanceConfig: c}
 	i.Front = measuredHandler(c.Metrics, c.Front)
 	i.gauges()
-	i.member = NewMember(c.Store, c.Processors, c.Logger, i.own)
+	i.member = NewMember(c.Store, c.Identity, c.Logger, i.own)
 	return i
 }
 
--- a/internal/jobserve/measured.go
+++ b/internal/jobserve/measured.go
@@ -75,7 +75,7 @@
 }
 
 // Members implements Store.
-func (s *measuredStore) Members(ctx context.Context) (int, error) {
+func (s *measuredStore) Members(ctx context.Context) ([]string, error) {
 	t := time.Now()
 	n, err := s.Store.Members(ctx)
 	s.observe("members", t, err)
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -17,6 +17,8 @@
 	joinEvery = 300 * time.Millisecond
 	// lookEvery is the time between two looks at the group by an instance outside it.
 	lookEvery = 700 * time.Millisecond
+	// reviewEvery is the time between two questions of a member whether the group has enough others.
+	reviewEvery = 1500 * time.Millisecond
 	// wantedMembers is the number of instances that the group needs, so that the jobs find an owner when one is lost.
 	// More would change the group, and with it the owner, whenever any instance is replaced.
 	wantedMembers = 3
@@ -42,6 +44,9 @@
 
 	// joined tells that the store may hold a membership of this instance.
 	joined bool
+	// identity is how the group names this instance, and reviewedAt when it last asked whether it is superfluous.
+	identity   Identity
+	reviewedAt time.Time
 	// looked tells that the first look was waited for already.
 	looked     bool
 	patience   time.Duration
@@ -56,21 +61,26 @@
 
 // NewMember returns a member that runs the function while this instance is the owner; the owner has most to do, so that
 // instances with more processors join first.
-func NewMember(s Store, processors float64, l zerolog.Logger, run func(ctx context.Context, epoch int64)) *Member {
+func NewMember(s Store, x Identity, l zerolog.Logger, run func(ctx context.Context, epoch int64)) *Member {
 	p := mostPatience
-	if processors > 0 {
-		p = min(p, time.Duration(float64(weakness)/processors))
+	if x.Processors > 0 {
+		p = min(p, time.Duration(float64(weakness)/x.Processors))
 	}
-	return &Member{store: s, logger: l, run: run, patience: p, suspends: newSuspensions()}
+	return &Member{store: s, logger: l, run: run, identity: x, patience: p, suspends: newSuspensions()}
 }
 
 // Run keeps the instance in the group while that needs it, until the context ends.
 func (m *Member) Run(ctx context.Context) {
 	pause(ctx, m.patience+rand.N(firstLook))
 	for ctx.Err() == nil {
-		if !m.joined && !m.isStillNeeded(ctx) {
+		switch {
+		case !m.joined && !m.isStillNeeded(ctx):
 			pause(ctx, lookEvery)
 			continue
+		case m.joined && m.isSuperfluous(ctx):
+			m.logger.Info().Str("Decision", "Leave").Msg("the group has enough other members")
+			m.leave()
+			continue
 		}
 		m.renew(ctx)
 		pause(ctx, joinEvery)
@@ -80,7 +90,7 @@
 	}
 }
 
-// isStillNeeded tells whether the group has too few members, also after stronger instances had time to join.
+// isStillNeeded tells whether the group needs this instance, also after stronger ones had time to join.
 func (m *Member) isStillNeeded(ctx context.Context) bool {
 	if !m.isNeeded(ctx) {
 		return false
@@ -93,22 +103,40 @@
 	return m.isNeeded(ctx)
 }
 
-// isNeeded tells whether the group has too few members.
+// isNeeded tells whether the group has too few members that are not weaker than this instance.
 func (m *Member) isNeeded(ctx context.Context) bool {
+	l, ok := m.look(ctx)
+	if !ok {
+		return false
+	}
+	needed := l.isNeeded(m.identity)
+	if needed {
+		m.logger.Info().Int("Members", len(l)).Str("Decision", "Join").Msg("the group needs this instance")
+	}
+	return needed
+}
+
+// isSuperfluous tells, from time to time, whether the group has enough members without this instance.
+func (m *Member) isSuperfluous(ctx context.Context) bool {
+	if time.Since(m.reviewedAt) < reviewEvery {
+		return false
+	}
+	m.reviewedAt = time.Now()
+	l, ok := m.look(ctx)
+	return ok && l.isSuperfluous(m.identity, m.IsOwner())
+}
+
+func (m *Member) look(ctx context.Context) (group, bool) {
 	c, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	n, err := m.store.Members(c)
+	names, err := m.store.Members(c)
 	if err != nil {
 		if ctx.Err() == nil {
 			m.logger.Warn().Err(err).Str("Decision", "LookFailed").Msg("members of the group are not known")
 		}
-		return false
-	}
-	if n < wantedMembers {
-		m.logger.Info().Int("Members", n).Str("Decision", "Join").Msg("the group needs this instance")
-		return true
+		return nil, false
 	}
-	return false
+	return newGroup(names), true
 }
 
 // renew keeps the membership and begins or ends the ownership that follows from it.
@@ -205,6 +233,7 @@
 	m.end("the instance stops")
 	c, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
+	m.joined, m.generation = false, 0
 	if err := m.store.Leave(c); err != nil {
 		m.logger.Warn().Err(err).Msg("membership not given up; it will lapse")
 	}
--- a/internal/jobserve/store.go
+++ b/internal/jobserve/store.go
@@ -61,8 +61,8 @@
 	Read(ctx context.Context, p Partition, from int64, until time.Time) (Page, error)
 	Newest(ctx context.Context, p Partition, after string) (Newest, error)
 	Join(ctx context.Context, generation int64, lease time.Duration) (Membership, error)
-	// Members returns the number of members that hold parts of the group.
-	Members(ctx context.Context) (int, error)
+	// Members returns the names of the members that hold parts of the group.
+	Members(ctx context.Context) ([]string, error)
 	Leave(ctx context.Context) error
 }
 
