--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+// BenchmarkPlan plans for a fleet at the size of the grown deployments, with a backlog that finds no room.
+func BenchmarkPlan(b *testing.B) {
+	for _, workers := range []int{66, 490} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			now := time.Unix(1_700_000_000, 0)
+			p := New(Config{Lease: testLease, Detached: testDetached, Logger: zerolog.Nop()}, now)
+			var l []Member
+			for i := range workers {
+				l = append(l, member(i))
+			}
+			p.SetMembers(l, now)
+			for n := range workers / 3 {
+				p.AddJob(testJob(testID(10000+n), now, jobs.Step{
+					Tasks: 12, Size: jobs.Resources{MilliCPU: 6000, MemoryMB: 8000}, LongRunning: true, Image: fmt.Sprintf("s-%d", n%5), TailBound: replayBound,
+				}), now)
+			}
+			for n := range 2 * workers {
+				p.AddJob(testJob(testID(n), now, jobs.Step{
+					Tasks: 20, Size: jobs.Resources{MilliCPU: 3500, MemoryMB: 4000}, BestEffort: true, Image: fmt.Sprintf("b-%d", n%9), Estimate: time.Second,
+				}), now)
+			}
+			report := func() {
+				for _, m := range l {
+					r := Report{Worker: m.ID, Life: testLife, AskedAt: now}
+					for ref, a := range p.workers[m.ID].attempts {
+						r.Running = append(r.Running, Running{Ref: ref, Run: a.run, Percent: 50, Load: 20})
+					}
+					p.Report(r, now)
+				}
+			}
+			report()
+			p.Plan(now)
+			_, o := p.Take()
+			for _, x := range p.Committed(o, now) {
+				p.StartAnswered(x, AnswerAccepted, now)
+			}
+			now = now.Add(50 * time.Millisecond)
+			report()
+			b.ResetTimer()
+			for range b.N {
+				p.Plan(now)
+				p.Take()
+			}
+		})
+	}
+}
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -259,7 +259,7 @@
 func (m *model) report() {
 	w := m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "worker")]
 	if w.dark || m.fence < w.fence {
-		m.p.Unreachable(w.id, m.now)
+		m.p.Unreachable(w.id)
 		return
 	}
 	w.fence = m.fence
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -138,7 +138,7 @@
 }
 
 // PaceAnswered takes in the outcome of a change of pace.
-func (p *Planner) PaceAnswered(o Order, x Answer, _ time.Time) {
+func (p *Planner) PaceAnswered(o Order, x Answer) {
 	w := p.workers[o.Worker]
 	if w == nil || x == AnswerAccepted {
 		return
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -193,12 +193,8 @@
 	return n >= c.step.MaxPerWorker
 }
 
-const (
-	// rackBonus prefers workers near a step's data over any difference in load.
-	rackBonus = 10.0
-	// shareOfRoom scales free room to a part of the worker.
-	leastRoom = 1
-)
+// rackBonus prefers workers near a step's data over any difference in load.
+const rackBonus = 10.0
 
 // score rates a worker for a task of the step; higher is better.
 func (p *Planner) score(w *worker, c *candidate, now time.Time) (float64, bool) {
@@ -214,7 +210,7 @@
 		return s + p.serviceScore(w, c), true
 	}
 	f := w.free()
-	s += float64(f.MilliCPU) / float64(max(w.Room.MilliCPU, leastRoom))
+	s += w.part(float64(f.MilliCPU))
 	return s, true
 }
 
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -138,7 +138,7 @@
 	if o.Worker == other {
 		other = "i-01"
 	}
-	s.p.Unreachable(o.Worker, s.now)
+	s.p.Unreachable(o.Worker)
 	for range 6 {
 		s.after(time.Second)
 		s.report(other, nil)
@@ -267,9 +267,9 @@
 	s.p.StartAnswered(o, AnswerAccepted, s.now)
 	s.after(testDetached + 2*testLease)
 	s.p.Granted(o.Worker, s.now)
-	s.p.Unreachable(o.Worker, s.now)
+	s.p.Unreachable(o.Worker)
 	require.False(t, s.p.HasNewSilence())
-	s.p.Unreachable(o.Worker, s.now)
+	s.p.Unreachable(o.Worker)
 	require.True(t, s.p.HasNewSilence())
 	s.after(4 * time.Second)
 	b, err := s.p.Knowledge(s.now)
@@ -292,8 +292,8 @@
 	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
 	o := s.plan()[OrderStart][0]
 	s.p.StartAnswered(o, AnswerAccepted, s.now)
-	s.p.Unreachable(o.Worker, s.now)
-	s.p.Unreachable(o.Worker, s.now)
+	s.p.Unreachable(o.Worker)
+	s.p.Unreachable(o.Worker)
 	_, err := s.p.Knowledge(s.now)
 	require.NoError(t, err)
 	s.p.KnowledgeCommitted()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -66,13 +66,13 @@
 	p.Logger.Info().Str("Task", e.String()).Int("Run", e.Run).Str("Worker", w.ID).Int64("End", e.Number).Str("Decision", "End").Str("How", string(e.How)).Int("Failures", a.task.Failures).Msg("attempt ended")
 	p.judge(w, a, e.How, now)
 	if a.task.Spec.Gang && e.How == jobs.EndDone {
-		p.endGang(a, now)
+		p.endGang(a)
 	}
 	p.settle(a.job, now)
 }
 
 // endGang forgets the attempts of the other members of a gang that is done.
-func (p *Planner) endGang(a *attempt, _ time.Time) {
+func (p *Planner) endGang(a *attempt) {
 	for _, t := range a.job.Tasks[a.task.Occurrence][a.task.Step] {
 		for _, w := range p.workers {
 			if b := w.attempts[t.Ref]; b != nil && t.State == jobs.TaskDone {
--- a/internal/jobserve/contact.go
+++ b/internal/jobserve/contact.go
@@ -103,7 +103,7 @@
 
 func (o *Owner) unreachable(m dispatch.Member, failures int, err error) {
 	o.mu.Lock()
-	o.planner.Unreachable(m.ID, time.Now())
+	o.planner.Unreachable(m.ID)
 	o.mu.Unlock()
 	if failures <= failuresBeforeSilence {
 		o.Logger.Warn().Err(err).Str("Worker", m.ID).Int("Failures", failures).Str("Decision", "WorkerSilent").Msg("worker does not answer")
@@ -179,7 +179,7 @@
 	case dispatch.OrderStop:
 		o.planner.StopAnswered(x, a, now)
 	case dispatch.OrderPace:
-		o.planner.PaceAnswered(x, a, now)
+		o.planner.PaceAnswered(x, a)
 	case dispatch.OrderAdvise, dispatch.OrderMaintain, dispatch.OrderReport:
 	}
 	o.mu.Unlock()
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -114,56 +113,6 @@
 	}()
 }
 
-// takeOver fences the former owner and builds the planner from the records.
-func (o *Owner) takeOver(ctx context.Context) error {
-	begun := time.Now()
-	for {
-		c, cancel := context.WithTimeout(ctx, takeoverTimeout)
-		err := o.tryTakeOver(c)
-		cancel()
-		if err == nil {
-			o.Logger.Info().Int64("Epoch", o.epoch).Dur("Took", time.Since(begun)).Str("Decision", "TookOver").Msg("this instance owns the jobs")
-			return nil
-		}
-		if errors.Is(err, ErrFenced) || ctx.Err() != nil {
-			return err
-		}
-		o.Logger.Warn().Err(err).Int64("Epoch", o.epoch).Msg("takeover is tried again")
-		pause(ctx, failurePause)
-	}
-}
-
-func (o *Owner) tryTakeOver(ctx context.Context) error {
-	if _, err := o.Store.Append(ctx, PartitionProgress, nil, &Writer{Epoch: o.epoch}); err != nil {
-		return fmt.Errorf("fence the former owner: %w", err)
-	}
-	fenced := time.Now()
-	if err := o.Replica.Refresh(ctx, fenced); err != nil {
-		return err
-	}
-	l, err := o.Directory.Members(ctx)
-	if err != nil {
-		return fmt.Errorf("list workers: %w", err)
-	}
-	now := time.Now()
-	p := dispatch.New(dispatch.Config{Lease: o.Lease, Detached: o.Detached, TurnAfter: o.TurnAfter, Logger: o.Logger}, now)
-	if b := o.Replica.Progress(knowledgeKey); b != nil {
-		if err := p.Inherit(b); err != nil {
-			o.Logger.Warn().Err(err).Msg("what was learned before is lost")
-		}
-	}
-	p.SetUnavailable(o.State.Unavailable())
-	p.SetMembers(l, now)
-	for _, j := range o.Replica.Jobs() {
-		p.AddJob(j, now)
-	}
-	for _, id := range o.Replica.Cancelled() {
-		p.Cancel(id, now)
-	}
-	o.planner = p
-	return nil
-}
-
 // loop plans, commits and carries out until the context ends.
 func (o *Owner) loop(ctx context.Context) error {
 	t := time.NewTicker(planEvery)
@@ -282,65 +231,6 @@
 	}
 }
 
-// followRequests takes in submissions and cancellations.
-func (o *Owner) followRequests(ctx context.Context) {
-	for ctx.Err() == nil {
-		o.takeRequests()
-		u := time.Now().Add(followFor)
-		c, cancel := context.WithDeadline(ctx, u.Add(followTimeout))
-		err := o.Replica.Follow(c, PartitionRequests, time.Now(), u)
-		cancel()
-		if err != nil && ctx.Err() == nil {
-			o.Logger.Warn().Err(err).Msg("requests are not followed")
-			pause(ctx, failurePause)
-		}
-	}
-}
-
-// takeRequests hands to the planner what the replica knows and it does not.
-func (o *Owner) takeRequests() {
-	ids, cancelled := o.Replica.IDs(), o.Replica.Cancelled()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := time.Now()
-	n := 0
-	for _, id := range ids {
-		if o.planner.Job(id) != nil {
-			continue
-		}
-		if j := o.Replica.Job(id); j != nil {
-			o.planner.AddJob(j, now)
-			n++
-		}
-	}
-	for _, id := range cancelled {
-		o.planner.Cancel(id, now)
-	}
-	if n > 0 || len(cancelled) > 0 {
-		o.notify()
-	}
-}
-
-// followMembers reads the list of workers.
-func (o *Owner) followMembers(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause(ctx, listEvery)
-		c, cancel := context.WithTimeout(ctx, joinTimeout)
-		l, err := o.Directory.Members(c)
-		cancel()
-		if err != nil {
-			if ctx.Err() == nil {
-				o.Logger.Warn().Err(err).Msg("workers are not listed")
-			}
-			continue
-		}
-		o.mu.Lock()
-		o.planner.SetMembers(l, time.Now())
-		o.mu.Unlock()
-		o.notify()
-	}
-}
-
 // pause waits for a time or the end of the context.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -48,7 +48,6 @@
 	cancelled bool
 	state     jobs.State
 	queue     string
-	scheduled bool
 }
 
 // NewReplica returns an empty replica of the store.
@@ -103,7 +102,7 @@
 		}
 		begun := time.Now()
 		if !loaded {
-			if err := r.load(ctx, p, begun); err != nil {
+			if err := r.load(ctx, p); err != nil {
 				return err
 			}
 			continue
@@ -128,7 +127,7 @@
 }
 
 // load reads the newest record of each key.
-func (r *Replica) load(ctx context.Context, p Partition, begun time.Time) error {
+func (r *Replica) load(ctx context.Context, p Partition) error {
 	first := int64(-1)
 	after := ""
 	for {
@@ -151,7 +150,6 @@
 	defer r.mu.Unlock()
 	r.loaded[p] = true
 	r.next[p] = max(first, r.next[p])
-	_ = begun
 	return nil
 }
 
@@ -265,7 +263,7 @@
 			r.logger.Error().Err(err).Str("Job", id).Msg("submission cannot be read")
 			return view{}, false
 		}
-		v = view{queue: s.Queue.Name, scheduled: s.Times > 0}
+		v = view{queue: s.Queue.Name}
 	}
 	v.offset, v.cancelled = x.Offset, r.cancelled[id]
 	v.state = jobs.StateOf(x.Value, v.cancelled)
--- /dev/null
+++ b/internal/jobserve/takeover.go
@@ -0,0 +1,60 @@
+package jobserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"currantknot.dev/currantknot/internal/dispatch"
+)
+
+// takeOver fences the former owner and builds the planner from the records.
+func (o *Owner) takeOver(ctx context.Context) error {
+	begun := time.Now()
+	for {
+		c, cancel := context.WithTimeout(ctx, takeoverTimeout)
+		err := o.tryTakeOver(c)
+		cancel()
+		if err == nil {
+			o.Logger.Info().Int64("Epoch", o.epoch).Dur("Took", time.Since(begun)).Str("Decision", "TookOver").Msg("this instance owns the jobs")
+			return nil
+		}
+		if errors.Is(err, ErrFenced) || ctx.Err() != nil {
+			return err
+		}
+		o.Logger.Warn().Err(err).Int64("Epoch", o.epoch).Msg("takeover is tried again")
+		pause(ctx, failurePause)
+	}
+}
+
+func (o *Owner) tryTakeOver(ctx context.Context) error {
+	if _, err := o.Store.Append(ctx, PartitionProgress, nil, &Writer{Epoch: o.epoch}); err != nil {
+		return fmt.Errorf("fence the former owner: %w", err)
+	}
+	fenced := time.Now()
+	if err := o.Replica.Refresh(ctx, fenced); err != nil {
+		return err
+	}
+	l, err := o.Directory.Members(ctx)
+	if err != nil {
+		return fmt.Errorf("list workers: %w", err)
+	}
+	now := time.Now()
+	p := dispatch.New(dispatch.Config{Lease: o.Lease, Detached: o.Detached, TurnAfter: o.TurnAfter, Logger: o.Logger}, now)
+	if b := o.Replica.Progress(knowledgeKey); b != nil {
+		if err := p.Inherit(b); err != nil {
+			o.Logger.Warn().Err(err).Msg("what was learned before is lost")
+		}
+	}
+	p.SetUnavailable(o.State.Unavailable())
+	p.SetMembers(l, now)
+	for _, j := range o.Replica.Jobs() {
+		p.AddJob(j, now)
+	}
+	for _, id := range o.Replica.Cancelled() {
+		p.Cancel(id, now)
+	}
+	o.planner = p
+	return nil
+}
