--- a/internal/jobserve/logwriter.go
+++ b/internal/jobserve/logwriter.go
@@ -1,6 +1,7 @@
 package jobserve
 
 import (
+	"bytes"
 	"io"
 	"strconv"
 	"sync"
@@ -13,6 +14,8 @@
 	// logBytesPerSecond and logBurstBytes bound the volume of the log.
 	logBytesPerSecond = 256 << 10
 	logBurstBytes     = 2 << 20
+	// logWriteBytes bounds one write, so that a reader that takes what a pipe holds finds whole lines.
+	logWriteBytes = 4 << 10
 	// logFlushEvery is the time in which lines gather for one write.
 	logFlushEvery = 100 * time.Millisecond
 )
@@ -101,9 +104,11 @@
 			time.Sleep(logFlushEvery)
 		}
 		b, last := w.take()
-		if len(b) > 0 {
+		for len(b) > 0 {
+			n := wholeLines(b)
 			// Nothing can be said about a log that cannot be written.
-			_, _ = w.out.Write(b)
+			_, _ = w.out.Write(b[:n])
+			b = b[n:]
 		}
 		if last {
 			return
@@ -111,6 +116,17 @@
 	}
 }
 
+// wholeLines returns the length of the lines at the beginning that one write takes.
+func wholeLines(b []byte) int {
+	if len(b) <= logWriteBytes {
+		return len(b)
+	}
+	if n := bytes.LastIndexByte(b[:logWriteBytes], '\n'); n >= 0 {
+		return n + 1
+	}
+	return len(b)
+}
+
 func (w *LogWriter) isClosed() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/jobserve/logwriter_test.go
+++ b/internal/jobserve/logwriter_test.go
@@ -61,3 +61,30 @@
 	w.Close(time.Now().Add(5 * time.Second))
 	require.Equal(t, "one\ntwo\nthree\n", b.String())
 }
+
+// writes keeps each write apart.
+type writes [][]byte
+
+func (w *writes) Write(b []byte) (int, error) {
+	*w = append(*w, bytes.Clone(b))
+	return len(b), nil
+}
+
+// Lines were cut where a write was larger than what the reader took at a time.
+func TestEachWriteHoldsWholeLines(t *testing.T) {
+	var l writes
+	w := NewLogWriter(&l)
+	line := strings.Repeat("y", 700) + "\n"
+	for range 100 {
+		_, err := w.Write([]byte(line))
+		require.NoError(t, err)
+	}
+	w.Close(time.Now().Add(5 * time.Second))
+	n := 0
+	for _, b := range l {
+		require.LessOrEqual(t, len(b), logWriteBytes)
+		require.True(t, bytes.HasSuffix(b, []byte("\n")))
+		n += bytes.Count(b, []byte("\n"))
+	}
+	require.Equal(t, 100, n)
+}
