--- a/internal/dispatch/knowledge.go
+++ b/internal/dispatch/knowledge.go
@@ -75,6 +75,9 @@
 			m[id] = max(0, w.leaseUntil.Sub(now).Milliseconds())
 		}
 	}
+	if len(m) != len(p.silent) {
+		p.Logger.Info().Int("Silent", len(m)).Int("Before", len(p.silent)).Str("Decision", "BarSilent").Msg("workers that do not answer are granted no lease")
+	}
 	p.silent = m
 	return m
 }
@@ -115,11 +118,15 @@
 		p.maintained = r.Maintained
 	}
 	for id, ms := range r.Silent {
-		p.worker(id).leaseUntil = p.takenAt.Add(time.Duration(ms)*time.Millisecond + leaseMargin)
+		w := p.worker(id)
+		w.leaseUntil = p.takenAt.Add(time.Duration(ms) * time.Millisecond)
+		// Silent until it answers, so that the next record of this owner names it as well.
+		w.barred, w.failures = true, silentFailures
 	}
 	if r.Demand > 0 {
 		p.reserve.learned, p.reserve.demand, p.reserve.seenAt = true, r.Demand, p.takenAt
 	}
+	p.Logger.Info().Int("Images", len(r.Images)).Int("Silent", len(r.Silent)).Str("Decision", "Inherit").Msg("what an earlier owner knew is taken over")
 	for _, x := range r.Images {
 		s := p.pressure.of(x.Image)
 		s.leastTail, s.figures = x.LeastTail, x.Figures
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -140,7 +140,7 @@
 	w := p.workers[id]
 	if w == nil {
 		w = &worker{Member: Member{ID: id}, attempts: make(map[jobs.Ref]*attempt), wanted: make(map[string]int)}
-		w.leaseUntil = p.takenAt.Add(p.Detached + time.Duration(float64(p.Lease)*clockSlack) + leaseMargin)
+		w.leaseUntil = p.leaseEnd(p.takenAt.Add(p.Detached))
 		p.workers[id] = w
 	}
 	return w
@@ -181,7 +181,7 @@
 func (p *Planner) newLife(w *worker, life int64, now time.Time) {
 	p.Logger.Info().Str("Worker", w.ID).Int64("Life", life).Str("Decision", "WorkerReborn").Int("Attempts", len(w.attempts)).Msg("worker began a new life")
 	w.Life = life
-	w.synced = false
+	w.synced, w.fenced = false, false
 	w.ackable = 0
 	for _, a := range w.attempts {
 		if a.life == life {
@@ -209,12 +209,16 @@
 	if w == nil {
 		return
 	}
-	u := now.Add(time.Duration(float64(p.Lease)*clockSlack) + leaseMargin)
-	if u.After(w.leaseUntil) {
+	if u := p.leaseEnd(now); u.After(w.leaseUntil) {
 		w.leaseUntil = u
 	}
 }
 
+// leaseEnd returns the instant at which a lease that was granted up to now has surely ended.
+func (p *Planner) leaseEnd(now time.Time) time.Time {
+	return now.Add(time.Duration(float64(p.Lease)*clockSlack) + leaseMargin)
+}
+
 // Unreachable notes that a worker did not answer.
 func (p *Planner) Unreachable(id string) {
 	if w := p.workers[id]; w != nil {
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -283,6 +283,15 @@
 	p.AddJob(j, s.now)
 	p.Expire(s.now.Add(2 * time.Second))
 	require.Equal(t, jobs.TaskAssigned, j.Tasks[0][0][0].State)
+	// The record of an owner that never reached the worker must not hide it from the one after that.
+	b, err = p.Knowledge(s.now.Add(2 * time.Second))
+	require.NoError(t, err)
+	p.KnowledgeCommitted()
+	require.False(t, p.NeedsLease(o.Worker))
+	p = New(Config{Lease: testLease, Detached: testDetached, Logger: zerolog.Nop()}, s.now.Add(2*time.Second))
+	p.SetMembers([]Member{member(0), member(1)}, s.now)
+	require.NoError(t, p.Inherit(b))
+	p.AddJob(j, s.now)
 	p.Expire(s.now.Add(3 * time.Second))
 	require.Equal(t, jobs.TaskWaiting, j.Tasks[0][0][0].State)
 }
@@ -305,3 +314,29 @@
 	s.p.KnowledgeCommitted()
 	require.True(t, s.p.NeedsLease(o.Worker))
 }
+
+// An owner that had reached a worker held its tasks for what earlier owners might have granted since.
+func TestWorkerThatAnsweredThisOwnerTakesNoLeaseOfEarlierOnes(t *testing.T) {
+	s := newScene(t, 1)
+	j := testJob(testID(1), s.now, plainStep(1))
+	require.True(t, j.Assign(j.Tasks[0][0][0], "i-00", testLife, s.now))
+	s.p = New(Config{Lease: testLease, Detached: testDetached, Logger: zerolog.Nop()}, s.now)
+	s.p.SetMembers([]Member{member(0)}, s.now)
+	s.p.AddJob(j, s.now)
+	s.report("i-00", []Running{{Ref: j.Tasks[0][0][0].Ref, Run: 1}})
+	s.p.Unreachable("i-00")
+	s.p.Expire(s.now.Add(testLease))
+	require.Equal(t, jobs.TaskAssigned, j.Tasks[0][0][0].State)
+	s.p.Expire(s.now.Add(testLease + time.Second))
+	require.Equal(t, jobs.TaskWaiting, j.Tasks[0][0][0].State)
+}
+
+func TestLongRunningTaskThatRanBeforeTakesFromTheReserveAtOnce(t *testing.T) {
+	s := newScene(t, 2)
+	step := jobs.Step{Tasks: 1, Size: jobs.Resources{MilliCPU: 31000, MemoryMB: 1000}, LongRunning: true, Image: "service", TailBound: replayBound}
+	j := testJob(testID(1), s.now, step)
+	require.True(t, j.Assign(j.Tasks[0][0][0], "i-00", testLife, s.now))
+	j.Release(j.Tasks[0][0][0])
+	s.p.AddJob(j, s.now)
+	require.Len(t, s.plan()[OrderStart], 1)
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -36,6 +36,11 @@
 	if !w.synced {
 		p.Logger.Info().Str("Worker", w.ID).Str("Decision", "WorkerInTouch").Int64("Life", w.Life).Int("Running", len(r.Running)).Int("Ended", len(r.Ended)).Msg("worker answers")
 	}
+	if !w.fenced {
+		// From now on the worker refuses earlier owners, so that only what they granted before counts.
+		w.fenced = true
+		w.leaseUntil = earlier(w.leaseUntil, p.leaseEnd(now))
+	}
 	w.synced, w.failures, w.contactAt = true, 0, now
 	for _, e := range r.Ended {
 		p.ended(w, e, now)
@@ -52,6 +57,13 @@
 	p.logFigures(w, now)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (p *Planner) ended(w *worker, e Ended, now time.Time) {
 	a := w.attempts[e.Ref]
 	if a == nil || a.run != e.Run {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -77,8 +77,12 @@
 	return float64(w.free().MilliCPU-s.Size.MilliCPU) >= r.part()*float64(w.Room.MilliCPU)
 }
 
-// overdue tells whether a task that finds no room outside the reserve has waited long enough to take from it.
+// overdue tells whether a task that finds no room outside the reserve has waited long enough to take from it; one that ran
+// before has.
 func (r *reserve) overdue(t *jobs.Task, now time.Time) bool {
+	if t.Run > 0 {
+		return true
+	}
 	s, ok := r.waiting[t.Ref]
 	if !ok {
 		r.waiting[t.Ref] = now
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -99,6 +99,8 @@
 	Member
 	listed bool
 	synced bool
+	// Fenced tells that the worker's incarnation has answered this owner, and so refuses earlier ones.
+	fenced bool
 	// Barred tells that a record names the worker as silent, so that it is granted no lease.
 	barred bool
 	// Cordoned tells that the worker is emptied for the maintenance of its machine.
--- a/internal/jobserve/contact.go
+++ b/internal/jobserve/contact.go
@@ -84,7 +84,7 @@
 	if failures == 0 && !first {
 		s.WaitUntil = now.Add(o.wait(m.ID))
 	}
-	if failures < failuresBeforeSilence && o.planner.NeedsLease(m.ID) && now.Sub(o.ContactAt()) < o.Detached {
+	if !first && failures < failuresBeforeSilence && o.planner.NeedsLease(m.ID) && now.Sub(o.ContactAt()) < o.Detached {
 		s.LeaseUntil = now.Add(o.Lease)
 		o.planner.Granted(m.ID, now)
 	}
