--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -62,7 +62,7 @@
 		Lease: min(s.LongestLease, longestLease), TurnAfter: s.TurnAfter, Identity: x,
 		Store: store, Replica: replica, State: state,
 		Workers: jobserve.MeasureWorkers(platform.NewWorkers(), m), Directory: platform.NewDirectory(log, l),
-		Adviser: platform.NewAdviser(s.AdviserAddress), Machines: platform.NewMachines(s.MachinesAddress, s.Name, log),
+		Adviser: platform.NewAdviser(s.AdviserAddress), Maintenance: platform.NewMachines(s.MachinesAddress, s.Name, log),
 		Operators: platform.NewOperator(log, l), Front: platform.NewFront(state, jobserve.NewService(store, replica, l), l),
 		MetricsListen: metrics, Metrics: m, Log: w, Logger: l,
 	})
--- a/internal/dispatch/knowledge.go
+++ b/internal/dispatch/knowledge.go
@@ -30,7 +30,7 @@
 	Images   []imageRecord
 	RunTimes map[string]float64
 	Demand   float64
-	// Maintained holds the machines of each wave whose maintenance is over.
+	// Maintained holds the instances of each wave whose maintenance is over.
 	Maintained map[int][]string
 	// Silent holds the workers that do not answer and are granted nothing, with the milliseconds until their lease has
 	// ended. They count from the takeover, which is later than this record, since instances share no clock.
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -7,31 +7,31 @@
 )
 
 const (
-	// vacateLimit is the time after which tasks that end by themselves no longer hold up a machine's maintenance.
+	// vacateLimit is the time after which tasks that end by themselves no longer hold up a instance's maintenance.
 	vacateLimit = 4 * time.Second
-	// maintainRetry is the pause between two orders for the same machine.
+	// maintainRetry is the pause between two orders for the same instance.
 	maintainRetry = 500 * time.Millisecond
 )
 
-// Machine is a machine that holds one life of a worker after the other.
-type Machine struct {
+// Instance holds one life of a worker after the other.
+type Instance struct {
 	ID string
-	// Worker is the worker that the machine holds, empty while it is down.
+	// Worker is the worker that the instance holds, empty while it is down.
 	Worker string
 	Up     bool
 }
 
-// Wave asks for the maintenance of machines, at most Cap at a time.
+// Wave asks for the maintenance of instances, at most Cap at a time.
 type Wave struct {
-	Number   int
-	Machines []string
-	Cap      int
-	Deadline time.Time
+	Number    int
+	Instances []string
+	Cap       int
+	Deadline  time.Time
 }
 
-// MachineState is how far the maintenance of a machine has come.
-type machineState struct {
-	// Worker is the worker that the machine held when its maintenance was decided on.
+// instanceState is how far the maintenance of an instance has come.
+type instanceState struct {
+	// Worker is the worker that the instance held when its maintenance was decided on.
 	worker     string
 	begunAt    time.Time
 	orderedAt  time.Time
@@ -43,8 +43,8 @@
 // waveState is how far a wave has come.
 type waveState struct {
 	Wave
-	machines map[string]*machineState
-	reported string
+	instances map[string]*instanceState
+	reported  string
 }
 
 // The states of a wave, as operators are told.
@@ -58,36 +58,36 @@
 	for _, w := range l {
 		s := p.waves[w.Number]
 		if s == nil {
-			s = &waveState{machines: make(map[string]*machineState)}
+			s = &waveState{instances: make(map[string]*instanceState)}
 			p.waves[w.Number] = s
 			for _, m := range p.maintained[w.Number] {
-				s.machines[m] = &machineState{done: true}
+				s.instances[m] = &instanceState{done: true}
 			}
 		}
 		s.Wave = w
 	}
 }
 
-// SetMachines takes in the platform's list of machines.
-func (p *Planner) SetMachines(l []Machine, now time.Time) {
-	p.machines = make(map[string]Machine, len(l))
+// SetInstances takes in the platform's list of instances.
+func (p *Planner) SetInstances(l []Instance, now time.Time) {
+	p.instances = make(map[string]Instance, len(l))
 	for _, m := range l {
-		p.machines[m.ID] = m
+		p.instances[m.ID] = m
 	}
 	for _, w := range p.waves {
-		for id, s := range w.machines {
-			m, ok := p.machines[id]
+		for id, s := range w.instances {
+			m, ok := p.instances[id]
 			if s.done || !s.accepted || ok && (!m.Up || m.Worker == s.worker) {
 				continue
 			}
 			s.done = true
 			p.maintained[w.Number] = append(p.maintained[w.Number], id)
-			p.Logger.Info().Str("Machine", id).Int("Wave", w.Number).Dur("Took", now.Sub(s.begunAt)).Str("Decision", "Maintained").Msg("machine is back")
+			p.Logger.Info().Str("WorkerInstance", id).Int("Wave", w.Number).Dur("Took", now.Sub(s.begunAt)).Str("Decision", "Maintained").Msg("instance is back")
 		}
 	}
 }
 
-// HasMaintenance tells whether a wave is not completed, so that the list of machines is needed.
+// HasMaintenance tells whether a wave is not completed, so that the list of instances is needed.
 func (p *Planner) HasMaintenance() bool {
 	for _, w := range p.waves {
 		if w.reported != WaveCompleted {
@@ -99,7 +99,7 @@
 
 // maintain takes the waves forward.
 func (p *Planner) maintain(now time.Time) {
-	if len(p.machines) == 0 || now.Sub(p.takenAt) < p.TurnAfter {
+	if len(p.instances) == 0 || now.Sub(p.takenAt) < p.TurnAfter {
 		return
 	}
 	for _, n := range slices.Sorted(maps.Keys(p.waves)) {
@@ -110,8 +110,8 @@
 func (p *Planner) maintainWave(w *waveState, now time.Time) {
 	var busy []string
 	left := 0
-	for _, id := range w.Machines {
-		s := w.machines[id]
+	for _, id := range w.Instances {
+		s := w.instances[id]
 		if s != nil && s.done || p.isGone(id, s) {
 			continue
 		}
@@ -120,30 +120,30 @@
 			busy = append(busy, id)
 		}
 	}
-	for _, id := range w.Machines {
-		if len(busy) < max(w.Cap, 1) && w.machines[id] == nil && p.machines[id].Up {
-			p.cordon(w, p.machines[id], now)
+	for _, id := range w.Instances {
+		if len(busy) < max(w.Cap, 1) && w.instances[id] == nil && p.instances[id].Up {
+			p.cordon(w, p.instances[id], now)
 			busy = append(busy, id)
 		}
 	}
 	for _, id := range busy {
-		p.maintainMachine(w, id, w.machines[id], now)
+		p.maintainInstance(w, id, w.instances[id], now)
 	}
 	p.reportWave(w, left)
 }
 
-// cordon begins the maintenance of a machine: its worker gets nothing new.
-func (p *Planner) cordon(w *waveState, m Machine, now time.Time) {
-	w.machines[m.ID] = &machineState{worker: m.Worker, begunAt: now}
+// cordon begins the maintenance of an instance: its worker gets nothing new.
+func (p *Planner) cordon(w *waveState, m Instance, now time.Time) {
+	w.instances[m.ID] = &instanceState{worker: m.Worker, begunAt: now}
 	if x := p.workers[m.Worker]; x != nil {
 		x.cordoned = true
 	}
-	p.Logger.Info().Str("Machine", m.ID).Str("Worker", m.Worker).Int("Wave", w.Number).Time("Deadline", w.Deadline).Str("Decision", "Cordon").Msg("machine is emptied for its maintenance")
+	p.Logger.Info().Str("WorkerInstance", m.ID).Str("Worker", m.Worker).Int("Wave", w.Number).Time("Deadline", w.Deadline).Str("Decision", "Cordon").Msg("instance is emptied for its maintenance")
 }
 
-// isGone tells whether a machine that was never touched has left for good.
-func (p *Planner) isGone(id string, s *machineState) bool {
-	_, ok := p.machines[id]
+// isGone tells whether an instance that was never touched has left for good.
+func (p *Planner) isGone(id string, s *instanceState) bool {
+	_, ok := p.instances[id]
 	return !ok && s == nil
 }
 
@@ -159,8 +159,8 @@
 	p.orders = append(p.orders, Order{Kind: OrderReport, Wave: w.Number, State: state})
 }
 
-// maintainMachine empties a machine and then orders its maintenance.
-func (p *Planner) maintainMachine(w *waveState, id string, s *machineState, now time.Time) {
+// maintainInstance empties an instance and then orders its maintenance.
+func (p *Planner) maintainInstance(w *waveState, id string, s *instanceState, now time.Time) {
 	if s.accepted || now.Sub(s.orderedAt) < maintainRetry {
 		return
 	}
@@ -169,11 +169,11 @@
 		return
 	}
 	s.orderedAt = now
-	p.orders = append(p.orders, Order{Kind: OrderMaintain, Machine: id, Wave: w.Number})
+	p.orders = append(p.orders, Order{Kind: OrderMaintain, Instance: id, Wave: w.Number})
 }
 
 // empty moves what runs on a worker elsewhere, and tells whether nothing is left that its maintenance would harm.
-func (p *Planner) empty(w *worker, s *machineState, now time.Time) bool {
+func (p *Planner) empty(w *worker, s *instanceState, now time.Time) bool {
 	patient := now.Sub(s.begunAt) < vacateLimit
 	clear := true
 	for _, a := range w.attempts {
@@ -183,7 +183,7 @@
 		case a.task.Spec.LongRunning, a.task.Spec.Checkpoints:
 			clear = false
 			if p.isSpareable(a, now) {
-				p.stop(w, a, "its machine is due for maintenance", now)
+				p.stop(w, a, "its instance is due for maintenance", now)
 			}
 		case patient:
 			clear = false
@@ -195,14 +195,14 @@
 // Maintained takes in the outcome of an order for maintenance.
 func (p *Planner) Maintained(o Order, x Answer, now time.Time) {
 	w := p.waves[o.Wave]
-	if w == nil || w.machines[o.Machine] == nil {
+	if w == nil || w.instances[o.Instance] == nil {
 		return
 	}
-	s := w.machines[o.Machine]
+	s := w.instances[o.Instance]
 	if x == AnswerAccepted && !s.accepted {
 		s.accepted, s.acceptedAt = true, now
 	}
-	p.Logger.Info().Str("Machine", o.Machine).Int("Wave", o.Wave).Str("Answer", x.String()).Str("Decision", "Maintain").Msg("maintenance ordered")
+	p.Logger.Info().Str("WorkerInstance", o.Instance).Int("Wave", o.Wave).Str("Answer", x.String()).Str("Decision", "Maintain").Msg("maintenance ordered")
 }
 
 // Reported takes in the outcome of a report on a wave.
--- a/internal/dispatch/maintenance_test.go
+++ b/internal/dispatch/maintenance_test.go
@@ -9,10 +9,10 @@
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
-func machines(up map[string]string) []Machine {
-	l := make([]Machine, 0, len(up))
+func instances(up map[string]string) []Instance {
+	l := make([]Instance, 0, len(up))
 	for id, w := range up {
-		l = append(l, Machine{ID: id, Worker: w, Up: w != ""})
+		l = append(l, Instance{ID: id, Worker: w, Up: w != ""})
 	}
 	return l
 }
@@ -20,25 +20,25 @@
 func TestWaveTakesAtMostItsCapAtATime(t *testing.T) {
 	s := newScene(t, 3)
 	m := map[string]string{"m-0": "i-00", "m-1": "i-01", "m-2": "i-02"}
-	s.p.SetMachines(machines(m), s.now)
-	s.p.SetWaves([]Wave{{Number: 1, Machines: []string{"m-0", "m-1"}, Cap: 1, Deadline: s.now.Add(20 * time.Second)}})
+	s.p.SetInstances(instances(m), s.now)
+	s.p.SetWaves([]Wave{{Number: 1, Instances: []string{"m-0", "m-1"}, Cap: 1, Deadline: s.now.Add(20 * time.Second)}})
 	x := s.plan()
 	require.Len(t, x[OrderMaintain], 1)
-	require.Equal(t, "m-0", x[OrderMaintain][0].Machine)
+	require.Equal(t, "m-0", x[OrderMaintain][0].Instance)
 	require.Equal(t, WaveRunning, x[OrderReport][0].State)
 	s.p.Maintained(x[OrderMaintain][0], AnswerAccepted, s.now)
 	for range 3 {
 		s.after(time.Second)
-		require.Empty(t, s.plan()[OrderMaintain], "the first machine is not back")
+		require.Empty(t, s.plan()[OrderMaintain], "the first instance is not back")
 	}
 	m["m-0"] = "i-10"
-	s.p.SetMachines(machines(m), s.now)
+	s.p.SetInstances(instances(m), s.now)
 	x = s.plan()
 	require.Len(t, x[OrderMaintain], 1)
-	require.Equal(t, "m-1", x[OrderMaintain][0].Machine)
+	require.Equal(t, "m-1", x[OrderMaintain][0].Instance)
 	s.p.Maintained(x[OrderMaintain][0], AnswerAccepted, s.now)
 	m["m-1"] = "i-11"
-	s.p.SetMachines(machines(m), s.now)
+	s.p.SetInstances(instances(m), s.now)
 	x = s.plan()
 	require.Len(t, x[OrderReport], 1)
 	require.Equal(t, WaveCompleted, x[OrderReport][0].State)
@@ -46,8 +46,8 @@
 
 func TestMaintenanceWithoutAnswerIsOrderedAgain(t *testing.T) {
 	s := newScene(t, 1)
-	s.p.SetMachines(machines(map[string]string{"m-0": "i-00"}), s.now)
-	s.p.SetWaves([]Wave{{Number: 1, Machines: []string{"m-0"}, Cap: 1}})
+	s.p.SetInstances(instances(map[string]string{"m-0": "i-00"}), s.now)
+	s.p.SetWaves([]Wave{{Number: 1, Instances: []string{"m-0"}, Cap: 1}})
 	x := s.plan()[OrderMaintain]
 	require.Len(t, x, 1)
 	s.p.Maintained(x[0], AnswerUnknown, s.now)
@@ -74,8 +74,8 @@
 	}
 	busy := l[0]
 	w := s.p.workers[s.p.jobs[testID(1)].Task(busy.Ref).Worker]
-	s.p.SetMachines(machines(map[string]string{"m-0": w.ID}), s.now)
-	s.p.SetWaves([]Wave{{Number: 1, Machines: []string{"m-0"}, Cap: 1}})
+	s.p.SetInstances(instances(map[string]string{"m-0": w.ID}), s.now)
+	s.p.SetWaves([]Wave{{Number: 1, Instances: []string{"m-0"}, Cap: 1}})
 	x := s.plan()
 	require.Empty(t, x[OrderMaintain])
 	require.Len(t, x[OrderStop], 1, "one task of the step may be away at a time")
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -12,7 +12,7 @@
 	OrderPace  OrderKind = "Pace"
 	// OrderAdvise asks which of the candidates may run a step.
 	OrderAdvise OrderKind = "Advise"
-	// OrderMaintain takes a machine down for its maintenance, and OrderReport tells operators the state of a wave.
+	// OrderMaintain takes an instance down for its maintenance, and OrderReport tells operators the state of a wave.
 	OrderMaintain OrderKind = "Maintain"
 	OrderReport   OrderKind = "Report"
 )
@@ -30,7 +30,7 @@
 	Percent    int
 	Permit     string
 	Candidates []string
-	Machine    string
+	Instance   string
 	Wave       int
 	State      string
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -27,7 +27,7 @@
 	Lease time.Duration
 	// Detached is the longest time for which an owner grants leases without word from the store.
 	Detached time.Duration
-	// TurnAfter is the time after a takeover in which no machine is ordered, so that orders of two owners do not mix.
+	// TurnAfter is the time after a takeover in which no instance is ordered, so that orders of two owners do not mix.
 	TurnAfter time.Duration
 	Logger    zerolog.Logger
 }
@@ -41,17 +41,17 @@
 	unavailable map[string]bool
 	dirty       map[string]*jobs.Job
 	// open holds the workers that may get tasks in the present plan, and full what found no room in it.
-	open     []*worker
-	full     map[fullKey]jobs.Resources
-	orders   []Order
-	takenAt  time.Time
-	learned  *estimates
-	pressure *pressure
-	reserve  reserve
-	advice   map[StepRef]*advice
-	waves    map[int]*waveState
-	machines map[string]Machine
-	// maintained holds the machines of each wave whose maintenance is over.
+	open      []*worker
+	full      map[fullKey]jobs.Resources
+	orders    []Order
+	takenAt   time.Time
+	learned   *estimates
+	pressure  *pressure
+	reserve   reserve
+	advice    map[StepRef]*advice
+	waves     map[int]*waveState
+	instances map[string]Instance
+	// maintained holds the instances of each wave whose maintenance is over.
 	maintained map[int][]string
 	// silent holds the workers of the latest record of what was learned, and silentChanged that the next one is due.
 	silent        map[string]int64
--- a/internal/dispatch/pressure_test.go
+++ b/internal/dispatch/pressure_test.go
@@ -24,7 +24,7 @@
 	lightPressure = 0.1
 )
 
-// replay drives a planner with the load that was met on the users' machines: services whose load swings, and
+// replay drives a planner with the load that was met on the users' instances: services whose load swings, and
 // best-effort images of which each presses on some services only.
 type replay struct {
 	*scene
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -103,7 +103,7 @@
 	fenced bool
 	// Barred tells that a record names the worker as silent, so that it is granted no lease.
 	barred bool
-	// Cordoned tells that the worker is emptied for the maintenance of its machine.
+	// Cordoned tells that the worker is emptied for the maintenance of its instance.
 	cordoned bool
 	used     jobs.Resources
 	attempts map[jobs.Ref]*attempt
--- a/internal/jobserve/errands.go
+++ b/internal/jobserve/errands.go
@@ -10,10 +10,10 @@
 const (
 	// adviseTimeout bounds a call to the adviser, which answers one call after the other.
 	adviseTimeout = 3 * time.Second
-	// maintainTimeout bounds a call to the service for machines.
+	// maintainTimeout bounds a call to the service for instances.
 	maintainTimeout = 2 * time.Second
-	// machinesEvery is the time between two reads of the list of machines while a wave is open.
-	machinesEvery = 700 * time.Millisecond
+	// instancesEvery is the time between two reads of the list of instances while a wave is open.
+	instancesEvery = 700 * time.Millisecond
 )
 
 // advise asks which workers may run a step.
@@ -30,13 +30,13 @@
 	o.notify()
 }
 
-// maintain orders the maintenance of a machine.
+// maintain orders the maintenance of an instance.
 func (o *Owner) maintain(ctx context.Context, x dispatch.Order) {
 	c, cancel := context.WithTimeout(ctx, maintainTimeout)
 	defer cancel()
-	a, err := o.Machines.Maintain(c, x.Machine, x.Wave, o.epoch)
+	a, err := o.Maintenance.Maintain(c, x.Instance, x.Wave, o.epoch)
 	if err != nil && ctx.Err() == nil {
-		o.Logger.Warn().Err(err).Str("Machine", x.Machine).Int("Wave", x.Wave).Str("Decision", "MaintainFailed").Msg("maintenance was not ordered")
+		o.Logger.Warn().Err(err).Str("WorkerInstance", x.Instance).Int("Wave", x.Wave).Str("Decision", "MaintainFailed").Msg("maintenance was not ordered")
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -48,7 +48,7 @@
 	c, cancel := context.WithTimeout(ctx, maintainTimeout)
 	defer cancel()
 	a := dispatch.AnswerAccepted
-	if err := o.Machines.Report(c, x.Wave, x.State); err != nil {
+	if err := o.Maintenance.Report(c, x.Wave, x.State); err != nil {
 		a = dispatch.AnswerUnknown
 		o.Logger.Warn().Err(err).Int("Wave", x.Wave).Str("State", x.State).Msg("state of a wave was not written")
 	}
@@ -57,10 +57,10 @@
 	o.planner.Reported(x, a)
 }
 
-// followMachines reads the list of machines while a wave is open.
-func (o *Owner) followMachines(ctx context.Context) {
+// followInstances reads the list of instances while a wave is open.
+func (o *Owner) followInstances(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, machinesEvery)
+		pause(ctx, instancesEvery)
 		o.mu.Lock()
 		open := o.planner.HasMaintenance()
 		o.mu.Unlock()
@@ -68,16 +68,16 @@
 			continue
 		}
 		c, cancel := context.WithTimeout(ctx, maintainTimeout)
-		l, err := o.Machines.List(c)
+		l, err := o.Maintenance.List(c)
 		cancel()
 		if err != nil {
 			if ctx.Err() == nil {
-				o.Logger.Warn().Err(err).Msg("machines are not listed")
+				o.Logger.Warn().Err(err).Msg("instances are not listed")
 			}
 			continue
 		}
 		o.mu.Lock()
-		o.planner.SetMachines(l, time.Now())
+		o.planner.SetInstances(l, time.Now())
 		o.mu.Unlock()
 		o.notify()
 	}
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -44,13 +44,13 @@
 	StopWithin time.Duration
 	Lease      time.Duration
 	// Identity is how the group of instances names this process.
-	Identity  Identity
-	Store     Store
-	Workers   Workers
-	Directory Directory
-	Adviser   Adviser
-	Machines  Machines
-	// TurnAfter is the time in which two owners may not take turns in ordering a machine.
+	Identity    Identity
+	Store       Store
+	Workers     Workers
+	Directory   Directory
+	Adviser     Adviser
+	Maintenance Maintenance
+	// TurnAfter is the time in which two owners may not take turns in ordering an instance.
 	TurnAfter time.Duration
 	Operators Operators
 	State     *State
@@ -111,7 +111,7 @@
 func (i *Instance) own(ctx context.Context, epoch int64) {
 	i.Metrics.Add(metricTakeovers, "", 1)
 	RunOwner(ctx, OwnerConfig{
-		Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Adviser: i.Adviser, Machines: i.Machines,
+		Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Adviser: i.Adviser, Maintenance: i.Maintenance,
 		State: i.State, TurnAfter: i.TurnAfter,
 		ContactAt: i.member.ContactAt, Lease: i.Lease, Detached: detachedLimit, Metrics: i.Metrics, Logger: i.Logger,
 	}, epoch)
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -39,20 +39,20 @@
 
 // OwnerConfig holds what an owner needs.
 type OwnerConfig struct {
-	Store     Store
-	Replica   *Replica
-	Workers   Workers
-	Directory Directory
-	Adviser   Adviser
-	Machines  Machines
-	State     *State
+	Store       Store
+	Replica     *Replica
+	Workers     Workers
+	Directory   Directory
+	Adviser     Adviser
+	Maintenance Maintenance
+	State       *State
 	// ContactAt returns the instant of the latest word from the store that this instance is the owner.
 	ContactAt func() time.Time
 	// Lease is the longest lease that a worker is granted.
 	Lease time.Duration
 	// Detached is the longest time without word from the store for which leases are granted.
 	Detached time.Duration
-	// TurnAfter is the time after a takeover in which no machine is ordered.
+	// TurnAfter is the time after a takeover in which no instance is ordered.
 	TurnAfter time.Duration
 	Metrics   *Metrics
 	Logger    zerolog.Logger
@@ -100,7 +100,7 @@
 	defer o.Replica.SetOwned(false)
 	o.spawn(func() { o.followRequests(ctx) })
 	o.spawn(func() { o.followMembers(ctx) })
-	o.spawn(func() { o.followMachines(ctx) })
+	o.spawn(func() { o.followInstances(ctx) })
 	err := o.loop(ctx)
 	o.Logger.Info().AnErr("Cause", err).Int64("Epoch", epoch).Str("Decision", "OwnerStops").Msg("owner stops")
 }
--- a/internal/jobserve/workers.go
+++ b/internal/jobserve/workers.go
@@ -47,11 +47,11 @@
 	Advise(ctx context.Context, s dispatch.StepRef, workers []string) ([]dispatch.Permit, time.Time, error)
 }
 
-// Machines orders the maintenance of machines.
-type Machines interface {
-	List(ctx context.Context) ([]dispatch.Machine, error)
-	// Maintain takes a machine down; repeated for the same wave it has no further effect.
-	Maintain(ctx context.Context, machine string, wave int, fence int64) (dispatch.Answer, error)
+// Maintenance orders the maintenance of instances.
+type Maintenance interface {
+	List(ctx context.Context) ([]dispatch.Instance, error)
+	// Maintain takes an instance down; repeated for the same wave it has no further effect.
+	Maintain(ctx context.Context, instance string, wave int, fence int64) (dispatch.Answer, error)
 	// Report tells operators the state of a wave.
 	Report(ctx context.Context, wave int, state string) error
 }
