--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -24,7 +24,7 @@
 // load is what is known of the load of one long-running job.
 type load struct {
 	estimate
-	// Trend is the change of the load per second.
+	// trend is the change of the load per second.
 	trend float64
 	at    time.Time
 }
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -31,7 +31,7 @@
 
 // instanceState is how far the maintenance of an instance has come.
 type instanceState struct {
-	// Worker is the worker that the instance held when its maintenance was decided on.
+	// worker is the worker that the instance held when its maintenance was decided on.
 	worker     string
 	begunAt    time.Time
 	orderedAt  time.Time
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -33,7 +33,7 @@
 
 // advice is what is known of the workers that may run a step.
 type advice struct {
-	// Asked holds the lives of the workers that were asked about.
+	// asked holds the lives of the workers that were asked about.
 	asked   map[string]int64
 	permits map[string]permit
 	pending bool
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -120,7 +120,7 @@
 	if a.stopping {
 		return
 	}
-	a.stopping, a.stopReason = true, reason
+	a.stopping = true
 	p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", w.ID).Str("Decision", "Stop").Str("Reason", reason).Msg("attempt shall end")
 	p.sendStop(w, a, now)
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -52,7 +52,6 @@
 		p.running(w, x, now)
 	}
 	p.missing(w, present, r.AskedAt)
-	w.figuresAt = now
 	p.learnPressure(w, now)
 	p.logFigures(w, now)
 }
@@ -137,14 +136,10 @@
 	if a.phase != phaseRunning {
 		a.phase = phaseRunning
 		a.confirmedAt = now
-		a.progressAt = now
 	}
 	if x.Saved != "" && x.Saved != a.task.Saved {
 		a.task.Saved = x.Saved
 	}
-	if x.Percent > a.percent {
-		a.progressAt = now
-	}
 	a.load, a.percent, a.loadAt = x.Load, x.Percent, now
 }
 
@@ -197,7 +192,6 @@
 		if a.phase == phaseStarting {
 			a.phase = phaseRunning
 			a.confirmedAt = now
-			a.progressAt = now
 		}
 	case AnswerRefused, AnswerNoRoom, AnswerUnhealthy:
 		p.release(w, a, "start refused")
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -70,28 +70,25 @@
 	run   int
 	life  int64
 	phase phase
-	// Inherited tells that an earlier owner sent the start.
+	// inherited tells that an earlier owner sent the start.
 	inherited bool
-	// Reported tells that the incarnation of the attempt listed it.
+	// reported tells that the incarnation of the attempt listed it.
 	reported    bool
 	plannedAt   time.Time
 	confirmedAt time.Time
-	// Stopping tells that the attempt shall end; StopSentAt and stopAnsweredAt belong to the latest stop call.
+	// stopping tells that the attempt shall end; stopSentAt and stopAnsweredAt belong to the latest stop call.
 	stopping       bool
-	stopReason     string
 	stopSentAt     time.Time
 	stopAnsweredAt time.Time
-	// Load and percent are the worker's latest figures, and loadAt their age.
+	// load and percent are the worker's latest figures, and loadAt their age.
 	load    float64
 	percent int
 	loadAt  time.Time
 	pace    int
-	// SlowSince is when the pace fell below slowPace.
+	// slowSince is when the pace fell below slowPace.
 	slowSince time.Time
-	// OverSince is when the tail went over its bound, zero while it is below.
+	// overSince is when the tail went over its bound, zero while it is below.
 	overSince time.Time
-	// progressAt is when percent last rose.
-	progressAt time.Time
 }
 
 // worker is what the planner knows of a worker.
@@ -99,20 +96,20 @@
 	Member
 	listed bool
 	synced bool
-	// Fenced tells that the worker's incarnation has answered this owner, and so refuses earlier ones.
+	// fenced tells that the worker's incarnation has answered this owner, and so refuses earlier ones.
 	fenced bool
-	// Barred tells that a record names the worker as silent, so that it is granted no lease.
+	// barred tells that a record names the worker as silent, so that it is granted no lease.
 	barred bool
-	// Cordoned tells that the worker is emptied for the maintenance of its instance.
+	// cordoned tells that the worker is emptied for the maintenance of its instance.
 	cordoned bool
 	used     jobs.Resources
 	attempts map[jobs.Ref]*attempt
-	// Expected is the processor time that the attempts are expected to use, and wanted what the best-effort images among
+	// expected is the processor time that the attempts are expected to use, and wanted what the best-effort images among
 	// them would use at full pace, both in thousandths of a core; services are those with a bound.
 	expected int
 	wanted   map[string]int
 	services []*attempt
-	// LeaseUntil is the instant at which the last lease that any owner may have granted has surely ended.
+	// leaseUntil is the instant at which the last lease that any owner may have granted has surely ended.
 	leaseUntil time.Time
 	contactAt  time.Time
 	askedAt    time.Time
@@ -123,7 +120,6 @@
 	strikes    int
 	pacedAt    time.Time
 	learnedAt  time.Time
-	figuresAt  time.Time
 }
 
 func (w *worker) free() jobs.Resources { return w.Room.Minus(w.used) }
