--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -340,3 +340,25 @@
 	s.p.AddJob(j, s.now)
 	require.Len(t, s.plan()[OrderStart], 1)
 }
+
+// A job whose starts were planned and taken back, or refused, was told as running, and its queue as shorter than it was.
+func TestJobWaitsUntilAWorkerHasStartedATask(t *testing.T) {
+	s := newScene(t, 1)
+	j := testJob(testID(1), s.now, plainStep(1))
+	s.p.AddJob(j, s.now)
+	s.p.Plan(s.now)
+	_, l := s.p.Take()
+	require.Empty(t, s.p.Committed(l, s.now.Add(2*planLimit)))
+	require.Equal(t, jobs.StatePending, j.State())
+	o := s.plan()[OrderStart][0]
+	require.Equal(t, jobs.StatePending, j.State())
+	s.p.StartAnswered(o, AnswerUnhealthy, s.now)
+	require.Equal(t, jobs.StatePending, j.State())
+	s.after(2 * time.Second)
+	s.report("i-00", nil)
+	o = s.plan()[OrderStart][0]
+	s.p.StartAnswered(o, AnswerAccepted, s.now)
+	require.Equal(t, jobs.StateRunning, j.State())
+	changed, _ := s.p.Take()
+	require.Len(t, changed, 1, "the change has to be committed")
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -133,6 +133,7 @@
 		return
 	}
 	a.reported = true
+	p.confirmed(a)
 	if a.phase != phaseRunning {
 		a.phase = phaseRunning
 		a.confirmedAt = now
@@ -143,6 +144,13 @@
 	a.load, a.percent, a.loadAt = x.Load, x.Percent, now
 }
 
+// confirmed notes that a worker has started a task; a job of which nothing was started is told as waiting.
+func (p *Planner) confirmed(a *attempt) {
+	if a.job.Confirm() {
+		p.dirty[a.job.ID] = a.job
+	}
+}
+
 // stray stops what runs at a worker without an attempt that the planner knows of.
 func (p *Planner) stray(w *worker, x Running, now time.Time) {
 	if now.Sub(w.actedAt) < stopEvery {
@@ -189,6 +197,7 @@
 	a := w.attempts[o.Ref]
 	switch x {
 	case AnswerAccepted:
+		p.confirmed(a)
 		if a.phase == phaseStarting {
 			a.phase = phaseRunning
 			a.confirmedAt = now
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -168,11 +168,17 @@
 	t.State = TaskAssigned
 	t.Run++
 	t.Worker, t.Life = worker, life
-	j.Started = true
 	j.assigned++
 	return true
 }
 
+// Confirm notes that a worker has started a task, and tells whether that is the first of the job.
+func (j *Job) Confirm() bool {
+	first := !j.Started
+	j.Started = true
+	return first
+}
+
 // AssignGang begins one attempt of all tasks of a gang; workers and lives are in the order of the tasks.
 func (j *Job) AssignGang(a []*Task, workers []string, lives []int64, now time.Time) bool {
 	run := 0
@@ -206,6 +212,7 @@
 	if t.State != TaskAssigned || t.Run != run {
 		return false
 	}
+	j.Started = true
 	if saved != "" {
 		j.save(t, saved)
 	}
