--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -137,6 +137,25 @@
 	})
 }
 
+// RemainingPart returns the part of the occurrence's work, from 0 to 1, that is still to be done.
+func (j *Job) RemainingPart(k int, estimate func(*Step) time.Duration) float64 {
+	var left, whole float64
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		w := float64(estimate(s)) * float64(max(s.Size.MilliCPU, 1))
+		for _, t := range j.Tasks[k][i] {
+			whole += w
+			if t.State != TaskDone {
+				left += w
+			}
+		}
+	}
+	if whole == 0 {
+		return 1
+	}
+	return left / whole
+}
+
 // Chain returns the longest chain of estimated work of the steps.
 func Chain(s []Step, estimate func(*Step) time.Duration) time.Duration {
 	return chain(s, func(i int) time.Duration { return estimate(&s[i]) })
