Share the owner's calls to workers out over the other instances

Weighed: decisions through the log to other instances (a commit and a read more on each start's way); relays that get the owner's calls over connections of their own (built): decisions, leases and fences stay where they are.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/relay"
 	"currantknot.dev/currantknot/internal/settings"
 	"currantknot.dev/currantknot/platform"
 )
@@ -42,7 +43,7 @@
 	w := jobserve.NewLogWriter(os.Stdout)
 	defer func() { w.Close(time.Now().Add(logCloseLimit)) }()
 	l := newJobsLogger(w, c.LogLevel, s.Name)
-	x := jobserve.NewIdentity(s.Name, s.Processors, time.Now())
+	x := jobserve.NewIdentity(s.Name, s.Processors, s.RelayListen, time.Now())
 	log := platform.NewStore(s.StoreAddress, x.String())
 	go c.reload(ctx, log, l)
 	if err := newJobsInstance(s, x, c.MetricsListen, log, w, l).Run(ctx); err != nil {
@@ -57,11 +58,16 @@
 	store := jobserve.MeasureStore(log, m)
 	state := &jobserve.State{}
 	replica := jobserve.NewReplica(store, l)
+	workers := platform.NewWorkers()
+	node := &relay.Node{
+		Listen: s.RelayListen, Pool: relay.NewPool(workers, l),
+		Agent: relay.NewAgent(relay.Hello{Name: s.Name, FailureDomain: s.FailureDomain}, jobserve.MeasureWorkers(workers, m), l),
+	}
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, StopWithin: s.StopWithin,
 		Lease: min(s.LongestLease, longestLease), TurnAfter: s.TurnAfter, Identity: x,
 		Store: store, Replica: replica, State: state,
-		Workers: jobserve.MeasureWorkers(platform.NewWorkers(), m), Directory: platform.NewDirectory(log, l),
+		Workers: jobserve.MeasureWorkers(node, m), Relays: node, Directory: platform.NewDirectory(log, l),
 		Adviser: platform.NewAdviser(s.AdviserAddress), Maintenance: platform.NewMachines(s.MachinesAddress, s.Name, log),
 		Operators: platform.NewOperator(log, l), Front: platform.NewFront(state, jobserve.NewService(store, replica, l), l),
 		MetricsListen: metrics, Metrics: m, Log: w, Logger: l,
--- /dev/null
+++ b/internal/frame/frame.go
@@ -0,0 +1,72 @@
+package frame
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxBytes bounds a frame; the largest carries the state of the document.
+const MaxBytes = 64 << 20
+
+const lengthBytes = 4
+
+// Error reports a frame that is no message.
+type Error struct {
+	Reason string
+}
+
+// Error returns the reason.
+func (e *Error) Error() string { return "frame: " + e.Reason }
+
+// Write writes a message and returns the number of bytes.
+func Write(w io.Writer, m any) (int, error) {
+	b, err := msgpack.Marshal(m)
+	if err != nil {
+		return 0, fmt.Errorf("encode message: %w", err)
+	}
+	if len(b) > MaxBytes {
+		return 0, &Error{Reason: fmt.Sprintf("%d bytes are more than %d", len(b), MaxBytes)}
+	}
+	f := make([]byte, lengthBytes, lengthBytes+len(b))
+	binary.BigEndian.PutUint32(f, uint32(len(b))) //nolint:gosec // bounded by MaxBytes
+	n, err := w.Write(append(f, b...))
+	if err != nil {
+		return n, fmt.Errorf("write frame: %w", err)
+	}
+	return n, nil
+}
+
+// Read reads a message into the value that m points to and returns the number of bytes, or an *Error for what is none.
+func Read(r io.Reader, m any) (int, error) {
+	var h [lengthBytes]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return 0, fmt.Errorf("read frame: %w", err)
+	}
+	n := binary.BigEndian.Uint32(h[:])
+	if n > MaxBytes {
+		return lengthBytes, &Error{Reason: fmt.Sprintf("%d bytes are more than %d", n, MaxBytes)}
+	}
+	b, err := readAll(r, int(n))
+	if err != nil {
+		return lengthBytes, err
+	}
+	if err := msgpack.Unmarshal(b, m); err != nil {
+		return lengthBytes + len(b), &Error{Reason: err.Error()}
+	}
+	return lengthBytes + len(b), nil
+}
+
+// readAll reads n bytes in steps, so that a false length claims no memory.
+func readAll(r io.Reader, n int) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err != nil {
+		return nil, fmt.Errorf("read frame: %w", err)
+	}
+	if len(b) < n {
+		return nil, fmt.Errorf("read frame: %w", io.ErrUnexpectedEOF)
+	}
+	return b, nil
+}
--- a/internal/jobserve/contact.go
+++ b/internal/jobserve/contact.go
@@ -80,7 +80,7 @@
 	defer o.mu.Unlock()
 	now := time.Now()
 	a := o.acknowledged[m.ID]
-	s := Sync{Worker: m.ID, Address: m.Address, Life: a.life, Fence: o.epoch, Acknowledged: a.number, WaitUntil: now}
+	s := Sync{Worker: m.ID, Address: m.Address, FailureDomain: m.FailureDomain, Life: a.life, Fence: o.epoch, Acknowledged: a.number, WaitUntil: now}
 	if failures == 0 && !first {
 		s.WaitUntil = now.Add(o.wait(m.ID))
 	}
--- a/internal/jobserve/group.go
+++ b/internal/jobserve/group.go
@@ -11,26 +11,28 @@
 	// identitySeparator stands between the parts of an identity's text.
 	identitySeparator = "|"
 	// identityParts is the number of these parts.
-	identityParts = 3
+	identityParts = 4
 	// clearlyStronger is the factor in processors from which one instance counts as stronger than another.
 	clearlyStronger = 1.5
 )
 
-// Identity is how the group names one process: its instance, the processors that it may use in cores, and its start.
+// Identity is how the group names one process: its instance, the processors that it may use in cores, its start, and the
+// address at which relays find it, which may be empty.
 type Identity struct {
 	Name       string
 	Processors float64
 	Start      string
+	Address    string
 }
 
 // NewIdentity returns the identity of a process that starts now, which no earlier process of the instance had.
-func NewIdentity(name string, processors float64, now time.Time) Identity {
-	return Identity{name, processors, strconv.FormatInt(now.UnixNano(), 36)}
+func NewIdentity(name string, processors float64, address string, now time.Time) Identity {
+	return Identity{name, processors, strconv.FormatInt(now.UnixNano(), 36), address}
 }
 
 // String returns the text by which the store knows the process.
 func (x Identity) String() string {
-	return fmt.Sprintf("%s%s%.3f%s%s", x.Name, identitySeparator, x.Processors, identitySeparator, x.Start)
+	return strings.Join([]string{x.Name, fmt.Sprintf("%.3f", x.Processors), x.Start, x.Address}, identitySeparator)
 }
 
 func parseIdentity(s string) Identity {
@@ -42,7 +44,7 @@
 	if err != nil {
 		n = 0
 	}
-	return Identity{p[0], n, p[2]}
+	return Identity{p[0], n, p[2], p[3]}
 }
 
 // isStronger tells whether x has clearly more processors than y.
@@ -59,6 +61,17 @@
 	return g
 }
 
+// addresses returns where relays find the members besides one.
+func (g group) addresses(but Identity) []string {
+	var l []string
+	for _, m := range g {
+		if m.Address != "" && m.Address != but.Address {
+			l = append(l, m.Address)
+		}
+	}
+	return l
+}
+
 // isNeeded tells whether too few members are as strong as an instance outside the group.
 func (g group) isNeeded(x Identity) bool {
 	n := 0
--- a/internal/jobserve/group_test.go
+++ b/internal/jobserve/group_test.go
@@ -9,7 +9,7 @@
 )
 
 func testIdentity(n int, processors float64) Identity {
-	return NewIdentity(fmt.Sprintf("node-%02d", n), processors, time.Unix(int64(n), 0))
+	return NewIdentity(fmt.Sprintf("node-%02d", n), processors, fmt.Sprintf("10.0.0.%d:7720", n), time.Unix(int64(n), 0))
 }
 
 func TestIdentitySurvivesItsText(t *testing.T) {
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -47,6 +47,7 @@
 	Identity    Identity
 	Store       Store
 	Workers     Workers
+	Relays      Relays
 	Directory   Directory
 	Adviser     Adviser
 	Maintenance Maintenance
@@ -79,13 +80,17 @@
 	i := &Instance{InstanceConfig: c}
 	i.Front = measuredHandler(c.Metrics, c.Front)
 	i.gauges()
-	i.member = NewMember(c.Store, c.Identity, c.Logger, i.own)
+	i.member = NewMember(c.Store, c.Identity, c.Logger, i.own, i.onGroup)
 	return i
 }
 
+// onGroup makes calls to workers for the other members of the group, one of which owns the jobs.
+func (i *Instance) onGroup(g group) { i.Relays.SetOwners(g.addresses(i.Identity)) }
+
 // gauges registers what is known of the instance's state.
 func (i *Instance) gauges() {
 	i.Metrics.Gauge(metricOwner, func() float64 { return number(i.member.IsOwner()) })
+	i.Metrics.Gauge(metricRelays, func() float64 { return float64(i.Relays.Relays()) })
 	i.Metrics.Gauge(metricReady, func() float64 { return number(i.isReady()) })
 	i.Metrics.Gauge(metricStoreAge, func() float64 { return i.storeAge().Seconds() })
 	i.Metrics.Gauge(metricJobs, func() float64 { return float64(len(i.Replica.IDs())) })
@@ -138,6 +143,7 @@
 	member, leave := context.WithCancel(background)
 	var o sync.WaitGroup
 	o.Go(func() { i.member.Run(member) })
+	go i.runRelays(background)
 	go i.followOperators(background)
 	go i.followReplica(background)
 	<-ctx.Done()
@@ -156,6 +162,7 @@
 	c, cancel := context.WithDeadline(context.Background(), begun.Add(i.StopWithin-stopMargin))
 	defer cancel()
 	front.SetKeepAlivesEnabled(false)
+	i.Relays.Leave()
 	leave()
 	left := make(chan struct{})
 	go func() {
@@ -188,6 +195,13 @@
 	return s, nil
 }
 
+// runRelays shares calls to workers out; without it every owner makes all calls itself.
+func (i *Instance) runRelays(ctx context.Context) {
+	if err := i.Relays.Run(ctx); err != nil && ctx.Err() == nil {
+		i.Logger.Error().Err(err).Str("Decision", "NoRelays").Msg("calls to workers are not shared out")
+	}
+}
+
 // ready answers the balancer's probe.
 func (i *Instance) ready(w http.ResponseWriter, _ *http.Request) {
 	if i.isReady() {
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -38,6 +38,8 @@
 	store  Store
 	logger zerolog.Logger
 	run    func(ctx context.Context, epoch int64)
+	// seen is told of the group whenever it was looked at.
+	seen func(group)
 	// contactAt is the instant of the latest renewal that was answered, in nanoseconds since 1970.
 	contactAt atomic.Int64
 	suspends  *suspensions
@@ -61,12 +63,12 @@
 
 // NewMember returns a member that runs the function while this instance is the owner; the owner has most to do, so that
 // instances with more processors join first.
-func NewMember(s Store, x Identity, l zerolog.Logger, run func(ctx context.Context, epoch int64)) *Member {
+func NewMember(s Store, x Identity, l zerolog.Logger, run func(ctx context.Context, epoch int64), seen func(group)) *Member {
 	p := mostPatience
 	if x.Processors > 0 {
 		p = min(p, time.Duration(float64(weakness)/x.Processors))
 	}
-	return &Member{store: s, logger: l, run: run, identity: x, patience: p, suspends: newSuspensions()}
+	return &Member{store: s, logger: l, run: run, seen: seen, identity: x, patience: p, suspends: newSuspensions()}
 }
 
 // Run keeps the instance in the group while that needs it, until the context ends.
@@ -136,7 +138,9 @@
 		}
 		return nil, false
 	}
-	return newGroup(names), true
+	g := newGroup(names)
+	m.seen(g)
+	return g, true
 }
 
 // renew keeps the membership and begins or ends the ownership that follows from it.
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -15,6 +15,7 @@
 	{metricCommits, "counter", "records of progress that the owner committed"},
 	{metricTakeovers, "counter", "times that this instance began to own the jobs"},
 	{metricOwner, "gauge", "1 while this instance owns the jobs"},
+	{metricRelays, "gauge", "instances that call workers for this one"},
 	{metricReady, "gauge", "1 while this instance tells the balancer that it is ready"},
 	{metricVersion, "gauge", "version of the configuration in force"},
 	{metricStoreAge, "gauge", "age of the last word from the store, in seconds"},
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -21,6 +21,7 @@
 	metricEnds         = "currantknot_ends_total"
 	metricTakeovers    = "currantknot_takeovers_total"
 	metricOwner        = "currantknot_owner"
+	metricRelays       = "currantknot_relays"
 	metricReady        = "currantknot_ready"
 	metricVersion      = "currantknot_configuration_version"
 	metricStoreAge     = "currantknot_store_age_seconds"
--- a/internal/jobserve/suspension.go
+++ b/internal/jobserve/suspension.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"golang.org/x/sys/unix"
+	"currantknot.dev/currantknot/internal/bootclock"
 )
 
 // suspensionLimit is the time that has to be missing on the steady clock to count as a suspension.
@@ -14,25 +14,12 @@
 	gap time.Duration
 }
 
-func newSuspensions() *suspensions { return &suspensions{gap: clockGap()} }
+func newSuspensions() *suspensions { return &suspensions{gap: bootclock.Suspended()} }
 
 // passed tells whether the instance was suspended since the last call.
 func (s *suspensions) passed() bool {
-	g := clockGap()
+	g := bootclock.Suspended()
 	d := g - s.gap
 	s.gap = g
 	return d > suspensionLimit
 }
-
-// clockGap returns how far the clock that counts suspensions is ahead of the one that does not.
-func clockGap() time.Duration {
-	return clock(unix.CLOCK_BOOTTIME) - clock(unix.CLOCK_MONOTONIC)
-}
-
-func clock(id int32) time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(id, &t); err != nil {
-		return 0
-	}
-	return time.Duration(t.Nano())
-}
--- a/internal/jobserve/workers.go
+++ b/internal/jobserve/workers.go
@@ -9,8 +9,9 @@
 
 // Sync asks a worker for a report and renews its lease.
 type Sync struct {
-	Worker  string
-	Address string
+	Worker        string
+	Address       string
+	FailureDomain string
 	// Life is the incarnation whose ends are acknowledged.
 	Life         int64
 	Fence        int64
@@ -36,6 +37,18 @@
 	Forget(worker string)
 }
 
+// Relays connects this instance with those that call workers for it, and with those for which it does.
+type Relays interface {
+	// Run serves until the context ends.
+	Run(ctx context.Context) error
+	// SetOwners names the addresses of the other instances that may own the jobs.
+	SetOwners(addresses []string)
+	// Leave makes the owners send no more calls; those under way are finished.
+	Leave()
+	// Relays returns the number of instances that call workers for this one.
+	Relays() int
+}
+
 // Directory lists the workers as the platform knows them.
 type Directory interface {
 	Members(ctx context.Context) ([]dispatch.Member, error)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -15,6 +15,8 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+
+	"currantknot.dev/currantknot/internal/frame"
 )
 
 const (
@@ -166,7 +168,7 @@
 }
 
 func (m *Mesh) countBad(err error, from string) {
-	var f *FrameError
+	var f *frame.Error
 	if errors.As(err, &f) {
 		m.Counts.BadFrames.Add(1)
 		m.Logger.Warn().Err(err).Str("From", from).Msg("peer connection closed")
--- /dev/null
+++ b/internal/relay/pool.go
@@ -0,0 +1,203 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"currantknot.dev/currantknot/internal/dispatch"
+	"currantknot.dev/currantknot/internal/jobserve"
+)
+
+const (
+	// answerMargin is kept of the time for an answer, so that a relay's word arrives before the owner gives up.
+	answerMargin = 80 * time.Millisecond
+	// defaultTimeout bounds a call whose caller sets no deadline.
+	defaultTimeout = 3 * time.Second
+)
+
+// Pool calls workers through the relays that are connected, and by itself where there is none.
+type Pool struct {
+	local  jobserve.Workers
+	logger zerolog.Logger
+
+	mu     sync.Mutex
+	links  map[string]*link
+	relays map[string]Hello
+	homes  *homes
+}
+
+// NewPool returns a pool without relays; it calls by itself through the given workers.
+func NewPool(local jobserve.Workers, l zerolog.Logger) *Pool {
+	return &Pool{local: local, logger: l, links: make(map[string]*link), relays: make(map[string]Hello), homes: newHomes()}
+}
+
+// Run takes connections of relays in until the context ends.
+func (p *Pool) Run(ctx context.Context, l net.Listener) error {
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	var w sync.WaitGroup
+	defer w.Wait()
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept relay: %w", err)
+		}
+		w.Go(func() { p.serve(ctx, c) })
+	}
+}
+
+// serve keeps one connection until it ends.
+func (p *Pool) serve(ctx context.Context, c net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	l := newLink(c)
+	var w sync.WaitGroup
+	w.Go(func() {
+		if err := l.write(); err != nil {
+			p.logger.Debug().Err(err).Msg("frame to a relay was not written")
+			_ = c.Close()
+		}
+	})
+	err := l.read(func(m *toOwner) { p.took(l, m) })
+	close(l.closed)
+	_ = c.Close()
+	w.Wait()
+	p.remove(l, err)
+}
+
+// took takes in what a relay says of itself.
+func (p *Pool) took(l *link, m *toOwner) {
+	if m.Hello == nil && !m.Leaving {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m.Hello != nil {
+		p.links[m.Hello.Name], p.relays[m.Hello.Name] = l, *m.Hello
+		p.logger.Info().Str("Relay", m.Hello.Name).Str("FailureDomain", m.Hello.FailureDomain).Int("Relays", len(p.relays)).Str("Decision", "RelayConnected").Msg("an instance makes calls for this one")
+	}
+	if m.Leaving {
+		p.leave(l, "the relay stops")
+	}
+}
+
+// leave sends no more calls through a connection; p.mu is held.
+func (p *Pool) leave(l *link, reason string) {
+	for n, x := range p.links {
+		if x != l {
+			continue
+		}
+		delete(p.links, n)
+		delete(p.relays, n)
+		p.logger.Info().Str("Relay", n).Int("Relays", len(p.relays)).Str("Reason", reason).Str("Decision", "RelayLost").Msg("an instance no longer makes calls for this one")
+	}
+}
+
+func (p *Pool) remove(l *link, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reason := "connection ended"
+	if err != nil {
+		reason = err.Error()
+	}
+	p.leave(l, reason)
+}
+
+// Relays returns the number of relays that are connected.
+func (p *Pool) Relays() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.relays)
+}
+
+// home returns the relay for a worker and its connection, nil where this instance calls by itself.
+func (p *Pool) home(worker, domain string) (string, *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.homes.of(worker, domain, p.relays)
+	return n, p.links[n]
+}
+
+// settle notes whether a worker answered through a relay. An order without an answer tells nothing of the relay, since
+// workers may leave orders unanswered.
+func (p *Pool) settle(c *call, relay string, answered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case answered:
+		p.homes.succeed(c.Worker)
+	case c.Order == nil:
+		p.homes.fail(c.Worker, relay)
+	}
+}
+
+// Sync implements jobserve.Workers.
+func (p *Pool) Sync(ctx context.Context, s jobserve.Sync) (dispatch.Report, error) {
+	n, l := p.home(s.Worker, s.FailureDomain)
+	if l == nil {
+		return p.local.Sync(ctx, s)
+	}
+	asked := time.Now()
+	a, err := p.exchange(ctx, n, l, syncCall(s, until(ctx)))
+	if err != nil {
+		return dispatch.Report{}, err
+	}
+	return a.report(s.Worker, asked), nil
+}
+
+// Carry implements jobserve.Workers.
+func (p *Pool) Carry(ctx context.Context, s jobserve.Start) (dispatch.Answer, error) {
+	n, l := p.home(s.Worker, "")
+	if l == nil {
+		return p.local.Carry(ctx, s)
+	}
+	a, err := p.exchange(ctx, n, l, orderCall(s, until(ctx)))
+	if err != nil {
+		return dispatch.AnswerUnknown, err
+	}
+	return a.Outcome, nil
+}
+
+// Forget implements jobserve.Workers.
+func (p *Pool) Forget(worker string) {
+	p.local.Forget(worker)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.homes.forget(worker)
+}
+
+// until returns the instant after which a relay shall not make a call.
+func until(ctx context.Context) time.Time {
+	d, ok := ctx.Deadline()
+	if !ok {
+		d = time.Now().Add(defaultTimeout)
+	}
+	return d.Add(-answerMargin)
+}
+
+// exchange makes a call through a relay.
+func (p *Pool) exchange(ctx context.Context, name string, l *link, c call) (answer, error) {
+	a, err := l.call(ctx, name, c)
+	switch {
+	case errors.Is(err, context.Canceled):
+		return a, err
+	case err != nil:
+		p.settle(&c, name, false)
+		return a, err
+	case a.Fenced:
+		return a, fmt.Errorf("worker %s through relay %s: %w", c.Worker, name, jobserve.ErrFenced)
+	case a.Failure != "":
+		p.settle(&c, name, false)
+		return a, &LinkError{name, a.Failure}
+	}
+	p.settle(&c, name, true)
+	return a, nil
+}
