Rate the workers once for all tasks of a step

Cause: with calls shared out the owner still used 0.45 of a core; a profile of the owner alone (BenchmarkOwner, 490 workers) showed 71% in the choice of a worker, which rated every worker anew for each task and looked the pressures up by name.

--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -42,13 +42,13 @@
 	added := w.part(float64(s.Size.MilliCPU))
 	e := 1.0
 	for _, a := range w.services {
-		x := p.pressure.of(a.task.Spec.Image)
+		x, u := p.model(a)
 		q := x.pair(s.Image).cautious()
 		if q < leastPressure {
 			continue
 		}
 		r := q * added
-		l := max(usualLoad, p.pressure.load(a.task.Job).ahead(now.Add(placeAhead)))
+		l := max(usualLoad, u.ahead(now.Add(placeAhead)))
 		e = min(e, max(0, x.bearable(l)-x.slowdownAt(w))/r)
 	}
 	return e
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -90,8 +90,8 @@
 
 // limit lowers the parts of the images that press on a service to what it can bear at an instant.
 func (p *Planner) limit(w *worker, a *attempt, part map[string]float64, at time.Time) {
-	s := p.pressure.of(a.task.Spec.Image)
-	room := s.bearable(p.pressure.load(a.task.Job).ahead(at))
+	s, l := p.model(a)
+	room := s.bearable(l.ahead(at))
 	var light, heavy float64
 	for f, n := range w.wanted {
 		u := w.part(float64(n))
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -42,19 +42,24 @@
 
 // placeStep starts as many tasks of a step as there is room for.
 func (p *Planner) placeStep(c *candidate, now time.Time) {
+	if p.isFull(c, c.tasks[0]) {
+		return
+	}
+	l := p.rate(c, now)
 	for _, t := range c.tasks {
-		w := p.choose(c, t, c.step.LongRunning, now)
-		if w == nil && c.step.LongRunning && p.reserve.overdue(t, now) && p.roomFor(c, t, now) >= ampleRoom {
-			w = p.choose(c, t, false, now)
+		r := p.choose(c, t, c.step.LongRunning, l)
+		if r == nil && c.step.LongRunning && p.reserve.overdue(t, now) && p.roomFor(c, t, now) >= ampleRoom {
+			r = p.choose(c, t, false, l)
 		}
-		if w == nil {
+		if r == nil {
 			if c.job.Queue.NeedsPermit {
 				p.askAdvice(c, now)
 			}
 			return
 		}
 		delete(p.reserve.waiting, t.Ref)
-		p.assign(c.job, t, w, now)
+		p.assign(c.job, t, r.worker, now)
+		r.score, r.ok = p.score(r.worker, c, now)
 	}
 }
 
@@ -92,27 +97,46 @@
 		Int("FreeMilliCPU", w.free().MilliCPU).Int("FreeMemoryMB", w.free().MemoryMB).Dur("ReportAge", now.Sub(w.contactAt)).Dur("JobAge", now.Sub(j.SubmittedAt)).Msg("task is placed")
 }
 
-// choose returns the worker for a task, nil where none has room.
-//
-// With the reserve kept, workers are left out that the task would fill beyond it.
-func (p *Planner) choose(c *candidate, t *jobs.Task, keepReserve bool, now time.Time) *worker {
-	var (
-		best *worker
-		top  float64
-	)
-	if p.isFull(c, t) {
-		return nil
-	}
+// rating is how well a worker suits the tasks of a step.
+type rating struct {
+	worker *worker
+	score  float64
+	// ok tells that the worker may get such a task.
+	ok bool
+}
+
+// rate rates the workers that may run a step, once for all its tasks.
+func (p *Planner) rate(c *candidate, now time.Time) []rating {
+	l := p.ratings[:0]
+	t := c.tasks[0]
+	ref := StepRef{t.Job, t.Occurrence, t.Step}
 	for _, w := range p.open {
-		if !p.takes(w, c, t, keepReserve, now) {
+		if w.Pool != c.job.Queue.Pool || !w.hasLabel(c.step.Label) || !w.free().Holds(c.step.Held()) {
 			continue
 		}
-		s, ok := p.score(w, c, now)
-		if !ok {
+		if _, ok := p.permitted(w, c.job, ref, now); !ok {
 			continue
 		}
-		if best == nil || s > top || s == top && w.ID < best.ID {
-			best, top = w, s
+		if s, ok := p.score(w, c, now); ok {
+			l = append(l, rating{w, s, true})
+		}
+	}
+	p.ratings = l
+	return l
+}
+
+// choose returns the best of the rated workers for a task, nil where none has room.
+//
+// With the reserve kept, workers are left out that the task would fill beyond it.
+func (p *Planner) choose(c *candidate, t *jobs.Task, keepReserve bool, l []rating) *rating {
+	var best *rating
+	for i := range l {
+		r := &l[i]
+		if !r.ok || best != nil && (r.score < best.score || r.score == best.score && r.worker.ID > best.worker.ID) {
+			continue
+		}
+		if p.takes(r.worker, c, t, keepReserve) {
+			best = r
 		}
 	}
 	if best == nil {
@@ -121,19 +145,15 @@
 	return best
 }
 
-// takes tells whether a worker that may get new tasks may get the given one.
-func (p *Planner) takes(w *worker, c *candidate, t *jobs.Task, keepReserve bool, now time.Time) bool {
-	if w.Pool != c.job.Queue.Pool || !w.hasLabel(c.step.Label) || !w.free().Holds(c.step.Held()) || p.isCrowded(w, c, t) {
+// takes tells whether a worker that was rated for a step has room for one more of its tasks.
+func (p *Planner) takes(w *worker, c *candidate, t *jobs.Task, keepReserve bool) bool {
+	if !w.free().Holds(c.step.Held()) || p.isCrowded(w, c, t) {
 		return false
 	}
 	if keepReserve && !p.reserve.allows(w, c.step) {
 		return false
 	}
-	if slices.Contains(t.FailedAt, w.ID) && len(t.FailedAt) < len(p.workers)/2 {
-		return false
-	}
-	_, ok := p.permitted(w, c.job, StepRef{t.Job, t.Occurrence, t.Step}, now)
-	return ok
+	return !slices.Contains(t.FailedAt, w.ID) || len(t.FailedAt) >= len(p.workers)/2
 }
 
 // fullKey names best-effort work that finds room at the same workers.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -43,6 +43,8 @@
 	// open holds the workers that may get tasks in the present plan, and full what found no room in it.
 	open      []*worker
 	full      map[fullKey]jobs.Resources
+	// ratings is the room for the ratings of one step, used again and again.
+	ratings   []rating
 	orders    []Order
 	takenAt   time.Time
 	learned   *estimates
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -103,6 +103,15 @@
 	return l
 }
 
+// model returns what is known of the image and of the load of a long-running task.
+func (p *Planner) model(a *attempt) (*sensitivity, *load) {
+	if a.knownBy != p.pressure {
+		a.knownBy = p.pressure
+		a.sensitivity, a.jobLoad = p.pressure.of(a.task.Spec.Image), p.pressure.load(a.task.Job)
+	}
+	return a.sensitivity, a.jobLoad
+}
+
 func (s *sensitivity) pair(image string) *estimate {
 	e := s.pairs[image]
 	if e == nil {
@@ -211,6 +220,7 @@
 		if a.phase != phaseRunning || now.Sub(a.confirmedAt) < settleTime || a.load <= 0 {
 			continue
 		}
-		p.pressure.of(a.task.Spec.Image).learn(p.pressure.load(a.task.Job), tailPart(a), u, now)
+		x, l := p.model(a)
+		x.learn(l, tailPart(a), u, now)
 	}
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -87,6 +87,10 @@
 	pace    int
 	// slowSince is when the pace fell below slowPace.
 	slowSince time.Time
+	// sensitivity and jobLoad are what knownBy holds of a long-running task; they are nil until they are asked for.
+	knownBy     *pressure
+	sensitivity *sensitivity
+	jobLoad     *load
 	// overSince is when the tail went over its bound, zero while it is below.
 	overSince time.Time
 }
