--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"currantknot.dev/currantknot/internal/jobs"
@@ -39,19 +40,31 @@
 
 // expectedPace returns the part of its speed at which a best-effort task would work beside the services of a worker.
 func (p *Planner) expectedPace(w *worker, s *jobs.Step, now time.Time) float64 {
-	added := w.part(float64(s.Size.MilliCPU))
-	e := 1.0
+	return min(1, p.pressureRoom(w, s.Image, now)/w.part(float64(s.Size.MilliCPU)))
+}
+
+// pressureRoom returns the part of a worker's processors that tasks of a best-effort image may use beside its services. It
+// is kept for the present plan, until the worker's attempts change.
+func (p *Planner) pressureRoom(w *worker, image string, now time.Time) float64 {
+	if w.roomAt != now {
+		w.roomAt = now
+		clear(w.room)
+	}
+	if r, ok := w.room[image]; ok {
+		return r
+	}
+	r := math.Inf(1)
 	for _, a := range w.services {
 		x, u := p.model(a)
-		q := x.pair(s.Image).cautious()
+		q := x.pair(image).cautious()
 		if q < leastPressure {
 			continue
 		}
-		r := q * added
 		l := max(usualLoad, u.ahead(now.Add(placeAhead)))
-		e = min(e, max(0, x.bearable(l)-x.slowdownAt(w))/r)
+		r = min(r, max(0, x.bearable(l)-x.slowdownAt(w))/q)
 	}
-	return e
+	w.room[image] = r
+	return r
 }
 
 // spare returns the processors that another best-effort task may expect besides what runs.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -141,7 +141,7 @@
 func (p *Planner) worker(id string) *worker {
 	w := p.workers[id]
 	if w == nil {
-		w = &worker{Member: Member{ID: id}, attempts: make(map[jobs.Ref]*attempt), wanted: make(map[string]int)}
+		w = &worker{Member: Member{ID: id}, attempts: make(map[jobs.Ref]*attempt), wanted: make(map[string]int), room: make(map[string]float64)}
 		w.leaseUntil = p.leaseEnd(p.takenAt.Add(p.Detached))
 		p.workers[id] = w
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -113,6 +113,9 @@
 	expected int
 	wanted   map[string]int
 	services []*attempt
+	// room holds, by best-effort image, what the plan of an instant found of its pressure on the services.
+	room   map[string]float64
+	roomAt time.Time
 	// leaseUntil is the instant at which the last lease that any owner may have granted has surely ended.
 	leaseUntil time.Time
 	contactAt  time.Time
@@ -131,6 +134,7 @@
 func (w *worker) hasLabel(l string) bool { return l == "" || slices.Contains(w.Labels, l) }
 
 func (w *worker) add(a *attempt) {
+	clear(w.room)
 	w.attempts[a.task.Ref] = a
 	w.used = w.used.Plus(a.task.Spec.Held())
 	w.expected += expectedUse(a.task.Spec)
@@ -146,6 +150,7 @@
 	if w.attempts[a.task.Ref] != a {
 		return
 	}
+	clear(w.room)
 	delete(w.attempts, a.task.Ref)
 	w.used = w.used.Minus(a.task.Spec.Held())
 	w.expected -= expectedUse(a.task.Spec)
