Decide alike for the same events; let tasks return to where they failed; say why a task waits

It replays a seeded load, but the planner walked its workers, attempts and images in the order of maps, so that ties, limits and sums differed from run to run. They are kept in order now; the replay gives one result for each seed. Workers where a task failed now come last: at once for long-running tasks, after 1.5 s for those with a budget of attempts. A line each 2 s tells of a waiting job for how long it has waited and beside what room.

--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -18,7 +18,7 @@
 		return
 	}
 	var b strings.Builder
-	for _, a := range w.attempts {
+	for _, a := range w.list {
 		s := a.task.Spec
 		fmt.Fprintf(&b, "%s,%s,%d,%d,%.1f,%d,%d,%d,%.2f;", kindOf(a), s.Image, s.Size.MilliCPU, s.TailBound.Milliseconds(), a.load, a.percent, a.pace, a.phase, now.Sub(a.confirmedAt).Seconds())
 	}
--- a/internal/dispatch/knowledge.go
+++ b/internal/dispatch/knowledge.go
@@ -92,7 +92,7 @@
 
 // HasNewSilence tells whether a worker that holds attempts has fallen silent, or answers again, since the last record.
 func (p *Planner) HasNewSilence() bool {
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		silent := len(w.attempts) > 0 && w.failures >= silentFailures
 		if silent != w.barred {
 			p.silentChanged = true
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -176,7 +176,7 @@
 func (p *Planner) empty(w *worker, s *instanceState, now time.Time) bool {
 	patient := now.Sub(s.begunAt) < vacateLimit
 	clear := true
-	for _, a := range w.attempts {
+	for _, a := range w.list {
 		switch {
 		case a.stopping:
 			clear = false
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -33,7 +33,7 @@
 // load that is expected when the change has its effect follows the slowdown
 // that each service can bear, and the images that press on it share that.
 func (p *Planner) control(now time.Time) {
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		if now.Sub(w.pacedAt) < paceEvery || !w.isReachable(now) {
 			continue
 		}
@@ -46,7 +46,7 @@
 		return
 	}
 	paces := p.paces(w, now)
-	for _, a := range w.attempts {
+	for _, a := range w.list {
 		if !a.task.Spec.BestEffort || a.phase != phaseRunning || a.stopping {
 			continue
 		}
@@ -66,8 +66,8 @@
 // paces returns the pace of each image that leaves every service below its goal.
 func (p *Planner) paces(w *worker, now time.Time) map[string]int {
 	part := make(map[string]float64, len(w.wanted))
-	for f := range w.wanted {
-		part[f] = 1
+	for _, x := range w.wanted {
+		part[x.image] = 1
 	}
 	most := 1.0
 	for _, a := range w.services {
@@ -93,9 +93,9 @@
 	s, l := p.model(a)
 	room := s.bearable(l.ahead(at))
 	var light, heavy float64
-	for f, n := range w.wanted {
-		u := w.part(float64(n))
-		if x := s.pair(f).Mean; x < leastPressure {
+	for _, c := range w.wanted {
+		u := w.part(c.milliCPU)
+		if x := s.pair(c.image).Mean; x < leastPressure {
 			light += x * u
 		} else {
 			heavy += x * u
@@ -105,9 +105,9 @@
 		return
 	}
 	x := max(0, room-light) / heavy
-	for f := range w.wanted {
-		if s.pair(f).Mean >= leastPressure {
-			part[f] = min(part[f], x)
+	for _, c := range w.wanted {
+		if s.pair(c.image).Mean >= leastPressure {
+			part[c.image] = min(part[c.image], x)
 		}
 	}
 }
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -67,7 +67,7 @@
 		return
 	}
 	var l []*worker
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		if p.isEligible(w, c.job, c.step, now) && w.free().Holds(c.step.Held()) && !p.isCrowded(w, c, t) && a.mayHelp(w) {
 			l = append(l, w)
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -12,7 +12,7 @@
 	p.Expire(now)
 	p.repeatStops(now)
 	l := p.candidates(now)
-	p.reserve.observe(p.workers, l, now)
+	p.reserve.observe(p.list, l, now)
 	p.open = p.openWorkers(now)
 	p.full = make(map[fullKey]jobs.Resources)
 	for _, c := range l {
@@ -31,8 +31,8 @@
 
 // repeatStops sends stops again that have not led to an end.
 func (p *Planner) repeatStops(now time.Time) {
-	for _, w := range p.workers {
-		for _, a := range w.attempts {
+	for _, w := range p.list {
+		for _, a := range w.list {
 			if a.stopping && a.phase != phasePlanned && now.Sub(a.stopSentAt) >= stopEvery {
 				p.sendStop(w, a, now)
 			}
@@ -47,29 +47,49 @@
 	}
 	l := p.rate(c, now)
 	for _, t := range c.tasks {
-		r := p.choose(c, t, c.step.LongRunning, l)
-		if r == nil && c.step.LongRunning && p.reserve.overdue(t, now) && p.roomFor(c, t, now) >= ampleRoom {
-			r = p.choose(c, t, false, l)
-		}
+		r := p.find(c, t, l, now)
 		if r == nil {
 			if c.job.Queue.NeedsPermit {
 				p.askAdvice(c, now)
 			}
 			return
 		}
-		delete(p.reserve.waiting, t.Ref)
+		p.waits.end(t)
 		p.assign(c.job, t, r.worker, now)
 		r.score, r.ok = p.score(r.worker, c, now)
 	}
 }
 
+// find returns the best of the rated workers for a task, nil where none has room.
+//
+// Workers where the task failed and those that it would fill beyond the
+// reserve come last, once it has waited long enough.
+func (p *Planner) find(c *candidate, t *jobs.Task, l []rating, now time.Time) *rating {
+	if r := p.choose(c, t, l, limits{keepReserve: c.step.LongRunning, avoidFailed: true}); r != nil {
+		return r
+	}
+	waited := p.waits.note(t, now)
+	p.logWait(c, t, waited, now)
+	x := limits{
+		keepReserve: c.step.LongRunning && !p.mayUseReserve(c, t, waited, now),
+		avoidFailed: !c.step.LongRunning && waited < returnAfter,
+	}
+	return p.choose(c, t, l, x)
+}
+
+// mayUseReserve tells whether a long-running task that finds no room outside the reserve has waited long enough to take
+// from it; one that ran before has.
+func (p *Planner) mayUseReserve(c *candidate, t *jobs.Task, waited time.Duration, now time.Time) bool {
+	return (t.Run > 0 || waited >= reserveWait) && p.roomFor(c, t, now) >= ampleRoom
+}
+
 // ampleRoom is the number of tasks for which there has to be room before a long-running one takes from the reserve.
 const ampleRoom = 2
 
 // roomFor returns for how many tasks like the given one there is room.
 func (p *Planner) roomFor(c *candidate, t *jobs.Task, now time.Time) int {
 	n := 0
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		if p.isEligible(w, c.job, c.step, now) && !p.isCrowded(w, c, t) && w.free().Holds(c.step.Held()) {
 			n += w.free().MilliCPU / max(c.step.Size.MilliCPU, 1)
 		}
@@ -125,17 +145,22 @@
 	return l
 }
 
-// choose returns the best of the rated workers for a task, nil where none has room.
-//
-// With the reserve kept, workers are left out that the task would fill beyond it.
-func (p *Planner) choose(c *candidate, t *jobs.Task, keepReserve bool, l []rating) *rating {
+// limits are the workers that a task does not take.
+type limits struct {
+	// keepReserve leaves out workers that the task would fill beyond the reserve, and avoidFailed those where it failed.
+	keepReserve bool
+	avoidFailed bool
+}
+
+// choose returns the best of the rated workers within the limits, nil where none has room.
+func (p *Planner) choose(c *candidate, t *jobs.Task, l []rating, x limits) *rating {
 	var best *rating
 	for i := range l {
 		r := &l[i]
 		if !r.ok || best != nil && (r.score < best.score || r.score == best.score && r.worker.ID > best.worker.ID) {
 			continue
 		}
-		if p.takes(r.worker, c, t, keepReserve) {
+		if p.takes(r.worker, c, t, x) {
 			best = r
 		}
 	}
@@ -146,14 +171,14 @@
 }
 
 // takes tells whether a worker that was rated for a step has room for one more of its tasks.
-func (p *Planner) takes(w *worker, c *candidate, t *jobs.Task, keepReserve bool) bool {
-	if !w.free().Holds(c.step.Held()) || p.isCrowded(w, c, t) {
+func (p *Planner) takes(w *worker, c *candidate, t *jobs.Task, x limits) bool {
+	switch {
+	case !w.free().Holds(c.step.Held()) || p.isCrowded(w, c, t):
 		return false
-	}
-	if keepReserve && !p.reserve.allows(w, c.step) {
+	case x.keepReserve && !p.reserve.allows(w, c.step):
 		return false
 	}
-	return !slices.Contains(t.FailedAt, w.ID) || len(t.FailedAt) >= len(p.workers)/2
+	return !x.avoidFailed || !slices.Contains(t.FailedAt, w.ID)
 }
 
 // fullKey names best-effort work that finds room at the same workers.
@@ -182,7 +207,7 @@
 // openWorkers returns the workers that may get new tasks in this plan.
 func (p *Planner) openWorkers(now time.Time) []*worker {
 	l := make([]*worker, 0, len(p.workers))
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		if p.isOpen(w, now) {
 			l = append(l, w)
 		}
@@ -266,7 +291,7 @@
 // racks lists the labels that name racks or kinds, in order.
 func (p *Planner) racks() []string {
 	seen := make(map[string]bool)
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		for _, l := range w.Labels {
 			seen[l] = true
 		}
@@ -283,7 +308,7 @@
 func (p *Planner) fitGang(c *candidate, label string, now time.Time) []*worker {
 	left := make(map[*worker]jobs.Resources)
 	count := make(map[*worker]int)
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		_, ok := p.permitted(w, c.job, StepRef{c.tasks[0].Job, c.tasks[0].Occurrence, c.tasks[0].Step}, now)
 		if ok && p.isEligible(w, c.job, c.step, now) && w.hasLabel(label) {
 			left[w] = w.free()
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -35,7 +37,9 @@
 // Planner decides for all jobs and workers of one owner.
 type Planner struct {
 	Config
-	workers     map[string]*worker
+	workers map[string]*worker
+	// list holds the workers in the order of their identities, so that the same events lead to the same decisions.
+	list        []*worker
 	jobs        map[string]*jobs.Job
 	active      map[string]*jobs.Job
 	unavailable map[string]bool
@@ -50,6 +54,7 @@
 	learned   *estimates
 	pressure  *pressure
 	reserve   reserve
+	waits     waits
 	advice    map[StepRef]*advice
 	waves     map[int]*waveState
 	instances map[string]Instance
@@ -68,7 +73,7 @@
 		Config: c, takenAt: now,
 		workers: make(map[string]*worker), jobs: make(map[string]*jobs.Job), active: make(map[string]*jobs.Job),
 		unavailable: make(map[string]bool), dirty: make(map[string]*jobs.Job),
-		learned: newEstimates(), pressure: newPressure(), advice: make(map[StepRef]*advice),
+		waits: newWaits(), learned: newEstimates(), pressure: newPressure(), advice: make(map[StepRef]*advice),
 		waves: make(map[int]*waveState), maintained: make(map[int][]string),
 	}
 }
@@ -141,9 +146,11 @@
 func (p *Planner) worker(id string) *worker {
 	w := p.workers[id]
 	if w == nil {
-		w = &worker{Member: Member{ID: id}, attempts: make(map[jobs.Ref]*attempt), wanted: make(map[string]int), room: make(map[string]float64)}
+		w = &worker{Member: Member{ID: id}, attempts: make(map[jobs.Ref]*attempt), room: make(map[string]float64)}
 		w.leaseUntil = p.leaseEnd(p.takenAt.Add(p.Detached))
 		p.workers[id] = w
+		n, _ := slices.BinarySearchFunc(p.list, id, func(o *worker, id string) int { return cmp.Compare(o.ID, id) })
+		p.list = slices.Insert(p.list, n, w)
 	}
 	return w
 }
@@ -155,12 +162,12 @@
 		seen[m.ID] = true
 		p.setMember(m, now)
 	}
-	for id, w := range p.workers {
-		if seen[id] || !w.listed {
+	for _, w := range p.list {
+		if seen[w.ID] || !w.listed {
 			continue
 		}
 		w.listed = false
-		p.Logger.Info().Str("Worker", id).Str("Decision", "WorkerUnlisted").Int("Attempts", len(w.attempts)).Msg("worker left the list")
+		p.Logger.Info().Str("Worker", w.ID).Str("Decision", "WorkerUnlisted").Int("Attempts", len(w.attempts)).Msg("worker left the list")
 	}
 }
 
@@ -185,7 +192,7 @@
 	w.Life = life
 	w.synced, w.fenced = false, false
 	w.ackable = 0
-	for _, a := range w.attempts {
+	for _, a := range slices.Clone(w.list) {
 		if a.life == life {
 			continue
 		}
@@ -230,20 +237,21 @@
 
 // Expire takes back the attempts of workers whose leases have ended, and forgets workers that are gone.
 func (p *Planner) Expire(now time.Time) {
-	for id, w := range p.workers {
+	for _, w := range p.list {
 		if w.isReachable(now) || now.Before(w.leaseUntil) {
 			continue
 		}
-		for _, a := range w.attempts {
+		for _, a := range slices.Clone(w.list) {
 			if a.phase != phasePlanned {
 				p.release(w, a, "the worker's lease has ended")
 			}
 		}
 		w.synced = false
-		if !w.listed && len(w.attempts) == 0 {
-			delete(p.workers, id)
+		if w.isForgotten() {
+			delete(p.workers, w.ID)
 		}
 	}
+	p.list = slices.DeleteFunc(p.list, func(w *worker) bool { return p.workers[w.ID] != w })
 }
 
 // Take returns the jobs to commit and the orders to carry out after that.
@@ -261,7 +269,7 @@
 // Contacts lists the workers to keep in touch with.
 func (p *Planner) Contacts() []Member {
 	l := make([]Member, 0, len(p.workers))
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		if w.Address != "" && (w.listed || len(w.attempts) > 0) {
 			l = append(l, w.Member)
 		}
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -362,3 +362,42 @@
 	changed, _ := s.p.Take()
 	require.Len(t, changed, 1, "the change has to be committed")
 }
+
+// A long-running task that had failed at the only worker with room waited until another had some.
+func TestLongRunningTaskReturnsToWhereItFailedIfNoOtherHasRoom(t *testing.T) {
+	s := newScene(t, 4)
+	full := plainStep(3)
+	full.Size.MilliCPU = 31000
+	s.p.AddJob(testJob(testID(1), s.now, full), s.now)
+	for _, o := range s.plan()[OrderStart] {
+		s.p.StartAnswered(o, AnswerAccepted, s.now)
+	}
+	step := plainStep(1)
+	step.LongRunning = true
+	j := testJob(testID(2), s.now, step)
+	s.p.AddJob(j, s.now)
+	first := s.plan()[OrderStart]
+	require.Len(t, first, 1)
+	s.p.StartAnswered(first[0], AnswerAccepted, s.now)
+	s.after(time.Second)
+	s.report(first[0].Worker, nil, Ended{Ref: first[0].Ref, Number: 1, Run: 1, How: jobs.EndFailed})
+	again := s.plan()[OrderStart]
+	require.Len(t, again, 1)
+	require.Equal(t, first[0].Worker, again[0].Worker)
+}
+
+// A task of which each failure counts goes elsewhere, or waits for that.
+func TestTaskWithABudgetOfAttemptsAvoidsWhereItFailed(t *testing.T) {
+	s := newScene(t, 2)
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	o := s.plan()[OrderStart][0]
+	s.p.StartAnswered(o, AnswerAccepted, s.now)
+	s.after(time.Second)
+	s.report(o.Worker, nil, Ended{Ref: o.Ref, Number: 1, Run: 1, How: jobs.EndFailed})
+	for range 3 {
+		for _, x := range s.plan()[OrderStart] {
+			require.NotEqual(t, o.Worker, x.Worker)
+		}
+		s.after(100 * time.Millisecond)
+	}
+}
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -135,41 +135,37 @@
 }
 
 // slowdown returns the part by which the given use of a worker slows a service down.
-func (s *sensitivity) slowdown(use map[string]float64) float64 {
+func (s *sensitivity) slowdown(w *worker, use []imageCPU) float64 {
 	var t float64
-	for f, u := range use {
-		t += s.pair(f).Mean * u
+	for _, x := range use {
+		t += s.pair(x.image).Mean * w.part(x.milliCPU)
 	}
 	return t
 }
 
 // slowdownAt returns the part by which the best-effort tasks of a worker would slow a service down at full pace.
-func (s *sensitivity) slowdownAt(w *worker) float64 {
-	var t float64
-	for f, n := range w.wanted {
-		t += s.pair(f).Mean * w.part(float64(n))
-	}
-	return t
-}
+func (s *sensitivity) slowdownAt(w *worker) float64 { return s.slowdown(w, w.wanted) }
 
 // learn takes in one figure of a tail, in parts of its bound, beside the given use of the worker.
-func (s *sensitivity) learn(l *load, tail float64, use map[string]float64, now time.Time) {
+func (s *sensitivity) learn(l *load, tail float64, w *worker, use []imageCPU, now time.Time) {
 	s.figures++
 	s.leastTail = min(s.leastTail, tail)
 	l.advance(now)
 	z := s.utilisation(tail)
 	r := l.Mean
-	k := 1 + s.slowdown(use)
+	k := 1 + s.slowdown(w, use)
 	d := noiseVariance + l.Variance*k*k
 	if z > saturation {
 		d += saturatedVariance
 	}
-	for f, u := range use {
-		d += s.pair(f).Variance * r * r * u * u
+	for _, c := range use {
+		u := w.part(c.milliCPU)
+		d += s.pair(c.image).Variance * r * r * u * u
 	}
 	e := z - min(r*k, 1)
-	for f, u := range use {
-		x := s.pair(f)
+	for _, c := range use {
+		u := w.part(c.milliCPU)
+		x := s.pair(c.image)
 		x.correct(r*u, e, d)
 		x.Variance += variancePerRound * min(1, u)
 	}
@@ -195,15 +191,15 @@
 	return (diff + (n-known)/2) / n
 }
 
-// use returns the share of the worker's processors that each best-effort image used of late.
-func (w *worker) use() map[string]float64 {
-	m := make(map[string]float64)
-	for _, a := range w.attempts {
+// use returns the processor time that each best-effort image used of late.
+func (w *worker) use() []imageCPU {
+	var l []imageCPU
+	for _, a := range w.list {
 		if a.task.Spec.BestEffort && a.phase == phaseRunning {
-			m[a.task.Spec.Image] += a.load / float64(max(w.Room.MilliCPU, 1))
+			l = addCPU(l, a.task.Spec.Image, a.load)
 		}
 	}
-	return m
+	return l
 }
 
 // learnPressure takes in the figures of a worker.
@@ -221,6 +217,6 @@
 			continue
 		}
 		x, l := p.model(a)
-		x.learn(l, tailPart(a), u, now)
+		x.learn(l, tailPart(a), w, u, now)
 	}
 }
--- a/internal/dispatch/pressure_test.go
+++ b/internal/dispatch/pressure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -101,7 +102,8 @@
 func (r *replay) figures(id string, without jobs.Ref) []Running {
 	w := r.p.workers[id]
 	var l []Running
-	for ref, a := range w.attempts {
+	for _, a := range w.list {
+		ref := a.task.Ref
 		if ref == without || a.phase != phaseRunning {
 			continue
 		}
@@ -118,7 +120,7 @@
 	t := r.now.Sub(r.p.takenAt).Seconds()
 	z := 0.42 * (1 + 0.5*math.Sin(2*math.Pi*t/10+r.swing[a.task.Job]))
 	s := 1.0
-	for _, b := range w.attempts {
+	for _, b := range w.list {
 		if b.task.Spec.BestEffort && b.phase == phaseRunning {
 			s += presses(a.task.Spec.Image, b.task.Spec.Image) * r.load(w, b) / float64(w.Room.MilliCPU)
 		}
@@ -129,8 +131,10 @@
 // step lets time pass, tasks end, and every worker report.
 func (r *replay) step() {
 	r.after(replayStep)
-	for id, w := range r.p.workers {
-		for ref, a := range w.attempts {
+	for _, w := range r.p.list {
+		id := w.ID
+		for _, a := range slices.Clone(w.list) {
+			ref := a.task.Ref
 			if a.phase != phaseRunning {
 				continue
 			}
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -29,8 +29,8 @@
 	}
 	p.relocatedAt = now
 	n := 0
-	for _, w := range p.workers {
-		for _, a := range w.attempts {
+	for _, w := range p.list {
+		for _, a := range w.list {
 			if n == relocationsPerPlan {
 				return
 			}
@@ -61,7 +61,7 @@
 // hasBetterPlace tells whether another worker would take the task at its speed.
 func (p *Planner) hasBetterPlace(w *worker, a *attempt, now time.Time) bool {
 	c := &candidate{job: a.job, step: a.task.Spec}
-	for _, o := range p.workers {
+	for _, o := range p.list {
 		if o == w || !p.isEligible(o, a.job, a.task.Spec, now) || !o.free().Holds(a.task.Spec.Held()) || p.isCrowded(o, c, a.task) {
 			continue
 		}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"currantknot.dev/currantknot/internal/jobs"
@@ -85,7 +86,7 @@
 // endGang forgets the attempts of the other members of a gang that is done.
 func (p *Planner) endGang(a *attempt) {
 	for _, t := range a.job.Tasks[a.task.Occurrence][a.task.Step] {
-		for _, w := range p.workers {
+		for _, w := range p.list {
 			if b := w.attempts[t.Ref]; b != nil && t.State == jobs.TaskDone {
 				w.remove(b)
 			}
@@ -122,6 +123,7 @@
 		return
 	}
 	p.Logger.Info().Str("Job", j.ID).Str("Decision", "JobOver").Str("State", string(j.State())).Dur("Age", now.Sub(j.SubmittedAt)).Msg("job has ended")
+	p.waits.forget(j)
 	j.Compact()
 	delete(p.active, j.ID)
 }
@@ -163,7 +165,7 @@
 
 // missing takes back the attempts that a worker should have listed and did not.
 func (p *Planner) missing(w *worker, present map[jobs.Ref]int, askedAt time.Time) {
-	for _, a := range w.attempts {
+	for _, a := range slices.Clone(w.list) {
 		if r, ok := present[a.task.Ref]; ok && r == a.run {
 			continue
 		}
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -30,16 +30,14 @@
 	demand  float64
 	seenAt  time.Time
 	learned bool
-	// waiting holds since when long-running tasks have found no room.
-	waiting map[jobs.Ref]time.Time
 }
 
 // observe takes in the part of the fleet that work that ends holds or waits for.
-func (r *reserve) observe(l map[string]*worker, c []candidate, now time.Time) {
+func (r *reserve) observe(l []*worker, c []candidate, now time.Time) {
 	var wanted, room float64
 	for _, w := range l {
 		room += float64(w.Room.MilliCPU)
-		for _, a := range w.attempts {
+		for _, a := range w.list {
 			if !a.task.Spec.LongRunning {
 				wanted += float64(a.task.Spec.Held().MilliCPU)
 			}
@@ -50,9 +48,6 @@
 			wanted += float64(x.step.Held().MilliCPU * len(x.tasks))
 		}
 	}
-	if r.waiting == nil {
-		r.waiting = make(map[jobs.Ref]time.Time)
-	}
 	if room == 0 || wanted == 0 && !r.learned {
 		return
 	}
@@ -76,17 +71,3 @@
 func (r *reserve) allows(w *worker, s *jobs.Step) bool {
 	return float64(w.free().MilliCPU-s.Size.MilliCPU) >= r.part()*float64(w.Room.MilliCPU)
 }
-
-// overdue tells whether a task that finds no room outside the reserve has waited long enough to take from it; one that ran
-// before has.
-func (r *reserve) overdue(t *jobs.Task, now time.Time) bool {
-	if t.Run > 0 {
-		return true
-	}
-	s, ok := r.waiting[t.Ref]
-	if !ok {
-		r.waiting[t.Ref] = now
-		return false
-	}
-	return now.Sub(s) >= reserveWait
-}
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -53,6 +53,8 @@
 			cmp.Compare(a.left, b.left),
 			cmp.Compare(a.slack, b.slack),
 			cmp.Compare(a.job.ID, b.job.ID),
+			cmp.Compare(a.tasks[0].Occurrence, b.tasks[0].Occurrence),
+			cmp.Compare(a.tasks[0].Step, b.tasks[0].Step),
 		)
 	})
 	return l
--- a/internal/dispatch/vacate.go
+++ b/internal/dispatch/vacate.go
@@ -11,11 +11,11 @@
 
 // vacate moves long-running tasks away from workers that leave, before these end them.
 func (p *Planner) vacate(now time.Time) {
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		if !w.Draining {
 			continue
 		}
-		for _, a := range w.attempts {
+		for _, a := range w.list {
 			if a.task.Spec.LongRunning && !a.stopping && a.phase == phaseRunning && p.hasRoomElsewhere(w, a, now) {
 				p.stop(w, a, "its worker leaves", now)
 			}
@@ -26,7 +26,7 @@
 // hasRoomElsewhere tells whether another worker has room for a task.
 func (p *Planner) hasRoomElsewhere(w *worker, a *attempt, now time.Time) bool {
 	c := &candidate{job: a.job, step: a.task.Spec}
-	for _, o := range p.workers {
+	for _, o := range p.list {
 		if o != w && !o.cordoned && p.isEligible(o, a.job, a.task.Spec, now) && o.free().Holds(a.task.Spec.Held()) && !p.isCrowded(o, c, a.task) {
 			return true
 		}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -108,10 +108,12 @@
 	cordoned bool
 	used     jobs.Resources
 	attempts map[jobs.Ref]*attempt
+	// list holds the attempts in the order in which they began.
+	list []*attempt
 	// expected is the processor time that the attempts are expected to use, and wanted what the best-effort images among
 	// them would use at full pace, both in thousandths of a core; services are those with a bound.
 	expected int
-	wanted   map[string]int
+	wanted   []imageCPU
 	services []*attempt
 	// room holds, by best-effort image, what the plan of an instant found of its pressure on the services.
 	room   map[string]float64
@@ -136,10 +138,11 @@
 func (w *worker) add(a *attempt) {
 	clear(w.room)
 	w.attempts[a.task.Ref] = a
+	w.list = append(w.list, a)
 	w.used = w.used.Plus(a.task.Spec.Held())
 	w.expected += expectedUse(a.task.Spec)
 	if a.task.Spec.BestEffort {
-		w.wanted[a.task.Spec.Image] += a.task.Spec.Size.MilliCPU
+		w.wanted = addCPU(w.wanted, a.task.Spec.Image, float64(a.task.Spec.Size.MilliCPU))
 	}
 	if a.task.Spec.TailBound > 0 {
 		w.services = append(w.services, a)
@@ -154,15 +157,35 @@
 	delete(w.attempts, a.task.Ref)
 	w.used = w.used.Minus(a.task.Spec.Held())
 	w.expected -= expectedUse(a.task.Spec)
-	if i := a.task.Spec.Image; a.task.Spec.BestEffort {
-		w.wanted[i] -= a.task.Spec.Size.MilliCPU
-		if w.wanted[i] == 0 {
-			delete(w.wanted, i)
-		}
+	w.list = slices.DeleteFunc(w.list, func(o *attempt) bool { return o == a })
+	if a.task.Spec.BestEffort {
+		w.wanted = addCPU(w.wanted, a.task.Spec.Image, -float64(a.task.Spec.Size.MilliCPU))
 	}
 	w.services = slices.DeleteFunc(w.services, func(o *attempt) bool { return o == a })
 }
 
+// isForgotten tells whether nothing is left that a worker that is gone is needed for.
+func (w *worker) isForgotten() bool { return !w.listed && len(w.attempts) == 0 }
+
+// imageCPU is the processor time of the tasks of one image, in thousandths of a core.
+type imageCPU struct {
+	image    string
+	milliCPU float64
+}
+
+// addCPU adds to the processor time of an image; one that comes to nothing is dropped.
+func addCPU(l []imageCPU, image string, milliCPU float64) []imageCPU {
+	i := slices.IndexFunc(l, func(x imageCPU) bool { return x.image == image })
+	if i < 0 {
+		return append(l, imageCPU{image, milliCPU})
+	}
+	l[i].milliCPU += milliCPU
+	if l[i].milliCPU == 0 {
+		return slices.Delete(l, i, i+1)
+	}
+	return l
+}
+
 // part returns thousandths of a core as a part of the worker's processors.
 func (w *worker) part(milliCPU float64) float64 { return milliCPU / float64(max(w.Room.MilliCPU, 1)) }
 
