Let the owner go on while it is a member; call few workers directly

Ruled out: relays as such; the one more append until callers see a state. Change: an owner names itself in a record and goes on for as long as it is a member; the member that the store names takes over once the incumbent is gone. The number of that record is the epoch, so that no two ownerships share one. Relays are used only where an owner has more workers than it can call itself; a report whose relay is lost is asked for again at once.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -60,7 +60,7 @@
 	replica := jobserve.NewReplica(store, l)
 	workers := platform.NewWorkers()
 	node := &relay.Node{
-		Listen: s.RelayListen, Pool: relay.NewPool(workers, l),
+		Listen: s.RelayListen, Pool: relay.NewPool(workers, s.Processors, l),
 		Agent: relay.NewAgent(relay.Hello{Name: s.Name, FailureDomain: s.FailureDomain}, jobserve.MeasureWorkers(workers, m), l),
 	}
 	return jobserve.NewInstance(jobserve.InstanceConfig{
--- a/internal/jobserve/bench_test.go
+++ b/internal/jobserve/bench_test.go
@@ -54,6 +54,8 @@
 
 func (f *benchFleet) Forget(string) {}
 
+func (f *benchFleet) Expect(int) {}
+
 func (f *benchFleet) Sync(ctx context.Context, s Sync) (dispatch.Report, error) {
 	w := f.workers[s.Worker]
 	f.mu.Lock()
@@ -184,7 +186,7 @@
 		RunOwner(ctx, OwnerConfig{
 			Store: benchStore{f}, Replica: r, Workers: f, Directory: f, State: &State{}, ContactAt: time.Now,
 			Lease: 6 * time.Second, Detached: 3 * time.Second, Metrics: m, Logger: zerolog.Nop(),
-		}, 1)
+		})
 	}()
 	time.Sleep(2 * time.Second)
 	used := processorTime(b)
--- a/internal/jobserve/contact.go
+++ b/internal/jobserve/contact.go
@@ -29,6 +29,7 @@
 
 // keepContacts keeps one conversation with each worker.
 func (o *Owner) keepContacts(ctx context.Context, l []dispatch.Member) {
+	o.Workers.Expect(len(l))
 	seen := make(map[string]bool, len(l))
 	for _, m := range l {
 		seen[m.ID] = true
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -80,7 +80,7 @@
 	i := &Instance{InstanceConfig: c}
 	i.Front = measuredHandler(c.Metrics, c.Front)
 	i.gauges()
-	i.member = NewMember(c.Store, c.Identity, c.Logger, i.own, i.onGroup)
+	i.member = NewMember(MemberConfig{Store: c.Store, Identity: c.Identity, Logger: c.Logger, Own: i.own, Seen: i.onGroup, Incumbent: i.incumbent})
 	return i
 }
 
@@ -113,13 +113,19 @@
 // storeAge returns the age of the last word from the store.
 func (i *Instance) storeAge() time.Duration { return time.Since(time.Unix(0, i.storeAt.Load())) }
 
-func (i *Instance) own(ctx context.Context, epoch int64) {
+// incumbent returns the identity of the process that took the jobs over last.
+func (i *Instance) incumbent(ctx context.Context) (string, error) {
+	err := i.Replica.Refresh(ctx, time.Now())
+	return i.Replica.Owner(), err
+}
+
+func (i *Instance) own(ctx context.Context) {
 	i.Metrics.Add(metricTakeovers, "", 1)
 	RunOwner(ctx, OwnerConfig{
-		Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Adviser: i.Adviser, Maintenance: i.Maintenance,
+		Identity: i.Identity.String(), Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Adviser: i.Adviser, Maintenance: i.Maintenance,
 		State: i.State, TurnAfter: i.TurnAfter,
 		ContactAt: i.member.ContactAt, Lease: i.Lease, Detached: detachedLimit, Metrics: i.Metrics, Logger: i.Logger,
-	}, epoch)
+	})
 }
 
 // Run serves until the context ends, and then stops without cutting a request.
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,9 @@
 	lookEvery = 700 * time.Millisecond
 	// reviewEvery is the time between two questions of a member whether the group has enough others.
 	reviewEvery = 1500 * time.Millisecond
+	// considerEvery is the time between two questions whether it is this instance's turn to own the jobs, beside those when
+	// the group changes.
+	considerEvery = 900 * time.Millisecond
 	// wantedMembers is the number of instances that the group needs, so that the jobs find an owner when one is lost.
 	// More would change the group, and with it the owner, whenever any instance is replaced.
 	wantedMembers = 3
@@ -33,42 +37,55 @@
 	leaveTimeout = 700 * time.Millisecond
 )
 
-// Member keeps this instance in the group and runs the owner while the store names it.
+// MemberConfig holds what a member needs.
+type MemberConfig struct {
+	Store    Store
+	Identity Identity
+	Logger   zerolog.Logger
+	// Own owns the jobs until its context ends or another owner has taken over.
+	Own func(ctx context.Context)
+	// Seen is told of the group whenever it was looked at.
+	Seen func(group)
+	// Incumbent returns the identity of the process that took the jobs over last, empty where there was none.
+	Incumbent func(ctx context.Context) (string, error)
+}
+
+// Member keeps this instance in the group and runs the owner when it is this instance's turn.
+//
+// The store names one member as the next owner, and names another whenever
+// members come and go. The present owner goes on for as long as it is a member:
+// the next one takes over when the incumbent is none any more. Fences keep the
+// jobs safe if two believe to be the owner.
 type Member struct {
-	store  Store
-	logger zerolog.Logger
-	run    func(ctx context.Context, epoch int64)
-	// seen is told of the group whenever it was looked at.
-	seen func(group)
+	MemberConfig
 	// contactAt is the instant of the latest renewal that was answered, in nanoseconds since 1970.
 	contactAt atomic.Int64
 	suspends  *suspensions
 
 	// joined tells that the store may hold a membership of this instance.
 	joined bool
-	// identity is how the group names this instance, and reviewedAt when it last asked whether it is superfluous.
-	identity   Identity
-	reviewedAt time.Time
+	// reviewedAt is when the instance last asked whether it is superfluous, and consideredAt whether it is its turn.
+	reviewedAt   time.Time
+	consideredAt time.Time
 	// looked tells that the first look was waited for already.
 	looked     bool
 	patience   time.Duration
 	generation int64
-	// terms counts the ownerships within a generation, so that each has an epoch of its own.
-	terms int64
+	// begun tells that this process has owned the jobs, or tried to.
+	begun bool
 
 	mu      sync.Mutex
 	stop    context.CancelFunc
 	stopped chan struct{}
 }
 
-// NewMember returns a member that runs the function while this instance is the owner; the owner has most to do, so that
-// instances with more processors join first.
-func NewMember(s Store, x Identity, l zerolog.Logger, run func(ctx context.Context, epoch int64), seen func(group)) *Member {
+// NewMember returns a member; the owner has most to do, so that instances with more processors join first.
+func NewMember(c MemberConfig) *Member {
 	p := mostPatience
-	if x.Processors > 0 {
-		p = min(p, time.Duration(float64(weakness)/x.Processors))
+	if c.Identity.Processors > 0 {
+		p = min(p, time.Duration(float64(weakness)/c.Identity.Processors))
 	}
-	return &Member{store: s, logger: l, run: run, seen: seen, identity: x, patience: p, suspends: newSuspensions()}
+	return &Member{MemberConfig: c, patience: p, suspends: newSuspensions()}
 }
 
 // Run keeps the instance in the group while that needs it, until the context ends.
@@ -80,7 +97,7 @@
 			pause(ctx, lookEvery)
 			continue
 		case m.joined && m.isSuperfluous(ctx):
-			m.logger.Info().Str("Decision", "Leave").Msg("the group has enough other members")
+			m.Logger.Info().Str("Decision", "Leave").Msg("the group has enough other members")
 			m.leave()
 			continue
 		}
@@ -111,9 +128,9 @@
 	if !ok {
 		return false
 	}
-	needed := l.isNeeded(m.identity)
+	needed := l.isNeeded(m.Identity)
 	if needed {
-		m.logger.Info().Int("Members", len(l)).Str("Decision", "Join").Msg("the group needs this instance")
+		m.Logger.Info().Int("Members", len(l)).Str("Decision", "Join").Msg("the group needs this instance")
 	}
 	return needed
 }
@@ -125,21 +142,21 @@
 	}
 	m.reviewedAt = time.Now()
 	l, ok := m.look(ctx)
-	return ok && l.isSuperfluous(m.identity, m.IsOwner())
+	return ok && l.isSuperfluous(m.Identity, m.IsOwner())
 }
 
 func (m *Member) look(ctx context.Context) (group, bool) {
 	c, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	names, err := m.store.Members(c)
+	names, err := m.Store.Members(c)
 	if err != nil {
 		if ctx.Err() == nil {
-			m.logger.Warn().Err(err).Str("Decision", "LookFailed").Msg("members of the group are not known")
+			m.Logger.Warn().Err(err).Str("Decision", "LookFailed").Msg("members of the group are not known")
 		}
 		return nil, false
 	}
 	g := newGroup(names)
-	m.seen(g)
+	m.Seen(g)
 	return g, true
 }
 
@@ -147,32 +164,57 @@
 func (m *Member) renew(ctx context.Context) {
 	m.joined = true
 	if m.suspends.passed() {
-		m.logger.Warn().Str("Decision", "Suspended").Msg("the instance stood still; what it owned is given up")
+		m.Logger.Warn().Str("Decision", "Suspended").Msg("the instance stood still; what it owned is given up")
 		m.end("the instance stood still")
 	}
 	begun := time.Now()
 	c, cancel := context.WithTimeout(ctx, joinTimeout)
-	x, err := m.store.Join(c, m.generation, memberLease)
+	x, err := m.Store.Join(c, m.generation, memberLease)
 	cancel()
 	if err != nil {
 		if ctx.Err() == nil {
-			m.logger.Warn().Err(err).Int64("Generation", m.generation).Str("Decision", "JoinFailed").Msg("membership not renewed")
+			m.Logger.Warn().Err(err).Int64("Generation", m.generation).Str("Decision", "JoinFailed").Msg("membership not renewed")
 		}
 		return
 	}
 	m.contactAt.Store(begun.UnixNano())
-	if x.Generation != m.generation {
-		m.logger.Info().Int64("Generation", x.Generation).Bool("Owner", x.Owner).Str("Decision", "Joined").Msg("membership changed")
+	changed := x.Generation != m.generation
+	if changed {
+		m.Logger.Info().Int64("Generation", x.Generation).Bool("Next", x.Next).Str("Decision", "Joined").Msg("membership changed")
 	}
 	m.generation = x.Generation
-	if !x.Owner {
-		if m.end("the store named another owner") {
-			// The next owner may begin once the store hears of the new generation from this one.
-			m.renew(ctx)
+	if changed || time.Since(m.consideredAt) >= considerEvery {
+		m.consider(ctx, x.Next)
+	}
+}
+
+// consider begins to own the jobs if it is this instance's turn: the store names it as the next owner and the incumbent is
+// no member any more, or it is the incumbent itself.
+func (m *Member) consider(ctx context.Context, next bool) {
+	if m.IsOwner() || !next && !m.begun {
+		return
+	}
+	m.consideredAt = time.Now()
+	c, cancel := context.WithTimeout(ctx, joinTimeout)
+	who, err := m.Incumbent(c)
+	cancel()
+	if err != nil {
+		if ctx.Err() == nil {
+			m.Logger.Warn().Err(err).Str("Decision", "IncumbentUnknown").Msg("the present owner is not known")
 		}
 		return
 	}
-	m.begin(ctx, x.Generation)
+	if who != m.Identity.String() && (!next || who != "" && m.isMember(ctx, who)) {
+		return
+	}
+	m.Logger.Info().Str("Incumbent", who).Int64("Generation", m.generation).Str("Decision", "Own").Msg("it is this instance's turn to own the jobs")
+	m.begin(ctx)
+}
+
+// isMember tells whether a process is in the group, as far as is known.
+func (m *Member) isMember(ctx context.Context, identity string) bool {
+	g, ok := m.look(ctx)
+	return !ok || slices.Contains(g, parseIdentity(identity))
 }
 
 // ContactAt returns the instant of the latest renewal that was answered.
@@ -197,40 +239,32 @@
 	}
 }
 
-// termsPerGeneration is the number of epochs that one generation has room for.
-const termsPerGeneration = 1 << 12
-
-// begin starts the owner under a new epoch unless it runs.
-func (m *Member) begin(ctx context.Context, generation int64) {
+// begin starts the owner.
+func (m *Member) begin(ctx context.Context) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.isRunning() {
-		return
-	}
-	m.terms = (m.terms + 1) % termsPerGeneration
-	epoch := generation*termsPerGeneration + m.terms
+	m.begun = true
 	c, cancel := context.WithCancel(ctx)
 	d := make(chan struct{})
 	m.stop, m.stopped = cancel, d
 	go func() {
 		defer close(d)
 		defer cancel()
-		m.run(c, epoch)
+		m.Own(c)
 	}()
 }
 
-// end stops the owner, waits for it, and tells whether there was one.
-func (m *Member) end(reason string) bool {
+// end stops the owner and waits for it.
+func (m *Member) end(reason string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stop == nil {
-		return false
+		return
 	}
 	m.stop()
 	<-m.stopped
 	m.stop = nil
-	m.logger.Info().Str("Decision", "OwnershipEnded").Str("Reason", reason).Msg("this instance no longer owns the jobs")
-	return true
+	m.Logger.Info().Str("Decision", "OwnershipEnded").Str("Reason", reason).Msg("this instance no longer owns the jobs")
 }
 
 func (m *Member) leave() {
@@ -238,7 +272,7 @@
 	c, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	m.joined, m.generation = false, 0
-	if err := m.store.Leave(c); err != nil {
-		m.logger.Warn().Err(err).Msg("membership not given up; it will lapse")
+	if err := m.Store.Leave(c); err != nil {
+		m.Logger.Warn().Err(err).Msg("membership not given up; it will lapse")
 	}
 }
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -39,6 +39,8 @@
 
 // OwnerConfig holds what an owner needs.
 type OwnerConfig struct {
+	// Identity names this process in the store.
+	Identity    string
 	Store       Store
 	Replica     *Replica
 	Workers     Workers
@@ -85,19 +87,19 @@
 	number int64
 }
 
-// RunOwner owns the jobs under an epoch until the context ends or another owner has taken over.
-func RunOwner(ctx context.Context, c OwnerConfig, epoch int64) {
+// RunOwner owns the jobs until the context ends or another owner has taken over.
+func RunOwner(ctx context.Context, c OwnerConfig) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	o := &Owner{
-		OwnerConfig: c, epoch: epoch, signal: make(chan struct{}, 1),
+		OwnerConfig: c, signal: make(chan struct{}, 1),
 		states:   newStates(c.Store, c.Replica, c.Logger),
 		contacts: make(map[string]context.CancelFunc), acknowledged: make(map[string]acknowledgement),
 	}
 	defer o.work.Wait()
 	defer cancel()
 	if err := o.takeOver(ctx); err != nil {
-		o.Logger.Warn().Err(err).Int64("Epoch", epoch).Str("Decision", "TakeoverFailed").Msg("ownership not taken")
+		o.Logger.Warn().Err(err).Int64("Epoch", o.epoch).Str("Decision", "TakeoverFailed").Msg("ownership not taken")
 		return
 	}
 	defer o.Replica.DropProgress()
@@ -106,7 +108,7 @@
 	o.spawn(func() { o.followMembers(ctx) })
 	o.spawn(func() { o.followInstances(ctx) })
 	err := o.loop(ctx)
-	o.Logger.Info().AnErr("Cause", err).Int64("Epoch", epoch).Str("Decision", "OwnerStops").Msg("owner stops")
+	o.Logger.Info().AnErr("Cause", err).Int64("Epoch", o.epoch).Str("Decision", "OwnerStops").Msg("owner stops")
 }
 
 func (o *Owner) spawn(f func()) {
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -19,6 +19,8 @@
 	submissionPrefix = "s/"
 	cancelPrefix     = "c/"
 	statePrefix      = "t/"
+	// ownerKey is the key of the record that names the owner.
+	ownerKey = "owner"
 )
 
 // Replica is a copy of the store's records of all jobs; only an owner reads those of progress.
@@ -32,7 +34,9 @@
 	mu        sync.Mutex
 	specs     map[string][]byte
 	cancelled map[string]bool
-	progress  map[string]Record
+	// owner is the newest record that names an owner.
+	owner    Record
+	progress map[string]Record
 	// states holds what owners told of jobs, reached what this instance committed as an owner, and queues the queue of each
 	// job that was asked for.
 	states  map[string]jobs.State
@@ -83,6 +87,13 @@
 	return g.Wait()
 }
 
+// Owner returns the identity of the process that took the jobs over last, empty where there was none.
+func (r *Replica) Owner() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return string(r.owner.Value)
+}
+
 // DropProgress forgets the progress of jobs, which another instance owns from now on.
 func (r *Replica) DropProgress() {
 	r.mu.Lock()
@@ -194,6 +205,12 @@
 	if len(x.Value) == 0 {
 		return
 	}
+	if x.Key == ownerKey {
+		if x.Offset >= r.owner.Offset {
+			r.owner = x
+		}
+		return
+	}
 	if id, ok := strings.CutPrefix(x.Key, cancelPrefix); ok {
 		r.cancelled[id] = true
 		return
--- a/internal/jobserve/store.go
+++ b/internal/jobserve/store.go
@@ -49,8 +49,8 @@
 // Membership is what the store says of the group of instances.
 type Membership struct {
 	Generation int64
-	// Owner tells that this instance owns the jobs.
-	Owner bool
+	// Next tells that this instance is to own the jobs if no member does.
+	Next bool
 }
 
 // Store keeps the records of the jobs and names their owner.
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -28,7 +28,16 @@
 	}
 }
 
+// tryTakeOver names this process as the owner, and fences the former one under the number of that record, so that no two
+// ownerships share an epoch.
 func (o *Owner) tryTakeOver(ctx context.Context) error {
+	if o.epoch == 0 {
+		n, err := o.Store.Append(ctx, PartitionRequests, []Record{{Key: ownerKey, Value: []byte(o.Identity)}}, nil)
+		if err != nil {
+			return fmt.Errorf("name the owner: %w", err)
+		}
+		o.epoch = n
+	}
 	if _, err := o.Store.Append(ctx, PartitionProgress, nil, &Writer{Epoch: o.epoch}); err != nil {
 		return fmt.Errorf("fence the former owner: %w", err)
 	}
--- a/internal/jobserve/workers.go
+++ b/internal/jobserve/workers.go
@@ -33,6 +33,8 @@
 type Workers interface {
 	Sync(ctx context.Context, s Sync) (dispatch.Report, error)
 	Carry(ctx context.Context, s Start) (dispatch.Answer, error)
+	// Expect tells for how many workers there will be calls.
+	Expect(workers int)
 	// Forget drops what is known of the clock of a worker.
 	Forget(worker string)
 }
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -12,9 +12,9 @@
 
 const (
 	// pingEvery is the time between two pings of a relay.
-	pingEvery = 500 * time.Millisecond
+	pingEvery = 250 * time.Millisecond
 	// silenceLimit is the time without a frame after which a connection is given up.
-	silenceLimit = 1500 * time.Millisecond
+	silenceLimit = 800 * time.Millisecond
 	// writeTimeout bounds the time to write a frame.
 	writeTimeout = time.Second
 	// queuedCalls is the number of calls, or answers, that wait for a connection.
@@ -46,6 +46,8 @@
 type LinkError struct {
 	Relay  string
 	Reason string
+	// Lost tells that the connection to the relay is lost.
+	Lost bool
 }
 
 // Error names the relay and the reason.
@@ -63,13 +65,13 @@
 	select {
 	case l.calls <- c:
 	default:
-		return answer{}, &LinkError{name, "too many calls wait"}
+		return answer{}, &LinkError{Relay: name, Reason: "too many calls wait"}
 	}
 	select {
 	case a := <-w:
 		return a, nil
 	case <-l.closed:
-		return answer{}, &LinkError{name, "connection lost"}
+		return answer{}, &LinkError{Relay: name, Reason: "connection lost", Lost: true}
 	case <-ctx.Done():
 		return answer{}, fmt.Errorf("relay %s: %w", name, ctx.Err())
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -17,6 +17,8 @@
 const (
 	// answerMargin is kept of the time for an answer, so that a relay's word arrives before the owner gives up.
 	answerMargin = 80 * time.Millisecond
+	// workersPerCore is the number of workers that an owner calls by itself for each core that it may use.
+	workersPerCore = 400
 	// defaultTimeout bounds a call whose caller sets no deadline.
 	defaultTimeout = 3 * time.Second
 )
@@ -25,16 +27,20 @@
 type Pool struct {
 	local  jobserve.Workers
 	logger zerolog.Logger
+	// direct is the number of workers that this instance calls by itself.
+	direct int
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// shared tells that there are more workers than that, or were.
+	shared bool
 	links  map[string]*link
 	relays map[string]Hello
 	homes  *homes
 }
 
-// NewPool returns a pool without relays; it calls by itself through the given workers.
-func NewPool(local jobserve.Workers, l zerolog.Logger) *Pool {
-	return &Pool{local: local, logger: l, links: make(map[string]*link), relays: make(map[string]Hello), homes: newHomes()}
+// NewPool returns a pool without relays of an instance that may use the given processors, in cores.
+func NewPool(local jobserve.Workers, processors float64, l zerolog.Logger) *Pool {
+	return &Pool{local: local, logger: l, direct: int(workersPerCore * processors), links: make(map[string]*link), relays: make(map[string]Hello), homes: newHomes()}
 }
 
 // Run takes connections of relays in until the context ends.
@@ -67,10 +73,11 @@
 		}
 	})
 	err := l.read(func(m *toOwner) { p.took(l, m) })
+	// Calls that fail with the connection must not find it again.
+	p.remove(l, err)
 	close(l.closed)
 	_ = c.Close()
 	w.Wait()
-	p.remove(l, err)
 }
 
 // took takes in what a relay says of itself.
@@ -122,6 +129,9 @@
 func (p *Pool) home(worker, domain string) (string, *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.shared {
+		return "", nil
+	}
 	n := p.homes.of(worker, domain, p.relays)
 	return n, p.links[n]
 }
@@ -139,18 +149,34 @@
 	}
 }
 
-// Sync implements jobserve.Workers.
-func (p *Pool) Sync(ctx context.Context, s jobserve.Sync) (dispatch.Report, error) {
-	n, l := p.home(s.Worker, s.FailureDomain)
-	if l == nil {
-		return p.local.Sync(ctx, s)
+// Expect implements jobserve.Workers; it decides whether calls are shared out.
+func (p *Pool) Expect(workers int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.shared || workers <= p.direct {
+		return
 	}
-	asked := time.Now()
-	a, err := p.exchange(ctx, n, l, syncCall(s, until(ctx)))
-	if err != nil {
-		return dispatch.Report{}, err
+	p.shared = true
+	p.logger.Info().Int("Workers", workers).Int("Direct", p.direct).Int("Relays", len(p.relays)).Str("Decision", "ShareCalls").Msg("relays call the workers")
+}
+
+// Sync implements jobserve.Workers. A report whose relay is lost is asked for through another at once.
+func (p *Pool) Sync(ctx context.Context, s jobserve.Sync) (dispatch.Report, error) {
+	for {
+		n, l := p.home(s.Worker, s.FailureDomain)
+		if l == nil {
+			return p.local.Sync(ctx, s)
+		}
+		asked := time.Now()
+		a, err := p.exchange(ctx, n, l, syncCall(s, until(ctx)))
+		if err == nil {
+			return a.report(s.Worker, asked), nil
+		}
+		var e *LinkError
+		if ctx.Err() != nil || !errors.As(err, &e) || !e.Lost {
+			return dispatch.Report{}, err
+		}
 	}
-	return a.report(s.Worker, asked), nil
 }
 
 // Carry implements jobserve.Workers.
@@ -196,7 +222,7 @@
 		return a, fmt.Errorf("worker %s through relay %s: %w", c.Worker, name, jobserve.ErrFenced)
 	case a.Failure != "":
 		p.settle(&c, name, false)
-		return a, &LinkError{name, a.Failure}
+		return a, &LinkError{Relay: name, Reason: a.Failure}
 	}
 	p.settle(&c, name, true)
 	return a, nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -50,15 +50,30 @@
 	}, err
 }
 
-func (f *fakeWorkers) Carry(_ context.Context, s jobserve.Start) (dispatch.Answer, error) {
+func (f *fakeWorkers) Carry(ctx context.Context, s jobserve.Start) (dispatch.Answer, error) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.orders = append(f.orders, s)
-	return dispatch.AnswerNoRoom, f.err
+	err, hold := f.err, f.hold
+	f.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+		}
+	}
+	return dispatch.AnswerNoRoom, err
+}
+
+func (f *fakeWorkers) carried() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.orders)
 }
 
 func (f *fakeWorkers) Forget(string) {}
 
+func (f *fakeWorkers) Expect(int) {}
+
 func (f *fakeWorkers) fail(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -82,7 +97,8 @@
 func newScene(t *testing.T) *scene {
 	t.Helper()
 	s := &scene{T: t, local: &fakeWorkers{}}
-	s.pool = NewPool(s.local, zerolog.Nop())
+	s.pool = NewPool(s.local, 0, zerolog.Nop())
+	s.pool.Expect(1)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.address = l.Addr().String()
@@ -255,16 +271,49 @@
 	w.hold = make(chan struct{})
 	done := make(chan error, 1)
 	go func() {
-		_, err := s.sync("north")
+		c, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		_, err := s.pool.Carry(c, jobserve.Start{Order: dispatch.Order{Kind: dispatch.OrderStart, Worker: "i-1"}})
 		done <- err
 	}()
-	s.eventually(func() bool { return w.synced() == 1 })
+	s.eventually(func() bool { return w.carried() == 1 })
 	go stop()
 	var e *LinkError
 	require.ErrorAs(t, <-done, &e)
 	close(w.hold)
 }
 
+// Relays cost a call's way and what is lost with them, so that an owner calls by itself while it can.
+func TestFewWorkersAreCalledDirectly(t *testing.T) {
+	p := NewPool(&fakeWorkers{}, 0.16, zerolog.Nop())
+	p.relays["r"], p.links["r"] = Hello{"r", "north"}, newLink(nil)
+	p.Expect(48)
+	_, l := p.home("i-1", "north")
+	require.Nil(t, l)
+	p.Expect(490)
+	n, l := p.home("i-1", "north")
+	require.Equal(t, "r", n)
+	require.NotNil(t, l)
+}
+
+// A report is asked for through another relay at once, since asking twice does no harm.
+func TestLostRelayDelaysNoReport(t *testing.T) {
+	s := newScene(t)
+	w, _, stop := s.relay("n", "north")
+	other, _, _ := s.relay("s", "south")
+	w.hold = make(chan struct{})
+	done := make(chan error, 1)
+	go func() {
+		_, err := s.sync("north")
+		done <- err
+	}()
+	s.eventually(func() bool { return w.synced() == 1 })
+	go stop()
+	require.NoError(t, <-done)
+	require.Equal(t, 1, other.synced())
+	close(w.hold)
+}
+
 func TestFencedCallIsToldAsSuch(t *testing.T) {
 	s := newScene(t)
 	w, _, _ := s.relay("r", "north")
