Move work away from workers that are slow or whose tasks stand still

Cause: a job waits for the last of its tasks. Change: a worker's tasks are compared with the others of their steps; below 0.4 of the usual speed a worker gets no new work that ends, and tasks that are done clearly earlier elsewhere are stopped and resumed there.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -13,6 +13,7 @@
 	p.repeatStops(now)
 	l := p.candidates(now)
 	p.reserve.observe(p.list, l, now)
+	p.judgeSpeeds(now)
 	p.open = p.openWorkers(now)
 	p.full = make(map[fullKey]jobs.Resources)
 	for _, c := range l {
@@ -23,6 +24,7 @@
 		p.placeStep(&c, now)
 	}
 	p.vacate(now)
+	p.rescue(now)
 	p.maintain(now)
 	p.control(now)
 	p.relocate(now)
@@ -45,7 +47,7 @@
 	if p.isFull(c, c.tasks[0]) {
 		return
 	}
-	l := p.rate(c, now)
+	l := p.rateWorkers(c, now)
 	for _, t := range c.tasks {
 		r := p.find(c, t, l, now)
 		if r == nil {
@@ -125,13 +127,13 @@
 	ok bool
 }
 
-// rate rates the workers that may run a step, once for all its tasks.
-func (p *Planner) rate(c *candidate, now time.Time) []rating {
+// rateWorkers rates the workers that may run a step, once for all its tasks.
+func (p *Planner) rateWorkers(c *candidate, now time.Time) []rating {
 	l := p.ratings[:0]
 	t := c.tasks[0]
 	ref := StepRef{t.Job, t.Occurrence, t.Step}
 	for _, w := range p.open {
-		if w.Pool != c.job.Queue.Pool || !w.hasLabel(c.step.Label) || !w.free().Holds(c.step.Held()) {
+		if w.Pool != c.job.Queue.Pool || !w.isFastEnough(c.step) || !w.hasLabel(c.step.Label) || !w.free().Holds(c.step.Held()) {
 			continue
 		}
 		if _, ok := p.permitted(w, c.job, ref, now); !ok {
@@ -221,7 +223,7 @@
 
 // isEligible tells whether a worker may get tasks of a step at all.
 func (p *Planner) isEligible(w *worker, j *jobs.Job, s *jobs.Step, now time.Time) bool {
-	return p.isOpen(w, now) && w.Pool == j.Queue.Pool && w.hasLabel(s.Label)
+	return p.isOpen(w, now) && w.isFastEnough(s) && w.Pool == j.Queue.Pool && w.hasLabel(s.Label)
 }
 
 // isCrowded tells whether the worker has as many tasks of the step as it may.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -64,6 +64,10 @@
 	silent        map[string]int64
 	silentChanged bool
 	relocatedAt   time.Time
+	// rates holds how fast the tasks of each step progress.
+	rates map[StepRef]*rate
+	// usualSpeed is the speed of the worker in the middle.
+	usualSpeed    float64
 	modelLoggedAt time.Time
 }
 
@@ -73,7 +77,7 @@
 		Config: c, takenAt: now,
 		workers: make(map[string]*worker), jobs: make(map[string]*jobs.Job), active: make(map[string]*jobs.Job),
 		unavailable: make(map[string]bool), dirty: make(map[string]*jobs.Job),
-		waits: newWaits(), learned: newEstimates(), pressure: newPressure(), advice: make(map[StepRef]*advice),
+		waits: newWaits(), learned: newEstimates(), pressure: newPressure(), advice: make(map[StepRef]*advice), rates: make(map[StepRef]*rate),
 		waves: make(map[int]*waveState), maintained: make(map[int][]string),
 	}
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -53,6 +53,7 @@
 		p.running(w, x, now)
 	}
 	p.missing(w, present, r.AskedAt)
+	p.noteProgress(w, now)
 	p.learnPressure(w, now)
 	p.logFigures(w, now)
 }
@@ -99,7 +100,8 @@
 	switch how {
 	case jobs.EndDone:
 		w.strikes = 0
-		if a.task.Saved == "" && a.phase == phaseRunning {
+		p.noteDone(a, now)
+		if a.task.Saved == "" && a.phase == phaseRunning && !w.speed.slow {
 			p.learned.learn(a.job.Queue.Name, a.task.Spec, now.Sub(a.confirmedAt))
 		}
 	case jobs.EndFailed:
@@ -124,6 +126,7 @@
 	}
 	p.Logger.Info().Str("Job", j.ID).Str("Decision", "JobOver").Str("State", string(j.State())).Dur("Age", now.Sub(j.SubmittedAt)).Msg("job has ended")
 	p.waits.forget(j)
+	p.forgetRates(j)
 	j.Compact()
 	delete(p.active, j.ID)
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -87,6 +87,9 @@
 	pace    int
 	// slowSince is when the pace fell below slowPace.
 	slowSince time.Time
+	// progress is the percentage of its work that the task had reached at progressAt.
+	progress   int
+	progressAt time.Time
 	// sensitivity and jobLoad are what knownBy holds of a long-running task; they are nil until they are asked for.
 	knownBy     *pressure
 	sensitivity *sensitivity
@@ -127,6 +130,7 @@
 	ackable    int64
 	actedAt    time.Time
 	strikes    int
+	speed      speed
 	pacedAt    time.Time
 	learnedAt  time.Time
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -144,18 +144,19 @@
 	require.Eventually(s, ok, patience, 5*time.Millisecond)
 }
 
-func (s *scene) sync(domain string) (dispatch.Report, error) {
+// sync asks for a report of a worker in the failure domain north.
+func (s *scene) sync() (dispatch.Report, error) {
 	c, cancel := context.WithTimeout(s.Context(), time.Second)
 	defer cancel()
 	now := time.Now()
-	return s.pool.Sync(c, jobserve.Sync{Worker: "i-1", Address: "a", FailureDomain: domain, Fence: 5, LeaseUntil: now.Add(6 * time.Second), WaitUntil: now})
+	return s.pool.Sync(c, jobserve.Sync{Worker: "i-1", Address: "a", FailureDomain: "north", Fence: 5, LeaseUntil: now.Add(6 * time.Second), WaitUntil: now})
 }
 
 func TestCallsPassWhole(t *testing.T) {
 	s := newScene(t)
 	w, _, _ := s.relay("r", "north")
 	begun := time.Now()
-	r, err := s.sync("north")
+	r, err := s.sync()
 	require.NoError(t, err)
 	require.False(t, r.AskedAt.Before(begun))
 	want, _ := (&fakeWorkers{}).Sync(t.Context(), jobserve.Sync{Worker: "i-1"})
@@ -193,7 +194,7 @@
 func TestLeaseIsNoLongerThanTheOwnersBelief(t *testing.T) {
 	s := newScene(t)
 	w, _, _ := s.relay("r", "north")
-	_, err := s.sync("north")
+	_, err := s.sync()
 	require.NoError(t, err)
 	require.LessOrEqual(t, time.Until(w.syncs[0].LeaseUntil), 6*time.Second)
 	require.Greater(t, time.Until(w.syncs[0].LeaseUntil), 4*time.Second)
@@ -219,17 +220,17 @@
 	north, _, stop := s.relay("n", "north")
 	south, _, _ := s.relay("s", "south")
 	for range 5 {
-		_, err := s.sync("north")
+		_, err := s.sync()
 		require.NoError(t, err)
 	}
 	require.Equal(t, 5, north.synced())
 	stop()
 	s.eventually(func() bool { return s.pool.Relays() == 1 })
-	_, err := s.sync("north")
+	_, err := s.sync()
 	require.NoError(t, err)
 	require.Equal(t, 1, south.synced())
 	s.relay("n", "north")
-	_, err = s.sync("north")
+	_, err = s.sync()
 	require.NoError(t, err)
 	require.Equal(t, 2, south.synced(), "a worker is not handed back, since that opens a connection")
 }
@@ -239,9 +240,9 @@
 	north, _, _ := s.relay("n", "north")
 	south, _, _ := s.relay("s", "south")
 	north.fail(errSilent)
-	_, err := s.sync("north")
+	_, err := s.sync()
 	require.Error(t, err)
-	_, err = s.sync("north")
+	_, err = s.sync()
 	require.NoError(t, err)
 	require.Equal(t, 1, south.synced())
 }
@@ -252,7 +253,7 @@
 	w.hold = make(chan struct{})
 	done := make(chan error, 1)
 	go func() {
-		_, err := s.sync("north")
+		_, err := s.sync()
 		done <- err
 	}()
 	s.eventually(func() bool { return w.synced() == 1 })
@@ -260,7 +261,7 @@
 	s.eventually(func() bool { return s.pool.Relays() == 0 })
 	close(w.hold)
 	require.NoError(t, <-done)
-	_, err := s.sync("north")
+	_, err := s.sync()
 	require.NoError(t, err)
 	require.Len(t, s.local.syncs, 1, "without a relay the owner calls by itself")
 }
@@ -304,7 +305,7 @@
 	w.hold = make(chan struct{})
 	done := make(chan error, 1)
 	go func() {
-		_, err := s.sync("north")
+		_, err := s.sync()
 		done <- err
 	}()
 	s.eventually(func() bool { return w.synced() == 1 })
@@ -318,7 +319,7 @@
 	s := newScene(t)
 	w, _, _ := s.relay("r", "north")
 	w.fail(jobserve.ErrFenced)
-	_, err := s.sync("north")
+	_, err := s.sync()
 	require.ErrorIs(t, err, jobserve.ErrFenced)
 }
 
