Remove the records of jobs that ended long ago

Change: twice the time for which callers may ask for an ended job, its submission is removed, and its progress once the owner has read that it is gone; the other way round it would run again.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -65,7 +65,7 @@
 	}
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, StopWithin: s.StopWithin,
-		Lease: min(s.LongestLease, longestLease), TurnAfter: s.TurnAfter, Identity: x,
+		Lease: min(s.LongestLease, longestLease), KeepEnded: s.KeepEnded, TurnAfter: s.TurnAfter, Identity: x,
 		Store: store, Replica: replica, State: state,
 		Workers: jobserve.MeasureWorkers(node, m), Relays: node, Directory: platform.NewDirectory(log, l),
 		Adviser: platform.NewAdviser(s.AdviserAddress), Maintenance: platform.NewMachines(s.MachinesAddress, s.Name, log),
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -103,6 +103,20 @@
 // Job returns a job of the planner, nil where there is none.
 func (p *Planner) Job(id string) *jobs.Job { return p.jobs[id] }
 
+// Forget drops a job that is over, and tells whether nothing of it is left at any worker.
+func (p *Planner) Forget(id string) bool {
+	j := p.jobs[id]
+	if j == nil {
+		return true
+	}
+	if !j.Over() || j.Assigned() > 0 {
+		return false
+	}
+	delete(p.jobs, id)
+	delete(p.active, id)
+	return true
+}
+
 // Cancel ends a job for its caller.
 func (p *Planner) Cancel(id string, now time.Time) {
 	j := p.jobs[id]
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -43,6 +43,8 @@
 	// StopWithin is the time between the signal to stop and the kill.
 	StopWithin time.Duration
 	Lease      time.Duration
+	// KeepEnded is how long callers may ask for a job that has ended.
+	KeepEnded time.Duration
 	// Identity is how the group of instances names this process.
 	Identity    Identity
 	Store       Store
@@ -124,7 +126,7 @@
 	RunOwner(ctx, OwnerConfig{
 		Identity: i.Identity.String(), Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Adviser: i.Adviser, Maintenance: i.Maintenance,
 		State: i.State, TurnAfter: i.TurnAfter,
-		ContactAt: i.member.ContactAt, Lease: i.Lease, Detached: detachedLimit, Metrics: i.Metrics, Logger: i.Logger,
+		ContactAt: i.member.ContactAt, Lease: i.Lease, KeepEnded: i.KeepEnded, Detached: detachedLimit, Metrics: i.Metrics, Logger: i.Logger,
 	})
 }
 
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -54,6 +54,8 @@
 	Lease time.Duration
 	// Detached is the longest time without word from the store for which leases are granted.
 	Detached time.Duration
+	// KeepEnded is how long callers may ask for a job that has ended, 0 where its records are kept for good.
+	KeepEnded time.Duration
 	// TurnAfter is the time after a takeover in which no instance is ordered.
 	TurnAfter time.Duration
 	Metrics   *Metrics
@@ -63,13 +65,14 @@
 // Owner runs all jobs for as long as this instance owns them.
 type Owner struct {
 	OwnerConfig
-	epoch    int64
-	sequence int64
-	latency  latency
-	signal   chan struct{}
-	contacts map[string]context.CancelFunc
-	work     sync.WaitGroup
-	states   *states
+	epoch      int64
+	sequence   int64
+	latency    latency
+	signal     chan struct{}
+	contacts   map[string]context.CancelFunc
+	work       sync.WaitGroup
+	states     *states
+	retirement *retirement
 	// inherited holds the states of jobs that the former owner may not have told.
 	inherited []jobState
 	// knowledgeAt is the instant of the latest record of what was learned.
@@ -93,7 +96,7 @@
 	defer cancel()
 	o := &Owner{
 		OwnerConfig: c, signal: make(chan struct{}, 1),
-		states:   newStates(c.Store, c.Replica, c.Logger),
+		states: newStates(c.Store, c.Replica, c.Logger), retirement: newRetirement(c.KeepEnded),
 		contacts: make(map[string]context.CancelFunc), acknowledged: make(map[string]acknowledgement),
 	}
 	defer o.work.Wait()
@@ -104,6 +107,7 @@
 	}
 	defer o.Replica.DropProgress()
 	o.tell(ctx, o.inherited)
+	o.retirement.note(o.inherited, time.Now())
 	o.spawn(func() { o.followRequests(ctx) })
 	o.spawn(func() { o.followMembers(ctx) })
 	o.spawn(func() { o.followInstances(ctx) })
@@ -164,6 +168,10 @@
 		return err
 	}
 	o.tell(ctx, reached)
+	o.retirement.note(reached, now)
+	if err := o.retire(ctx, now); err != nil {
+		return err
+	}
 	o.mu.Lock()
 	if len(r) > 0 && r[len(r)-1].Key == knowledgeKey {
 		o.planner.KnowledgeCommitted()
