Let an owner of many workers wait for relays instead of calling all by itself

Change: beyond the workers that it may call by itself, calls wait up to 2.5 s for the first relay; after that up to 1,500 workers are called without one.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -19,6 +19,11 @@
 	answerMargin = 80 * time.Millisecond
 	// workersPerCore is the number of workers that an owner calls by itself for each core that it may use.
 	workersPerCore = 400
+	// relaysWithin is the time for which calls wait for the first relay, so that an owner of many workers does not open
+	// connections to all that it gives up at once.
+	relaysWithin = 2500 * time.Millisecond
+	// mostDirect bounds the workers that an instance calls by itself without relays, for its descriptors.
+	mostDirect = 1500
 	// defaultTimeout bounds a call whose caller sets no deadline.
 	defaultTimeout = 3 * time.Second
 )
@@ -36,11 +41,19 @@
 	links  map[string]*link
 	relays map[string]Hello
 	homes  *homes
+	// called holds the workers that this instance calls by itself although calls are shared out.
+	called map[string]bool
+	// awaitUntil is the instant up to which calls wait for a relay, and connected is closed when one comes.
+	awaitUntil time.Time
+	connected  chan struct{}
 }
 
 // NewPool returns a pool without relays of an instance that may use the given processors, in cores.
 func NewPool(local jobserve.Workers, processors float64, l zerolog.Logger) *Pool {
-	return &Pool{local: local, logger: l, direct: int(workersPerCore * processors), links: make(map[string]*link), relays: make(map[string]Hello), homes: newHomes()}
+	return &Pool{
+		local: local, logger: l, direct: int(workersPerCore * processors), links: make(map[string]*link),
+		relays: make(map[string]Hello), homes: newHomes(), called: make(map[string]bool), connected: make(chan struct{}),
+	}
 }
 
 // Run takes connections of relays in until the context ends.
@@ -89,6 +102,8 @@
 	defer p.mu.Unlock()
 	if m.Hello != nil {
 		p.links[m.Hello.Name], p.relays[m.Hello.Name] = l, *m.Hello
+		close(p.connected)
+		p.connected = make(chan struct{})
 		p.logger.Info().Str("Relay", m.Hello.Name).Str("FailureDomain", m.Hello.FailureDomain).Int("Relays", len(p.relays)).Str("Decision", "RelayConnected").Msg("an instance makes calls for this one")
 	}
 	if m.Leaving {
@@ -104,6 +119,9 @@
 		}
 		delete(p.links, n)
 		delete(p.relays, n)
+		if len(p.relays) == 0 {
+			p.awaitUntil = time.Now().Add(relaysWithin)
+		}
 		p.logger.Info().Str("Relay", n).Int("Relays", len(p.relays)).Str("Reason", reason).Str("Decision", "RelayLost").Msg("an instance no longer makes calls for this one")
 	}
 }
@@ -125,15 +143,46 @@
 	return len(p.relays)
 }
 
-// home returns the relay for a worker and its connection, nil where this instance calls by itself.
-func (p *Pool) home(worker, domain string) (string, *link) {
+// home returns the relay for a worker and its connection, nil where this instance calls by itself. Without any relay it
+// waits for one, and returns an error if the worker cannot be called.
+func (p *Pool) home(ctx context.Context, worker, domain string) (string, *link, error) {
+	for {
+		n, l, wait := p.tryHome(worker, domain, time.Now())
+		if wait == nil {
+			return n, l, nil
+		}
+		t := time.NewTimer(relaysWithin)
+		select {
+		case <-wait:
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return "", nil, &LinkError{Relay: "none", Reason: "no relay is connected"}
+		}
+		t.Stop()
+	}
+}
+
+// tryHome is home without waiting; the channel tells when a relay has come, nil where the answer stands.
+func (p *Pool) tryHome(worker, domain string, now time.Time) (string, *link, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.shared {
-		return "", nil
+		return "", nil, nil
+	}
+	if n := p.homes.of(worker, domain, p.relays); n != "" {
+		delete(p.called, worker)
+		return n, p.links[n], nil
+	}
+	limit := p.direct
+	if !now.Before(p.awaitUntil) {
+		limit = mostDirect
+	}
+	if !p.called[worker] && len(p.called) >= limit {
+		return "", nil, p.connected
 	}
-	n := p.homes.of(worker, domain, p.relays)
-	return n, p.links[n]
+	p.called[worker] = true
+	return "", nil, nil
 }
 
 // settle notes whether a worker answered through a relay. An order without an answer tells nothing of the relay, since
@@ -156,15 +205,18 @@
 	if p.shared || workers <= p.direct {
 		return
 	}
-	p.shared = true
+	p.shared, p.awaitUntil = true, time.Now().Add(relaysWithin)
 	p.logger.Info().Int("Workers", workers).Int("Direct", p.direct).Int("Relays", len(p.relays)).Str("Decision", "ShareCalls").Msg("relays call the workers")
 }
 
 // Sync implements jobserve.Workers. A report whose relay is lost is asked for through another at once.
 func (p *Pool) Sync(ctx context.Context, s jobserve.Sync) (dispatch.Report, error) {
 	for {
-		n, l := p.home(s.Worker, s.FailureDomain)
-		if l == nil {
+		n, l, err := p.home(ctx, s.Worker, s.FailureDomain)
+		switch {
+		case err != nil:
+			return dispatch.Report{}, err
+		case l == nil:
 			return p.local.Sync(ctx, s)
 		}
 		asked := time.Now()
@@ -181,8 +233,12 @@
 
 // Carry implements jobserve.Workers.
 func (p *Pool) Carry(ctx context.Context, s jobserve.Start) (dispatch.Answer, error) {
-	n, l := p.home(s.Worker, "")
-	if l == nil {
+	n, l, err := p.home(ctx, s.Worker, "")
+	switch {
+	case err != nil:
+		// The order did not leave.
+		return dispatch.AnswerRefused, nil //nolint:nilerr // a refusal says all that is known
+	case l == nil:
 		return p.local.Carry(ctx, s)
 	}
 	a, err := p.exchange(ctx, n, l, orderCall(s, until(ctx)))
@@ -198,6 +254,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.homes.forget(worker)
+	delete(p.called, worker)
 }
 
 // until returns the instant after which a relay shall not make a call.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -97,8 +98,8 @@
 func newScene(t *testing.T) *scene {
 	t.Helper()
 	s := &scene{T: t, local: &fakeWorkers{}}
-	s.pool = NewPool(s.local, 0, zerolog.Nop())
-	s.pool.Expect(1)
+	s.pool = NewPool(s.local, 1.0/workersPerCore, zerolog.Nop())
+	s.pool.Expect(2)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.address = l.Addr().String()
@@ -289,14 +290,47 @@
 	p := NewPool(&fakeWorkers{}, 0.16, zerolog.Nop())
 	p.relays["r"], p.links["r"] = Hello{"r", "north"}, newLink(nil)
 	p.Expect(48)
-	_, l := p.home("i-1", "north")
+	_, l, err := p.home(t.Context(), "i-1", "north")
+	require.NoError(t, err)
 	require.Nil(t, l)
 	p.Expect(490)
-	n, l := p.home("i-1", "north")
+	n, l, err := p.home(t.Context(), "i-1", "north")
+	require.NoError(t, err)
 	require.Equal(t, "r", n)
 	require.NotNil(t, l)
 }
 
+// An owner of 3,000 workers connected to all of them before the first relay came, and ran out of descriptors.
+func TestOwnerOfManyWorkersWaitsForRelays(t *testing.T) {
+	const workers = 3000
+	p := NewPool(&fakeWorkers{}, 0.16, zerolog.Nop())
+	p.Expect(workers)
+	direct := func(now time.Time) int {
+		n := 0
+		for i := range workers {
+			if _, _, wait := p.tryHome(strconv.Itoa(i), "north", now); wait == nil {
+				n++
+			}
+		}
+		return n
+	}
+	now := time.Now()
+	require.Equal(t, 64, direct(now))
+	require.Equal(t, 64, direct(now), "the same ones go on")
+	require.Equal(t, mostDirect, direct(now.Add(2*relaysWithin)), "no relay comes")
+	done := make(chan string, 1)
+	go func() {
+		n, _, err := p.home(t.Context(), "2999", "north")
+		require.NoError(t, err)
+		done <- n
+	}()
+	time.Sleep(10 * time.Millisecond)
+	p.took(newLink(nil), &toOwner{Hello: &Hello{"r", "north"}})
+	require.Equal(t, "r", <-done)
+	require.Equal(t, workers, direct(now))
+	require.Empty(t, p.called, "with a relay none is called directly")
+}
+
 // A report is asked for through another relay at once, since asking twice does no harm.
 func TestLostRelayDelaysNoReport(t *testing.T) {
 	s := newScene(t)
