Logs tell why each worker is passed over and which attempts are held at silent workers

In an incident tasks had no run for 34 s, and the log did not tell whether the owner still held an attempt at a worker, or whether the task waited and why no worker got it. Wait lines now count the workers by the first reason that excludes them, from the same functions that decide (exclusion.go); steps that a plan skips and gangs have Wait lines too. Hold lines tell which attempts are kept at workers that do not respond and until when, TookOver how many attempts a new owner inherits and how many of them at workers that are not listed, Release for how long the attempt was held. Two gauges count both cases.

--- a/internal/dispatch/colocation.go
+++ b/internal/dispatch/colocation.go
@@ -29,17 +29,20 @@
 
 // bestEffortScore rates a worker for a best-effort task by its spare CPU and the expected speed of the task.
 //
-// It returns false for a worker with too little spare CPU, or on which the
-// expected speed is below minExpectedSpeed. At a lower speed the task would slow
+// It excludes a worker with too little spare CPU, or on which the expected
+// speed is below minExpectedSpeed. At a lower speed the task would slow
 // down a service too much, and a service over its latency bound costs the users
 // more than the best-effort task is worth to them.
-func (p *Planner) bestEffortScore(w *worker, c *candidateStep, now time.Time) (float64, bool) {
+func (p *Planner) bestEffortScore(w *worker, c *candidateStep, now time.Time) (float64, exclusion) {
 	spare := w.spareMilliCPU()
 	if spare < minSpareFraction*float64(c.step.Size.MilliCPU) {
-		return 0, false
+		return 0, excludedSpareCPU
 	}
 	e := p.expectedSpeed(w, c.step, now)
-	return w.fraction(spare) + speedWeight*e, e >= minExpectedSpeed
+	if e < minExpectedSpeed {
+		return 0, excludedInterference
+	}
+	return w.fraction(spare) + speedWeight*e, notExcluded
 }
 
 // expectedSpeed returns the speed at which a best-effort task would run next to the services of a worker, as a fraction of
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -25,6 +25,9 @@
 	Step       int
 }
 
+// stepRef identifies the step of a task.
+func stepRef(t *jobs.Task) StepRef { return StepRef{t.Job, t.Occurrence, t.Step} }
+
 // recordedPermit is a permit for a worker incarnation to run the tasks of a step, as the planner records it.
 type recordedPermit struct {
 	token       string
@@ -67,14 +70,13 @@
 // It does nothing while a request about the step is in flight or a backoff lasts.
 func (p *Planner) requestAdvice(c *candidateStep, now time.Time) {
 	t := c.tasks[0]
-	r := StepRef{t.Job, t.Occurrence, t.Step}
-	a := p.adviceOf(r)
+	a := p.adviceOf(c.ref())
 	if a.pending || now.Before(a.retryAt) {
 		return
 	}
 	var l []*worker
 	for _, w := range p.workerList {
-		if p.isEligible(w, c.job, c.step, now) && w.free().CanFit(c.step.Reserved()) && !p.isAtTaskLimit(w, c, t) && a.mayBePermitted(w) {
+		if p.isEligible(w, c.job, c.step, now) && p.hasRoom(w, c, t) && a.mayBePermitted(w) {
 			l = append(l, w)
 		}
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -16,6 +16,7 @@
 	p.detectStragglers(now)
 	p.schedulable = p.schedulableWorkers(now)
 	p.unplaceable = make(map[placementClass]jobs.Resources)
+	p.waits.begin(now)
 	for _, c := range l {
 		if c.step.Gang {
 			p.placeGang(&c, now)
@@ -23,12 +24,27 @@
 		}
 		p.placeStep(&c, now)
 	}
+	p.waiting = countWaiting(l)
 	p.drainWorkers(now)
 	p.rescheduleFromStragglers(now)
 	p.advanceWaves(now)
 	p.adjustThrottles(now)
 	p.relocateThrottled(now)
 	p.logModel(now)
+	p.logHolds(now)
+}
+
+// countWaiting returns the number of the steps' tasks that still wait for a worker.
+func countWaiting(l []candidateStep) int {
+	n := 0
+	for _, c := range l {
+		for _, t := range c.tasks {
+			if t.State == jobs.TaskWaiting {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // repeatStops orders another stop for each stopping attempt whose latest stop call was sent stopRetryInterval ago or
@@ -46,6 +62,7 @@
 // placeStep assigns the ready tasks of a step in turn, until no worker can take the next task.
 func (p *Planner) placeStep(c *candidateStep, now time.Time) {
 	if p.isUnplaceable(c, c.tasks[0]) {
+		p.recordSkip(c, now)
 		return
 	}
 	l := p.rateWorkers(c, now)
@@ -59,7 +76,9 @@
 		}
 		p.waits.remove(t)
 		p.assign(c.job, t, r.worker, now)
-		r.score, r.eligible = p.score(r.worker, c, now)
+		var e exclusion
+		r.score, e = p.score(r.worker, c, now)
+		r.eligible = e == notExcluded
 	}
 }
 
@@ -75,11 +94,11 @@
 		return r
 	}
 	waited := p.waits.record(t, now)
-	p.logWait(c, t, waited, now)
 	x := constraints{
 		keepReserve: c.step.LongRunning && !p.mayUseReserve(c, t, waited, now),
 		avoidFailed: !c.step.LongRunning && waited < failedWorkerRetryDelay,
 	}
+	p.logWait(wait{c, t, x, waited, false}, now)
 	return p.selectWorker(c, t, l, x)
 }
 
@@ -98,7 +117,7 @@
 func (p *Planner) taskCapacity(c *candidateStep, t *jobs.Task, now time.Time) int {
 	n := 0
 	for _, w := range p.workerList {
-		if p.isEligible(w, c.job, c.step, now) && !p.isAtTaskLimit(w, c, t) && w.free().CanFit(c.step.Reserved()) {
+		if p.isEligible(w, c.job, c.step, now) && p.hasRoom(w, c, t) {
 			n += w.free().MilliCPU / max(c.step.Size.MilliCPU, 1)
 		}
 	}
@@ -117,7 +136,7 @@
 	a := &attempt{job: j, task: t, run: t.Run, incarnation: w.Incarnation, plannedAt: now, speedPercent: fullSpeed}
 	w.add(a)
 	p.dirty[j.ID] = j
-	x, _ := p.permitFor(w, j, StepRef{t.Job, t.Occurrence, t.Step}, now)
+	x, _ := p.permitFor(w, j, stepRef(t), now)
 	p.orders = append(p.orders, Order{
 		Ref: t.Ref, Kind: OrderStart, Run: t.Run, Worker: w.ID, Address: w.Address, Payload: j.Payload, Checkpoint: t.Checkpoint, Permit: x,
 	})
@@ -136,16 +155,8 @@
 // rateWorkers rates the workers that may run a step, once for all tasks of the step.
 func (p *Planner) rateWorkers(c *candidateStep, now time.Time) []rating {
 	l := p.ratings[:0]
-	t := c.tasks[0]
-	ref := StepRef{t.Job, t.Occurrence, t.Step}
 	for _, w := range p.schedulable {
-		if w.Pool != c.job.Queue.Pool || !w.isFastEnough(c.step) || !w.hasLabel(c.step.Label) || !w.free().CanFit(c.step.Reserved()) {
-			continue
-		}
-		if _, ok := p.permitFor(w, c.job, ref, now); !ok {
-			continue
-		}
-		if s, ok := p.score(w, c, now); ok {
+		if s, e := p.rate(w, c, now); e == notExcluded {
 			l = append(l, rating{w, s, true})
 		}
 	}
@@ -169,7 +180,7 @@
 		if !r.eligible || best != nil && (r.score < best.score || r.score == best.score && r.worker.ID > best.worker.ID) {
 			continue
 		}
-		if p.canPlace(r.worker, c, t, x) {
+		if p.taskExclusion(r.worker, c, t, x) == notExcluded {
 			best = r
 		}
 	}
@@ -179,17 +190,6 @@
 	return best
 }
 
-// canPlace reports whether a rated worker can take one more task of the step within the constraints.
-func (p *Planner) canPlace(w *worker, c *candidateStep, t *jobs.Task, x constraints) bool {
-	switch {
-	case !w.free().CanFit(c.step.Reserved()) || p.isAtTaskLimit(w, c, t):
-		return false
-	case x.keepReserve && !p.reserve.leavesReserve(w, c.step):
-		return false
-	}
-	return !x.avoidFailed || !slices.Contains(t.FailedAt, w.ID)
-}
-
 // placementClass groups best-effort tasks that the same workers can run, apart from differences in size.
 type placementClass struct {
 	pool  string
@@ -227,16 +227,14 @@
 	return l
 }
 
-// isSchedulable reports whether a worker may get new tasks. The worker must be listed, reachable and not in a backoff.
-// Three separate conditions exclude it: Draining (the platform shuts the worker down), cordoned (the instance of the worker
-// is due for maintenance), and drainedDomains (operators drained the failure domain).
+// isSchedulable reports whether a worker may get new tasks.
 func (p *Planner) isSchedulable(w *worker, now time.Time) bool {
-	return w.listed && !w.Draining && !w.cordoned && !p.drainedDomains[w.FailureDomain] && w.isReachable(now) && !now.Before(w.backoffUntil)
+	return p.workerExclusion(w, now) == notExcluded
 }
 
 // isEligible reports whether a worker may get tasks of a step, whatever its free capacity is.
 func (p *Planner) isEligible(w *worker, j *jobs.Job, s *jobs.Step, now time.Time) bool {
-	return p.isSchedulable(w, now) && w.isFastEnough(s) && w.Pool == j.Queue.Pool && w.hasLabel(s.Label)
+	return p.isSchedulable(w, now) && stepExclusion(w, j, s) == notExcluded
 }
 
 // isAtTaskLimit reports whether the worker holds MaxPerWorker tasks of the step, if the step sets that limit.
@@ -257,22 +255,22 @@
 // score, so that these workers come first.
 const dataRackBonus = 10.0
 
-// score rates a worker for a task of the step; higher is better. It returns false if the task must not run on the worker.
-func (p *Planner) score(w *worker, c *candidateStep, now time.Time) (float64, bool) {
+// score rates a worker for a task of the step; higher is better. It returns the reason if the task must not run on the worker.
+func (p *Planner) score(w *worker, c *candidateStep, now time.Time) (float64, exclusion) {
 	s := 0.0
 	if c.step.DataRack != "" && slices.Contains(w.Labels, c.step.DataRack) {
 		s += dataRackBonus
 	}
 	if c.step.BestEffort {
-		f, ok := p.bestEffortScore(w, c, now)
-		return s + f, ok
+		f, e := p.bestEffortScore(w, c, now)
+		return s + f, e
 	}
 	if c.step.TailBound > 0 {
-		return s + p.serviceScore(w, c), true
+		return s + p.serviceScore(w, c), notExcluded
 	}
 	f := w.free()
 	s += w.fraction(float64(f.MilliCPU))
-	return s, true
+	return s, notExcluded
 }
 
 // placeGang starts all tasks of a gang or none. A rack-sensitive gang is placed on workers that share a label, such as
@@ -296,10 +294,13 @@
 			return
 		}
 		for i, t := range c.tasks {
+			p.waits.remove(t)
 			p.orderStart(c.job, t, l[i], now)
 		}
 		return
 	}
+	t := c.tasks[0]
+	p.logWait(wait{c, t, constraints{}, p.waits.record(t, now), false}, now)
 	if c.job.Queue.NeedsPermit {
 		p.requestAdvice(c, now)
 	}
@@ -326,8 +327,7 @@
 	free := make(map[*worker]jobs.Resources)
 	count := make(map[*worker]int)
 	for _, w := range p.workerList {
-		_, ok := p.permitFor(w, c.job, StepRef{c.tasks[0].Job, c.tasks[0].Occurrence, c.tasks[0].Step}, now)
-		if ok && p.isEligible(w, c.job, c.step, now) && w.hasLabel(label) {
+		if p.isSchedulable(w, now) && p.offerExclusion(w, c, now) == notExcluded && w.hasLabel(label) {
 			free[w] = w.free()
 		}
 	}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -79,6 +79,8 @@
 	// medianSpeed is the median of the known worker speeds, as returned by speed.ratio.
 	medianSpeed   float64
 	modelLoggedAt time.Time
+	// waiting counts the ready tasks that the latest plan did not place.
+	waiting int
 }
 
 // New returns a planner whose owner took over at the given time.
@@ -230,7 +232,7 @@
 			continue
 		}
 		if a.reported {
-			p.release(w, a, "worker started a new incarnation")
+			p.release(w, a, "worker started a new incarnation", now)
 			continue
 		}
 		p.stop(w, a, "start was meant for an earlier incarnation", now)
@@ -238,11 +240,11 @@
 }
 
 // release removes an attempt that is known not to run now or later, so that the task waits for a worker again.
-func (p *Planner) release(w *worker, a *attempt, reason string) {
+func (p *Planner) release(w *worker, a *attempt, reason string, now time.Time) {
 	w.remove(a)
 	a.job.Release(a.task)
 	p.dirty[a.job.ID] = a.job
-	p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", w.ID).Str("Decision", "Release").Str("Reason", reason).Msg("attempt released")
+	p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", w.ID).Str("Decision", "Release").Str("Reason", reason).Dur("HeldFor", p.heldFor(w, now)).Msg("attempt released")
 }
 
 // LeaseGranted records that a lease was sent to a worker.
@@ -277,7 +279,7 @@
 		}
 		for _, a := range slices.Clone(w.attemptList) {
 			if a.phase != phasePlanned {
-				p.release(w, a, "worker lease expired")
+				p.release(w, a, "worker lease expired", now)
 			}
 		}
 		w.synced = false
@@ -351,7 +353,7 @@
 		return false
 	}
 	if a.stopping || now.Sub(a.plannedAt) > maxPlanAge || a.incarnation != w.Incarnation {
-		p.release(w, a, "plan is out of date")
+		p.release(w, a, "plan is out of date", now)
 		p.stopGang(a, "another member of the gang was not started", now)
 		p.finalizeJob(a.job, now)
 		return false
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -180,7 +180,7 @@
 			continue
 		}
 		if p.isKnownAbsent(a, requestedAt) {
-			p.release(w, a, "worker does not report the attempt")
+			p.release(w, a, "worker does not report the attempt", requestedAt)
 			p.finalizeJob(a.job, requestedAt)
 		}
 	}
@@ -216,7 +216,7 @@
 			a.confirmedAt = now
 		}
 	case ResultRefused, ResultNoCapacity, ResultUnhealthy:
-		p.release(w, a, "start refused")
+		p.release(w, a, "start refused", now)
 		w.backoffUntil = now.Add(refusalBackoff(x))
 		p.stopGang(a, "start of another member of the gang was refused", now)
 		p.finalizeJob(a.job, now)
--- a/internal/dispatch/stragglers.go
+++ b/internal/dispatch/stragglers.go
@@ -131,7 +131,7 @@
 
 // progressRate returns the progress rate of a task's step.
 func (p *Planner) progressRate(t *jobs.Task) *progressRate {
-	k := StepRef{t.Job, t.Occurrence, t.Step}
+	k := stepRef(t)
 	r := p.progressRates[k]
 	if r == nil {
 		r = &progressRate{}
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -16,6 +16,9 @@
 	urgency
 }
 
+// ref identifies the step.
+func (c *candidateStep) ref() StepRef { return stepRef(c.tasks[0]) }
+
 // urgency compares the progress of a job with its latency objective.
 type urgency struct {
 	// slack is the time left until the objective minus the remaining critical path, and initialSlack the slack when the job
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -12,6 +12,9 @@
 	failedWorkerRetryDelay = 1500 * time.Millisecond
 	// waitLogInterval is the least time between two log messages about a waiting job, and the waiting time before the first.
 	waitLogInterval = 2 * time.Second
+	// skippedWaitLogInterval is the least time between two log messages about a waiting job whose step was skipped, since a
+	// backlog may have a thousand such jobs.
+	skippedWaitLogInterval = 10 * time.Second
 )
 
 // waitTracker tracks how long tasks have waited for a worker.
@@ -20,12 +23,24 @@
 	since map[jobs.Ref]time.Time
 	// loggedAt holds the time of the latest log message about a waiting job, by job ID.
 	loggedAt map[string]time.Time
+	// skips means that the current plan records the steps that it skips, and skipsAt when a plan last did. It is once per
+	// waitLogInterval, since a backlog has many.
+	skips   bool
+	skipsAt time.Time
 }
 
 func newWaitTracker() waitTracker {
 	return waitTracker{since: make(map[jobs.Ref]time.Time), loggedAt: make(map[string]time.Time)}
 }
 
+// begin begins a plan.
+func (w *waitTracker) begin(now time.Time) {
+	w.skips = now.Sub(w.skipsAt) >= waitLogInterval
+	if w.skips {
+		w.skipsAt = now
+	}
+}
+
 // record records that no worker was found for a task, and returns for how long the task has waited.
 func (w *waitTracker) record(t *jobs.Task, now time.Time) time.Duration {
 	s, ok := w.since[t.Ref]
@@ -51,12 +66,56 @@
 	}
 }
 
-// logWait logs that a task has waited for a worker for at least waitLogInterval, at most once per waitLogInterval and job.
-func (p *Planner) logWait(c *candidateStep, t *jobs.Task, waited time.Duration, now time.Time) {
-	if waited < waitLogInterval || now.Sub(p.waits.loggedAt[t.Job]) < waitLogInterval {
+// wait is a task for which a plan found no worker.
+type wait struct {
+	step        *candidateStep
+	task        *jobs.Task
+	constraints constraints
+	// waited is for how long the task has waited.
+	waited time.Duration
+	// skipped means that the plan looked at no worker, since it had found none for a similar task.
+	skipped bool
+}
+
+// recordSkip records the waiting time of a step that a plan skips.
+func (p *Planner) recordSkip(c *candidateStep, now time.Time) {
+	if !p.waits.skips {
+		return
+	}
+	t := c.tasks[0]
+	p.logWait(wait{step: c, task: t, waited: p.waits.record(t, now), skipped: true}, now)
+}
+
+// logWait logs that a task has waited for a worker for at least waitLogInterval, and for how many workers each reason to pass
+// them over applies, at most once per waitLogInterval and job, and per skippedWaitLogInterval if the step was skipped.
+func (p *Planner) logWait(x wait, now time.Time) {
+	d := waitLogInterval
+	if x.skipped {
+		d = skippedWaitLogInterval
+	}
+	t, c := x.task, x.step
+	if x.waited < waitLogInterval || now.Sub(p.waits.loggedAt[t.Job]) < d {
 		return
 	}
 	p.waits.loggedAt[t.Job] = now
-	p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Dur("Waited", waited).Dur("Slack", c.slack).Float64("Left", c.remainingFraction).Int("OpenWorkers", len(p.schedulable)).
-		Int("RoomFor", p.taskCapacity(c, t, now)).Int("FailedAt", len(t.FailedAt)).Float64("ReservedPart", p.reserve.fraction()).Str("Decision", "Wait").Msg("task waits for a worker")
+	e := p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Dur("Waited", x.waited).Dur("Slack", c.slack).Float64("Left", c.remainingFraction).Int("OpenWorkers", len(p.schedulable)).
+		Int("RoomFor", p.taskCapacity(c, t, now)).Int("FailedAt", len(t.FailedAt)).Float64("ReservedPart", p.reserve.fraction())
+	if x.skipped {
+		e.Bool("Skipped", true)
+	}
+	for r, n := range p.countExclusions(x, now) {
+		if n > 0 {
+			e.Int(exclusion(r).String(), n)
+		}
+	}
+	e.Str("Decision", "Wait").Msg("task waits for a worker")
+}
+
+// countExclusions returns, by exclusion, the number of workers that are passed over for it.
+func (p *Planner) countExclusions(x wait, now time.Time) [exclusionCount]int {
+	var n [exclusionCount]int
+	for _, w := range p.workerList {
+		n[p.explain(w, x.step, x.task, x.constraints, now)]++
+	}
+	return n
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -160,6 +160,8 @@
 	// used for the interference model.
 	throttledAt    time.Time
 	interferenceAt time.Time
+	// holdLoggedAt is when the attempts that are held at the worker were last logged.
+	holdLoggedAt time.Time
 }
 
 func (w *worker) free() jobs.Resources { return w.Capacity.Minus(w.reserved) }
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -20,6 +20,8 @@
 	{metricVersion, "gauge", "version of the current configuration"},
 	{metricStoreAge, "gauge", "time since the last response of the store, in seconds"},
 	{metricJobs, "gauge", "jobs in the replica of this instance"},
+	{metricHeldAttempts, "gauge", "attempts that this owner keeps at workers that do not respond; 0 on other instances"},
+	{metricWaitingTasks, "gauge", "tasks whose turn has come and for which the latest plan of this owner found no worker; 0 on other instances"},
 	{metricLinesDropped, "counter", "log lines dropped because the byte budget was spent or the reader was slow"},
 }
 
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -26,6 +26,8 @@
 	metricVersion          = "currantknot_configuration_version"
 	metricStoreAge         = "currantknot_store_age_seconds"
 	metricJobs             = "currantknot_jobs"
+	metricHeldAttempts     = "currantknot_held_attempts"
+	metricWaitingTasks     = "currantknot_waiting_tasks"
 	metricLinesDropped     = "currantknot_log_lines_dropped_total"
 )
 
@@ -56,6 +58,9 @@
 	m.gauges[name] = f
 }
 
+// Set registers a gauge with a fixed value.
+func (m *Metrics) Set(name string, n int) { m.Gauge(name, func() float64 { return float64(n) }) }
+
 // Add adds n to a counter; label holds the pairs of name and quoted value, or is empty.
 func (m *Metrics) Add(name, label string, n int) { m.counters.Add(series(name, label), int64(n)) }
 
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -111,6 +111,7 @@
 		return
 	}
 	defer o.Replica.DropProgress()
+	defer o.recordIdle(dispatch.Idle{})
 	o.publishStates(ctx, o.restoredStates)
 	o.retention.recordFinished(o.restoredStates, time.Now())
 	o.spawn(func() { o.followRequests(ctx) })
@@ -158,6 +159,7 @@
 	o.planner.SetDrainedDomains(o.State.DrainedDomains())
 	o.planner.SetWaves(o.State.Waves())
 	o.planner.Plan(now)
+	idle := o.planner.Idle(now)
 	changed, orders := o.planner.TakeChanges()
 	committedStates := statesOf(changed)
 	r, err := o.encodeRecords(changed, now)
@@ -168,6 +170,7 @@
 		acks[w.ID] = acknowledgement{i, n}
 	}
 	o.mu.Unlock()
+	o.recordIdle(idle)
 	if err != nil {
 		return err
 	}
@@ -193,6 +196,12 @@
 	return nil
 }
 
+// recordIdle sets the gauges of the tasks that should run and do not.
+func (o *Owner) recordIdle(x dispatch.Idle) {
+	o.Metrics.Set(metricHeldAttempts, x.Held)
+	o.Metrics.Set(metricWaitingTasks, x.Waiting)
+}
+
 // publishStates publishes new job states to the other instances.
 func (o *Owner) publishStates(ctx context.Context, l []jobState) {
 	for _, x := range l {
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -18,7 +18,8 @@
 		err := o.tryTakeOver(c)
 		cancel()
 		if err == nil {
-			o.Logger.Info().Int64("Epoch", o.epoch).Dur("Took", time.Since(start)).Str("Decision", "TookOver").Msg("this instance now owns the jobs")
+			n, u := o.planner.HeldAttempts()
+			o.Logger.Info().Int64("Epoch", o.epoch).Dur("Took", time.Since(start)).Int("Attempts", n).Int("AtUnlisted", u).Str("Decision", "TookOver").Msg("this instance now owns the jobs")
 			return nil
 		}
 		if errors.Is(err, ErrFenced) || ctx.Err() != nil {
