Leases of an earlier owner are counted from its latest commit, not from the takeover

What callers saw: LOST, long-running tasks without a run long after the loss of their worker and of the owner. A new owner can't know when the former one granted its last lease.

Change: an owner grants leases (by sync calls and by starts) only for StoreLossGrace after it began its latest commit, where it was the latest renewal of its membership; an idle owner commits a keep-alive record each second. Commits are fenced in the store, which renewals are not, and each moves the end of the progress partition.

Why it is safe: the end never returns to an earlier offset, so that an unchanged end means no commit; a commit that is sent again counts from its first attempt, since the store may have executed that one; an owner grants nothing before its first commit, so that a short-lived owner that committed nothing has granted nothing; the boot clock counts suspensions.

--- /dev/null
+++ b/internal/dispatch/lastcommit_test.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+// Each new owner waited for leases that it assumed to have been granted until its takeover, although the former owner had been
+// lost seconds before.
+func TestLeasesOfAnEarlierOwnerAreCountedFromItsLatestCommit(t *testing.T) {
+	s := newSimulation(t, 2)
+	step := plainStep(1)
+	step.LongRunning = true
+	j := testJob(testID(1), s.now, step)
+	require.True(t, j.Assign(j.Tasks[0][0][0], "i-09", testIncarnation, s.now))
+	lastCommitAt := s.now
+	s.advance(5 * time.Second)
+	s.p = New(Config{Lease: testLease, StoreLossGrace: testStoreLossGrace, LastCommitAt: lastCommitAt, Logger: zerolog.Nop()}, s.now)
+	s.p.AddJob(j, s.now)
+	s.setWorkers(2)
+	end := s.p.leaseExpiry(lastCommitAt.Add(testStoreLossGrace))
+	for s.advance(time.Second); s.now.Before(end); s.advance(time.Second) {
+		s.setWorkers(2)
+		require.Empty(t, s.plan()[OrderStart], "the former owner may have granted a lease that has not expired")
+	}
+	s.setWorkers(2)
+	l := s.plan()[OrderStart]
+	require.Len(t, l, 1)
+	require.Equal(t, jobs.Ref{Job: testID(1)}, l[0].Ref)
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -28,8 +28,11 @@
 type Config struct {
 	// Lease is the duration of each lease that a worker is granted.
 	Lease time.Duration
-	// StoreLossGrace is the longest time for which an owner grants leases while it cannot reach the store.
+	// StoreLossGrace is the longest time after the start of its latest commit in which an owner grants leases.
 	StoreLossGrace time.Duration
+	// LastCommitAt is the time by which the latest commit of an earlier owner was certainly made; if it is zero, that is the
+	// takeover.
+	LastCommitAt time.Time
 	// MaintenanceDelay is the time after a takeover in which no maintenance is ordered, so that orders of two owners do not
 	// overlap.
 	MaintenanceDelay time.Duration
@@ -83,6 +86,9 @@
 
 // New returns a planner whose owner took over at the given time.
 func New(c Config, now time.Time) *Planner {
+	if c.LastCommitAt.IsZero() {
+		c.LastCommitAt = now
+	}
 	return &Planner{
 		Config: c, takeoverAt: now,
 		workers: make(map[string]*worker), jobs: make(map[string]*jobs.Job), active: make(map[string]*jobs.Job),
@@ -178,8 +184,7 @@
 	w := p.workers[id]
 	if w == nil {
 		w = &worker{WorkerInfo: WorkerInfo{ID: id}, attempts: make(map[jobs.Ref]*attempt), headroom: make(map[string]float64)}
-		// An earlier owner without the store may have granted leases until StoreLossGrace after the takeover.
-		w.leaseUntil = p.leaseExpiry(p.takeoverAt.Add(p.StoreLossGrace))
+		w.leaseUntil = p.leaseExpiry(p.LastCommitAt.Add(p.StoreLossGrace))
 		p.workers[id] = w
 		n, _ := slices.BinarySearchFunc(p.workerList, id, func(o *worker, id string) int { return cmp.Compare(o.ID, id) })
 		p.workerList = slices.Insert(p.workerList, n, w)
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -35,7 +35,7 @@
 	// Maintained holds, by wave number, the instances whose maintenance is complete.
 	Maintained map[int][]string
 	// Unresponsive holds, by worker ID, the workers that do not respond and are granted no lease, with the milliseconds until
-	// their last lease has expired. The next owner counts the milliseconds from its takeover, which is later than this
+	// their last lease has expired. The next owner counts the milliseconds from Config.LastCommitAt, which is later than this
 	// snapshot, since instances share no clock.
 	Unresponsive map[string]int64
 }
@@ -126,7 +126,7 @@
 	}
 	for id, ms := range r.Unresponsive {
 		w := p.worker(id)
-		w.leaseUntil = p.takeoverAt.Add(time.Duration(ms) * time.Millisecond)
+		w.leaseUntil = p.LastCommitAt.Add(time.Duration(ms) * time.Millisecond)
 		// The worker counts as unresponsive until it responds, so that the next snapshot of this owner names the worker as well
 		// if it holds attempts.
 		w.leaseWithheld, w.failedCalls = true, unresponsiveCalls
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -77,10 +77,11 @@
 	stopping atomic.Bool
 	// storeRespondedAt is the time of the latest response of the store, in nanoseconds since 1970.
 	storeRespondedAt atomic.Int64
+	commits          commitWatch
 }
 
-// storeLossGrace is the time after the latest renewal of the membership in which an owner still grants leases.
-const storeLossGrace = 3 * time.Second
+// storeLossGrace is the time after the start of the latest successful commit in which an owner still grants leases.
+const storeLossGrace = memberLease
 
 // NewInstance returns an instance that Run starts.
 func NewInstance(c InstanceConfig) *Instance {
@@ -135,7 +136,7 @@
 	RunOwner(ctx, OwnerConfig{
 		Identity: i.Identity.String(), Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Advisor: i.Advisor, Maintenance: i.Maintenance,
 		State: i.State, MaintenanceDelay: i.MaintenanceDelay,
-		RenewedAt: i.member.RenewedAt, Lease: i.Lease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, Metrics: i.Metrics, Logger: i.Logger,
+		LastCommit: i.commits.unchangedSince, Lease: i.Lease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, Metrics: i.Metrics, Logger: i.Logger,
 	})
 }
 
@@ -163,6 +164,7 @@
 	go i.runRelays(background)
 	go i.followOperators(background)
 	go i.refreshReplica(background)
+	go i.watchCommits(background)
 	<-ctx.Done()
 	i.shutDown(callers, leaveGroup, &o)
 	cancel()
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -62,8 +62,8 @@
 // lower epoch.
 type Member struct {
 	MemberConfig
-	// renewedAt is the start of the latest successful renewal, in nanoseconds since 1970.
-	renewedAt  atomic.Int64
+	// renewed means that a renewal has succeeded since this instance last left the group.
+	renewed    atomic.Bool
 	suspension *suspensionDetector
 
 	// joined means that the store may hold a membership of this instance.
@@ -176,7 +176,6 @@
 		m.Logger.Warn().Str("Decision", "Suspended").Msg("the instance was suspended; it gives up the ownership of the jobs if it has it")
 		m.stopOwner("the instance was suspended")
 	}
-	start := time.Now()
 	c, cancel := context.WithTimeout(ctx, joinTimeout)
 	x, err := m.Store.Join(c, m.generation, memberLease)
 	cancel()
@@ -186,7 +185,7 @@
 		}
 		return
 	}
-	m.renewedAt.Store(start.UnixNano())
+	m.renewed.Store(true)
 	changed := x.Generation != m.generation
 	if changed {
 		m.Logger.Info().Int64("Generation", x.Generation).Bool("Next", x.NextOwner).Str("Decision", "Joined").Msg("the group has a new generation")
@@ -226,8 +225,8 @@
 	return !ok || slices.Contains(g, parseIdentity(identity))
 }
 
-// RenewedAt returns the start of the latest successful renewal.
-func (m *Member) RenewedAt() time.Time { return time.Unix(0, m.renewedAt.Load()) }
+// MayBecomeOwner reports whether this instance is in the group, as far as it knows, and does not run the owner.
+func (m *Member) MayBecomeOwner() bool { return m.renewed.Load() && !m.IsOwner() }
 
 // IsOwner reports whether this instance runs the owner.
 func (m *Member) IsOwner() bool {
@@ -283,6 +282,7 @@
 	c, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	m.joined, m.generation = false, 0
+	m.renewed.Store(false)
 	if err := m.Store.Leave(c); err != nil {
 		m.Logger.Warn().Err(err).Msg("the call to leave the group failed; a membership that remains will expire")
 	}
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"currantknot.dev/currantknot/internal/bootclock"
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobs"
 )
@@ -35,6 +36,10 @@
 	unresponsiveSnapshotInterval = 500 * time.Millisecond
 	// snapshotKey is the key of the snapshot record; it is not a valid job ID.
 	snapshotKey = "knowledge"
+	// keepAliveKey is the key of the record that an owner commits if it has committed nothing else for keepAliveInterval; it is
+	// not a valid job ID.
+	keepAliveKey      = "owner-alive"
+	keepAliveInterval = time.Second
 	// storeBackoff is the delay after a failed call to the store.
 	storeBackoff = 150 * time.Millisecond
 )
@@ -50,11 +55,11 @@
 	Advisor     Advisor
 	Maintenance Maintenance
 	State       *OperatorState
-	// RenewedAt returns the start of the latest successful renewal of the membership.
-	RenewedAt func() time.Time
+	// LastCommit returns the time since which the progress partition is known to end at an offset, and whether it is known.
+	LastCommit func(end int64) (time.Time, bool)
 	// Lease is the duration of each lease that is granted to a worker.
 	Lease time.Duration
-	// StoreLossGrace is the time after the latest renewal of the membership in which leases are still granted.
+	// StoreLossGrace is the time after the start of the latest successful commit in which leases are still granted.
 	StoreLossGrace time.Duration
 	// FinishedJobRetention is how long callers may query a finished job; if it is 0, records are kept forever.
 	FinishedJobRetention time.Duration
@@ -79,11 +84,14 @@
 	retention  *retention
 	// restoredStates holds the job states that were read at the takeover; the former owner may have left them unpublished.
 	restoredStates []jobState
-	// snapshotAt is the time of the latest snapshot.
-	snapshotAt time.Time
+	// snapshotAt is the time of the latest snapshot, and committedAt that of the latest successful commit.
+	snapshotAt  time.Time
+	committedAt time.Time
 
 	mu      sync.Mutex
 	planner *dispatch.Planner
+	// grantsUntil is when this owner stops to grant leases, by the boot clock, which counts suspensions.
+	grantsUntil time.Duration
 	// acknowledged holds, by worker ID, up to which number the finished attempts are committed.
 	acknowledged map[string]acknowledgement
 }
@@ -202,7 +210,8 @@
 	}
 }
 
-// encodeRecords encodes changed jobs, and a snapshot of the learned estimates if one is due; o.mu is held.
+// encodeRecords encodes changed jobs, or a keep-alive record if there is none and one is due, and a snapshot of the learned
+// estimates if one is due; o.mu is held.
 func (o *Owner) encodeRecords(l []*jobs.Job, now time.Time) ([]Record, error) {
 	r := make([]Record, 0, len(l))
 	for _, j := range l {
@@ -212,6 +221,9 @@
 		}
 		r = append(r, Record{Key: j.ID, Value: b})
 	}
+	if len(r) == 0 && now.Sub(o.committedAt) >= keepAliveInterval {
+		r = append(r, Record{Key: keepAliveKey, Value: []byte{1}})
+	}
 	due := len(r) > 0 && now.Sub(o.snapshotAt) >= snapshotInterval
 	urgent := now.Sub(o.snapshotAt) >= unresponsiveSnapshotInterval && o.planner.DetectUnresponsiveChange()
 	if !due && !urgent {
@@ -234,12 +246,16 @@
 }
 
 // commit appends progress records, and retries until the store has them, another owner has taken over, or the context ends.
+//
+// A success extends the time in which leases are granted, from the start of the first attempt: a later attempt may succeed
+// without a new append, after the store has executed an earlier one.
 func (o *Owner) commit(ctx context.Context, r []Record) error {
 	if len(r) == 0 {
 		return nil
 	}
 	o.sequence++
 	w := &Writer{Epoch: o.epoch, Sequence: o.sequence}
+	firstAt := bootclock.Now()
 	for {
 		start := time.Now()
 		c, cancel := context.WithTimeout(ctx, o.latency.timeout())
@@ -250,6 +266,8 @@
 		}
 		switch {
 		case err == nil:
+			o.committedAt = start
+			o.extendGrants(firstAt)
 			o.Replica.ApplyCommitted(r, end-int64(len(r)))
 			o.Metrics.Add(metricCommits, "", len(r))
 			return nil
@@ -263,6 +281,16 @@
 	}
 }
 
+// extendGrants lets the owner grant leases until StoreLossGrace after the start of a commit.
+func (o *Owner) extendGrants(start time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.grantsUntil = start + o.StoreLossGrace
+}
+
+// mayGrantLeases reports whether the owner committed recently enough to grant leases; o.mu is held.
+func (o *Owner) mayGrantLeases() bool { return bootclock.Now() < o.grantsUntil }
+
 // sleep waits for a duration or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/jobserve/sync.go
+++ b/internal/jobserve/sync.go
@@ -78,8 +78,8 @@
 }
 
 // nextSync returns the next sync request to a worker. The request renews the lease of a worker that needs one. It grants no
-// lease if it is the first request of the loop, if the latest maxSyncFailures calls failed, or if StoreLossGrace has passed
-// since the latest renewal of the membership.
+// lease if it is the first request of the loop, if the latest maxSyncFailures calls failed, or if the latest commit was too
+// long ago.
 func (o *Owner) nextSync(w dispatch.WorkerInfo, failures int, first bool) Sync {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -89,7 +89,7 @@
 	if failures == 0 && !first {
 		s.LongPollUntil = now.Add(o.longPollTimeout(w.ID))
 	}
-	if !first && failures < maxSyncFailures && o.planner.NeedsLease(w.ID) && now.Sub(o.RenewedAt()) < o.StoreLossGrace {
+	if !first && failures < maxSyncFailures && o.planner.NeedsLease(w.ID) && o.mayGrantLeases() {
 		s.LeaseUntil = now.Add(o.Lease)
 		o.planner.LeaseGranted(w.ID, now)
 	}
@@ -153,15 +153,18 @@
 	}
 }
 
-// executeAtWorker calls the worker that an order names; an order that starts an attempt also grants a lease.
+// executeAtWorker calls the worker that an order names. An order that starts an attempt also grants a lease; it is refused if
+// the owner may grant none.
 func (o *Owner) executeAtWorker(ctx context.Context, x dispatch.Order) {
 	f := FencedOrder{Order: x, Fence: o.epoch}
 	now := time.Now()
 	if x.Kind == dispatch.OrderStart {
 		f.LeaseUntil = now.Add(o.Lease)
-		o.mu.Lock()
-		o.planner.LeaseGranted(x.Worker, now)
-		o.mu.Unlock()
+		if !o.recordGrant(x.Worker, now) {
+			o.Logger.Warn().Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Str("Decision", "StartWithheld").Msg("start was not sent: the latest commit is too long ago to grant a lease")
+			o.handleOrderResult(x, dispatch.ResultRefused)
+			return
+		}
 	}
 	c, cancel := context.WithTimeout(ctx, orderTimeout)
 	r, err := o.Workers.Execute(c, f)
@@ -178,6 +181,17 @@
 	o.handleOrderResult(x, r)
 }
 
+// recordGrant records a lease that an order is about to grant, and reports whether the owner may grant it.
+func (o *Owner) recordGrant(worker string, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.mayGrantLeases() {
+		return false
+	}
+	o.planner.LeaseGranted(worker, now)
+	return true
+}
+
 // handleOrderResult passes a worker's result for an order to the planner.
 func (o *Owner) handleOrderResult(x dispatch.Order, r dispatch.OrderResult) {
 	o.mu.Lock()
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -39,7 +39,8 @@
 		}
 		o.epoch = n
 	}
-	if _, err := o.Store.Append(ctx, PartitionProgress, nil, &Writer{Epoch: o.epoch}); err != nil {
+	end, err := o.Store.Append(ctx, PartitionProgress, nil, &Writer{Epoch: o.epoch})
+	if err != nil {
 		return fmt.Errorf("fence the former owner: %w", err)
 	}
 	if err := o.Replica.LoadAll(ctx); err != nil {
@@ -50,7 +51,9 @@
 		return fmt.Errorf("list workers: %w", err)
 	}
 	now := time.Now()
-	p := dispatch.New(dispatch.Config{Lease: o.Lease, StoreLossGrace: o.StoreLossGrace, MaintenanceDelay: o.MaintenanceDelay, Logger: o.Logger}, now)
+	p := dispatch.New(dispatch.Config{
+		Lease: o.Lease, StoreLossGrace: o.StoreLossGrace, LastCommitAt: o.lastCommitAt(end, now), MaintenanceDelay: o.MaintenanceDelay, Logger: o.Logger,
+	}, now)
 	if b := o.Replica.Progress(snapshotKey); b != nil {
 		if err := p.RestoreSnapshot(b); err != nil {
 			o.Logger.Warn().Err(err).Msg("snapshot was not restored; learned estimates are lost")
@@ -69,3 +72,14 @@
 	o.planner, o.restoredStates = p, states
 	return nil
 }
+
+// lastCommitAt returns the time by which the latest commit of an earlier owner was certainly made, given the end of the
+// progress partition at which the earlier owners were fenced.
+func (o *Owner) lastCommitAt(end int64, now time.Time) time.Time {
+	t, ok := o.LastCommit(end)
+	if !ok {
+		t = now
+	}
+	o.Logger.Info().Int64("Epoch", o.epoch).Bool("Seen", ok).Dur("Age", now.Sub(t)).Str("Decision", "LastCommit").Msg("leases of earlier owners are counted from their latest commit")
+	return t
+}
