--- a/internal/jobserve/bench_test.go
+++ b/internal/jobserve/bench_test.go
@@ -189,7 +189,7 @@
 	go func() {
 		defer close(done)
 		RunOwner(ctx, OwnerConfig{
-			Store: benchStore{f}, Replica: r, Workers: f, Directory: f, State: &OperatorState{}, LastCommit: func(int64) (time.Time, bool) { return time.Time{}, false },
+			Store: benchStore{f}, Replica: r, Workers: f, Directory: f, State: &OperatorState{}, LastCommit: new(commitWatch).unchangedSince,
 			Lease: 6 * time.Second, StoreLossGrace: 3 * time.Second, Metrics: m, Logger: zerolog.Nop(),
 		})
 	}()
--- a/internal/jobserve/commitwatch_test.go
+++ b/internal/jobserve/commitwatch_test.go
@@ -27,24 +27,24 @@
 	require.False(t, ok, "a commit was made after the latest observation")
 }
 
-// progressStore is a Store that accepts appends to the progress partition and calls accept before each response.
-type progressStore struct {
+// commitStore is a Store that accepts appends to the progress partition and calls accept before each response.
+type commitStore struct {
 	Store
 	accept  func()
 	records []Record
 }
 
-func (s *progressStore) Append(_ context.Context, _ Partition, r []Record, _ *Writer) (int64, error) {
+func (s *commitStore) Append(_ context.Context, _ Partition, r []Record, _ *Writer) (int64, error) {
 	s.accept()
 	s.records = append(s.records, r...)
 	return int64(len(s.records)), nil
 }
 
 // newGrantingOwner returns an owner that has not committed yet, of one worker with an attempt, and its store.
-func newGrantingOwner(t *testing.T) (*Owner, *progressStore, dispatch.WorkerInfo) {
+func newGrantingOwner(t *testing.T) (*Owner, *commitStore, dispatch.WorkerInfo) {
 	t.Helper()
 	now := time.Now()
-	s := &progressStore{accept: func() {}}
+	s := &commitStore{accept: func() {}}
 	o := &Owner{
 		OwnerConfig:  OwnerConfig{Store: s, Replica: NewReplica(s, zerolog.Nop()), Lease: 6 * time.Second, StoreLossGrace: time.Second, Metrics: NewMetrics(), Logger: zerolog.Nop()},
 		acknowledged: make(map[string]acknowledgement),
