A task stays assigned to a worker whose reports are ignored: a test that fails

A worker that starts again after its time of day was set back reports a lower incarnation. The planner ignores its reports, and the sync loop takes each for a response and grants the next lease.

--- /dev/null
+++ b/internal/jobserve/sync_test.go
@@ -0,0 +1,106 @@
+package jobserve
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"currantknot.dev/currantknot/internal/dispatch"
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+const (
+	testLease       = 6 * time.Second
+	testIncarnation = 1000
+)
+
+// fakeWorkers is a Workers whose workers hold each sync call for its long poll and then respond by a function.
+type fakeWorkers struct {
+	Workers
+
+	mu      sync.Mutex
+	respond func(s Sync) (dispatch.Report, error)
+}
+
+func (f *fakeWorkers) Sync(ctx context.Context, s Sync) (dispatch.Report, error) {
+	requestedAt := time.Now()
+	sleep(ctx, max(time.Until(s.LongPollUntil), time.Millisecond))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, err := f.respond(s)
+	r.Worker, r.RequestedAt = s.Worker, requestedAt
+	return r, err
+}
+
+func (f *fakeWorkers) SetWorkerCount(int) {}
+
+func (f *fakeWorkers) Forget(string) {}
+
+// setResponse sets how the workers respond from now on.
+func (f *fakeWorkers) setResponse(respond func(s Sync) (dispatch.Report, error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.respond = respond
+}
+
+// syncFixture is an owner with one job, whose task runs on the only worker, and without planning cycles.
+type syncFixture struct {
+	*Owner
+
+	workers *fakeWorkers
+	worker  dispatch.WorkerInfo
+	task    *jobs.Task
+}
+
+func newSyncFixture(t *testing.T) *syncFixture {
+	f := &syncFixture{workers: &fakeWorkers{}}
+	f.worker = dispatch.WorkerInfo{ID: "i-00", Address: "10.0.0.1:80", Pool: "pool", Capacity: jobs.Resources{MilliCPU: 32000, MemoryMB: 128000}, Incarnation: testIncarnation}
+	now := time.Now()
+	j := jobs.New(jobs.Spec{ID: "0000000000000001", Queue: jobs.Queue{Name: "queue", Pool: "pool", MaxAttempts: 3}, Steps: []jobs.Step{{Tasks: 1, LongRunning: true}}, SubmittedAt: now})
+	f.task = j.Tasks[0][0][0]
+	require.True(t, j.Assign(f.task, f.worker.ID, testIncarnation, now))
+	p := dispatch.New(dispatch.Config{Lease: testLease, Logger: zerolog.Nop()}, now)
+	p.SetWorkers([]dispatch.WorkerInfo{f.worker}, now)
+	p.AddJob(j, now)
+	f.Owner = &Owner{
+		OwnerConfig: OwnerConfig{Workers: f.workers, RenewedAt: time.Now, Lease: testLease, StoreLossGrace: storeLossGrace, Logger: zerolog.Nop()},
+		planSignal:  make(chan struct{}, 1), syncLoops: make(map[string]context.CancelFunc), acknowledged: make(map[string]acknowledgement), planner: p,
+	}
+	f.workers.setResponse(f.reportRunning)
+	return f
+}
+
+// reportRunning is the response of the worker while the task runs on it.
+func (f *syncFixture) reportRunning(Sync) (dispatch.Report, error) {
+	return dispatch.Report{Incarnation: testIncarnation, Running: []dispatch.RunningAttempt{{Ref: f.task.Ref, Run: f.task.Run}}}, nil
+}
+
+// expireLeases lets the planner release attempts for a time, at the interval of planning cycles.
+func (f *syncFixture) expireLeases(d time.Duration) {
+	for u := time.Now().Add(d); time.Now().Before(u); {
+		time.Sleep(maxPlanInterval)
+		f.mu.Lock()
+		f.planner.ExpireLeases(time.Now())
+		f.mu.Unlock()
+	}
+}
+
+// The time of day of a worker was set back before the worker started again, so that its reports carried a lower incarnation
+// and were ignored. Each of them counted as a response and led to another lease: the task of the former incarnation stayed
+// assigned for ever.
+func TestTaskIsReleasedIfTheReportsOfItsWorkerAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFixture(t)
+		f.startSyncLoops(t.Context(), []dispatch.WorkerInfo{f.worker})
+		f.expireLeases(10 * time.Second)
+		require.Equal(t, jobs.TaskAssigned, f.task.State)
+		f.workers.setResponse(func(Sync) (dispatch.Report, error) { return dispatch.Report{Incarnation: testIncarnation - 1}, nil })
+		f.expireLeases(2 * testLease)
+		require.Equal(t, jobs.TaskWaiting, f.task.State)
+	})
+}
