Grant no lease to a worker whose reports are ignored

Callers would see a task that lasts stand still until the next owner, since it stayed assigned to a worker that no longer ran it. Cause: a worker that starts again after its time of day was set back reports a lower incarnation. The planner ignored the report, the sync loop took it for a response, and each further call granted a lease, so that the wait for the end of the last one never ended. An ignored report now counts as a call without a response: the second in turn ends the leases, and the attempts are released once the last one has certainly expired, which holds whatever the worker runs. Open: the worker gets no tasks while its incarnation is lower; to take the report of a later call for that of a later incarnation would need a list that is never older.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -19,13 +19,13 @@
 	defaultRefusalBackoff = 300 * time.Millisecond
 )
 
-// HandleReport applies a report of a worker. It ignores reports of earlier incarnations, and reports to calls that were
-// sent before that of the latest applied report.
-func (p *Planner) HandleReport(r Report, now time.Time) {
+// HandleReport applies a report of a worker. It ignores reports of earlier incarnations, for which it returns false, and
+// reports to calls that were sent before that of the latest applied report.
+func (p *Planner) HandleReport(r Report, now time.Time) bool {
 	w := p.worker(r.Worker)
 	switch {
 	case r.Incarnation < w.Incarnation:
-		return
+		return false
 	case r.Incarnation > w.Incarnation:
 		if w.Incarnation != 0 {
 			p.startIncarnation(w, r.Incarnation, now)
@@ -33,7 +33,7 @@
 		w.Incarnation = r.Incarnation
 	}
 	if r.RequestedAt.Before(w.lastRequestedAt) {
-		return
+		return true
 	}
 	w.lastRequestedAt = r.RequestedAt
 	if !w.synced {
@@ -58,6 +58,7 @@
 	p.recordProgress(w, now)
 	p.observeInterference(w, now)
 	p.logSamples(w, now)
+	return true
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/jobserve/sync.go
+++ b/internal/jobserve/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"currantknot.dev/currantknot/internal/dispatch"
@@ -57,9 +58,7 @@
 	first := true
 	for ctx.Err() == nil {
 		s := o.nextSync(w, failures, first)
-		c, cancel := context.WithDeadline(ctx, s.LongPollUntil.Add(syncTimeout))
-		r, err := o.Workers.Sync(c, s)
-		cancel()
+		err := o.sync(ctx, s)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -72,11 +71,36 @@
 			sleep(ctx, syncBackoff)
 		default:
 			failures, first = 0, false
-			o.handleReport(ctx, r)
 		}
 	}
 }
 
+// StaleReportError reports that a worker responded with a lower incarnation than its latest known one.
+type StaleReportError struct {
+	Worker      string
+	Incarnation int64
+}
+
+// Error names the worker and the incarnation in its response.
+func (e *StaleReportError) Error() string {
+	return fmt.Sprintf("worker %s responded as incarnation %d, which is lower than an earlier one", e.Worker, e.Incarnation)
+}
+
+// sync makes one sync call and handles its report. A report that the planner ignores is an error, so that the worker is
+// granted no further lease and its attempts are released.
+func (o *Owner) sync(ctx context.Context, s Sync) error {
+	c, cancel := context.WithDeadline(ctx, s.LongPollUntil.Add(syncTimeout))
+	r, err := o.Workers.Sync(c, s)
+	cancel()
+	if err != nil || ctx.Err() != nil {
+		return err
+	}
+	if !o.handleReport(ctx, r) {
+		return &StaleReportError{s.Worker, r.Incarnation}
+	}
+	return nil
+}
+
 // nextSync returns the next sync request to a worker. The request renews the lease of a worker that needs one. It grants no
 // lease if it is the first request of the loop, if the latest maxSyncFailures calls failed, or if StoreLossGrace has passed
 // since the latest renewal of the membership.
@@ -117,14 +141,18 @@
 	}
 }
 
-// handleReport passes a report to the planner, and waits at most commitWaitTimeout for the commit of its finished attempts.
-func (o *Owner) handleReport(ctx context.Context, r dispatch.Report) {
+// handleReport passes a report to the planner, and waits at most commitWaitTimeout for the commit of its finished attempts. It
+// returns false if the planner ignores the report.
+func (o *Owner) handleReport(ctx context.Context, r dispatch.Report) bool {
 	o.mu.Lock()
-	o.planner.HandleReport(r, time.Now())
+	ok := o.planner.HandleReport(r, time.Now())
 	o.mu.Unlock()
+	if !ok {
+		return false
+	}
 	o.requestPlan()
 	if len(r.Finished) == 0 {
-		return
+		return true
 	}
 	last := r.Finished[len(r.Finished)-1].Number
 	d := time.Now().Add(commitWaitTimeout)
@@ -134,9 +162,10 @@
 		a := o.acknowledged[r.Worker]
 		o.mu.Unlock()
 		if a.incarnation == r.Incarnation && a.number >= last {
-			return
+			return true
 		}
 	}
+	return true
 }
 
 // execute executes an order and reports its result to the planner.
