--- /dev/null
+++ b/internal/dispatch/incarnation_test.go
@@ -0,0 +1,34 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The start of a task got no response, and its worker accepted the stop and then crashed. A start that is executed late may
+// reach the next incarnation, which knows nothing of the stop: the task was released at the first report of that incarnation
+// and could run twice.
+func TestStopAcceptedBeforeACrashDoesNotReleaseTheTask(t *testing.T) {
+	s := newSimulation(t, 2)
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	o := s.plan()[OrderStart][0]
+	s.p.HandleStartResult(o, ResultUnknown, s.now)
+	stop := s.plan()[OrderStop][0]
+	s.p.HandleStopResult(stop, ResultAccepted, s.now)
+	s.advance(100 * time.Millisecond)
+	s.reportAs(o.Worker, testIncarnation+1)
+	x := s.plan()
+	require.Empty(t, x[OrderStart], "the next incarnation may still execute the start")
+	require.Len(t, x[OrderStop], 1, "the next incarnation has to accept a stop of its own")
+	s.p.HandleStopResult(x[OrderStop][0], ResultAccepted, s.now)
+	s.advance(100 * time.Millisecond)
+	s.reportAs(o.Worker, testIncarnation+1)
+	require.Len(t, s.plan()[OrderStart], 1)
+}
+
+// reportAs applies a report of an incarnation that runs nothing.
+func (s *simulation) reportAs(id string, incarnation int64) {
+	s.p.HandleReport(Report{Worker: id, Incarnation: incarnation, RequestedAt: s.now}, s.now)
+}
