Count a stop only for the incarnation that accepted it

Callers would see a task run twice: its start got no response, its worker accepted the stop and crashed, and the first report of the next incarnation released the task, while a start that is executed late could still reach that incarnation, which has seen neither the fencing token nor the stop. Cause: the time of the accepted stop outlived the incarnation, and a response that came after the restart counted for the next one. A new incarnation now clears an accepted stop and gets a stop of its own at once; an order says for which incarnation it was made, and its result counts for no other. The next incarnation rejects the start once it has accepted the stop. TestStopAcceptedBeforeACrashDoesNotReleaseTheTask and TestStopAcceptedByAnEarlierIncarnationDoesNotCountForTheNext failed before and pass; TestDispatchModel passes 20,000 cases.

--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -18,17 +18,31 @@
 	stop := s.plan()[OrderStop][0]
 	s.p.HandleStopResult(stop, ResultAccepted, s.now)
 	s.advance(100 * time.Millisecond)
-	s.reportAs(o.Worker, testIncarnation+1)
+	s.reportRestarted(o.Worker)
 	x := s.plan()
 	require.Empty(t, x[OrderStart], "the next incarnation may still execute the start")
 	require.Len(t, x[OrderStop], 1, "the next incarnation has to accept a stop of its own")
 	s.p.HandleStopResult(x[OrderStop][0], ResultAccepted, s.now)
 	s.advance(100 * time.Millisecond)
-	s.reportAs(o.Worker, testIncarnation+1)
+	s.reportRestarted(o.Worker)
 	require.Len(t, s.plan()[OrderStart], 1)
 }
 
-// reportAs applies a report of an incarnation that runs nothing.
-func (s *simulation) reportAs(id string, incarnation int64) {
-	s.p.HandleReport(Report{Worker: id, Incarnation: incarnation, RequestedAt: s.now}, s.now)
+// The worker accepted a stop and crashed, and its response arrived after the first report of the next incarnation.
+func TestStopAcceptedByAnEarlierIncarnationDoesNotCountForTheNext(t *testing.T) {
+	s := newSimulation(t, 2)
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	o := s.plan()[OrderStart][0]
+	s.p.HandleStartResult(o, ResultUnknown, s.now)
+	stop := s.plan()[OrderStop][0]
+	s.reportRestarted(o.Worker)
+	s.p.HandleStopResult(stop, ResultAccepted, s.now)
+	s.advance(100 * time.Millisecond)
+	s.reportRestarted(o.Worker)
+	require.Empty(t, s.plan()[OrderStart])
+}
+
+// reportRestarted applies a report of the next incarnation of a worker, which runs nothing.
+func (s *simulation) reportRestarted(id string) {
+	s.p.HandleReport(Report{Worker: id, Incarnation: testIncarnation + 1, RequestedAt: s.now}, s.now)
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -23,11 +23,13 @@
 	jobs.Ref
 	Kind OrderKind
 	// Run is the number of the attempt.
-	Run        int
-	Worker     string
-	Address    string
-	Payload    string
-	Checkpoint string
+	Run     int
+	Worker  string
+	Address string
+	// Incarnation is the worker's latest known incarnation when the stop of an attempt was ordered, and 0 in other orders.
+	Incarnation int64
+	Payload     string
+	Checkpoint  string
 	// SpeedPercent is the speed limit of a best-effort task, in percent of its full speed.
 	SpeedPercent int
 	// Permit is the token that lets the worker run the step, empty where none is needed.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -166,7 +166,7 @@
 		return
 	}
 	a.stopSentAt = now
-	p.orders = append(p.orders, Order{Ref: a.task.Ref, Kind: OrderStop, Run: a.run, Worker: w.ID, Address: w.Address})
+	p.orders = append(p.orders, Order{Ref: a.task.Ref, Kind: OrderStop, Run: a.run, Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation})
 }
 
 // SetDrainedDomains sets the failure domains that operators drained: their workers get no new tasks, but keep the
@@ -233,6 +233,8 @@
 			p.release(w, a, "worker started a new incarnation")
 			continue
 		}
+		// The new incarnation knows nothing of a stop that an earlier one accepted.
+		a.stopping, a.stopAcceptedAt = false, time.Time{}
 		p.stop(w, a, "start was meant for an earlier incarnation", now)
 	}
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -252,10 +252,11 @@
 	return defaultRefusalBackoff
 }
 
-// HandleStopResult handles the result of a stop order; a stop that was not accepted is repeated by repeatStops.
+// HandleStopResult handles the result of a stop order; a stop that was not accepted by the present incarnation of the worker
+// is repeated by repeatStops.
 func (p *Planner) HandleStopResult(o Order, x OrderResult, now time.Time) {
 	w := p.workers[o.Worker]
-	if w == nil || w.attempts[o.Ref] == nil || w.attempts[o.Ref].run != o.Run || x != ResultAccepted {
+	if w == nil || w.attempts[o.Ref] == nil || w.attempts[o.Ref].run != o.Run || x != ResultAccepted || o.Incarnation != w.Incarnation {
 		return
 	}
 	a := w.attempts[o.Ref]
