--- a/internal/jobserve/sync_test.go
+++ b/internal/jobserve/sync_test.go
@@ -57,11 +57,18 @@
 	task    *jobs.Task
 }
 
+// testJob returns a job of one task that lasts.
+func testJob() *jobs.Job {
+	q := jobs.Queue{Name: "queue", Pool: "pool", MaxAttempts: 3}
+	s := jobs.Step{Tasks: 1, Size: jobs.Resources{MilliCPU: 1000}, LongRunning: true}
+	return jobs.New(jobs.Spec{ID: "0000000000000001", Queue: q, Steps: []jobs.Step{s}, SubmittedAt: time.Now()})
+}
+
 func newSyncFixture(t *testing.T) *syncFixture {
 	f := &syncFixture{workers: &fakeWorkers{}}
 	f.worker = dispatch.WorkerInfo{ID: "i-00", Address: "10.0.0.1:80", Pool: "pool", Capacity: jobs.Resources{MilliCPU: 32000, MemoryMB: 128000}, Incarnation: testIncarnation}
 	now := time.Now()
-	j := jobs.New(jobs.Spec{ID: "0000000000000001", Queue: jobs.Queue{Name: "queue", Pool: "pool", MaxAttempts: 3}, Steps: []jobs.Step{{Tasks: 1, LongRunning: true}}, SubmittedAt: now})
+	j := testJob()
 	f.task = j.Tasks[0][0][0]
 	require.True(t, j.Assign(f.task, f.worker.ID, testIncarnation, now))
 	p := dispatch.New(dispatch.Config{Lease: testLease, Logger: zerolog.Nop()}, now)
@@ -90,6 +97,22 @@
 	}
 }
 
+// setWorkers sets the list of workers.
+func (f *syncFixture) setWorkers(l ...dispatch.WorkerInfo) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.planner.SetWorkers(l, time.Now())
+}
+
+// plan makes a plan and returns its orders.
+func (f *syncFixture) plan() []dispatch.Order {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.planner.Plan(time.Now())
+	_, l := f.planner.TakeChanges()
+	return l
+}
+
 // The time of day of a worker was set back before the worker started again, so that its reports carried a lower incarnation
 // and were ignored. Each of them counted as a response and led to another lease: the task of the former incarnation stayed
 // assigned for ever.
@@ -104,3 +127,25 @@
 		require.Equal(t, jobs.TaskWaiting, f.task.State)
 	})
 }
+
+// A worker started again under its ID at another address. Its sync loop went on at the old one, where it got no response, and
+// the worker got no more tasks from this owner.
+func TestWorkerIsCalledAtItsNewAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFixture(t)
+		f.startSyncLoops(t.Context(), []dispatch.WorkerInfo{f.worker})
+		f.expireLeases(2 * time.Second)
+		const address = "10.0.0.2:80"
+		f.workers.setResponse(func(s Sync) (dispatch.Report, error) {
+			if s.Address != address {
+				return dispatch.Report{}, context.DeadlineExceeded
+			}
+			return dispatch.Report{Incarnation: testIncarnation + 1}, nil
+		})
+		f.worker.Address, f.worker.Incarnation = address, testIncarnation+1
+		f.setWorkers(f.worker)
+		f.startSyncLoops(t.Context(), []dispatch.WorkerInfo{f.worker})
+		f.expireLeases(2 * time.Second)
+		require.NotEmpty(t, f.plan(), "the task of the former incarnation starts again")
+	})
+}
