Call a worker at its new address

Callers would see less capacity: a worker that started again under its ID at another address got no more tasks from the present owner, and what had been planned for it waited for the end of its lease. Cause: the sync loop kept the address with which it had begun for as long as the worker was listed, while orders went to the new one. A change of address now ends the loop and starts another, which grants no lease before it got a response.

--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -72,8 +72,8 @@
 	sequence   int64
 	latency    latencyEstimator
 	planSignal chan struct{}
-	// syncLoops holds, by worker ID, the function that stops the sync loop of the worker.
-	syncLoops  map[string]context.CancelFunc
+	// syncLoops holds the sync loops by worker ID.
+	syncLoops  map[string]syncLoop
 	goroutines sync.WaitGroup
 	publisher  *statePublisher
 	retention  *retention
@@ -102,7 +102,7 @@
 	o := &Owner{
 		OwnerConfig: c, planSignal: make(chan struct{}, 1),
 		publisher: newStatePublisher(c.Store, c.Replica, c.Logger), retention: newRetention(c.FinishedJobRetention),
-		syncLoops: make(map[string]context.CancelFunc), acknowledged: make(map[string]acknowledgement),
+		syncLoops: make(map[string]syncLoop), acknowledged: make(map[string]acknowledgement),
 	}
 	defer o.goroutines.Wait()
 	defer cancel()
--- a/internal/jobserve/sync.go
+++ b/internal/jobserve/sync.go
@@ -30,30 +30,40 @@
 	maxSyncFailures = 2
 )
 
-// startSyncLoops starts a sync loop for each worker in l that has none, and stops the loops of workers that are not in l.
+// syncLoop is a running sync loop: the address that it calls, and the function that stops it.
+type syncLoop struct {
+	address string
+	cancel  context.CancelFunc
+}
+
+// startSyncLoops starts a sync loop for each worker in l that has none at its address, and stops all other loops.
 func (o *Owner) startSyncLoops(ctx context.Context, l []dispatch.WorkerInfo) {
 	o.Workers.SetWorkerCount(len(l))
 	seen := make(map[string]bool, len(l))
 	for _, w := range l {
 		seen[w.ID] = true
-		if o.syncLoops[w.ID] != nil {
+		x, ok := o.syncLoops[w.ID]
+		if ok && x.address == w.Address {
 			continue
 		}
+		if ok {
+			x.cancel()
+		}
 		c, cancel := context.WithCancel(ctx)
-		o.syncLoops[w.ID] = cancel
-		o.spawn(func() { o.syncLoop(c, w) })
+		o.syncLoops[w.ID] = syncLoop{w.Address, cancel}
+		o.spawn(func() { o.runSyncLoop(c, w) })
 	}
-	for id, cancel := range o.syncLoops {
+	for id, x := range o.syncLoops {
 		if !seen[id] {
-			cancel()
+			x.cancel()
 			delete(o.syncLoops, id)
 			o.Workers.Forget(id)
 		}
 	}
 }
 
-// syncLoop requests reports from a worker and renews its lease until the context ends.
-func (o *Owner) syncLoop(ctx context.Context, w dispatch.WorkerInfo) {
+// runSyncLoop requests reports from a worker and renews its lease until the context ends.
+func (o *Owner) runSyncLoop(ctx context.Context, w dispatch.WorkerInfo) {
 	failures := 0
 	first := true
 	for ctx.Err() == nil {
--- a/internal/jobserve/sync_test.go
+++ b/internal/jobserve/sync_test.go
@@ -76,7 +76,7 @@
 	p.AddJob(j, now)
 	f.Owner = &Owner{
 		OwnerConfig: OwnerConfig{Workers: f.workers, RenewedAt: time.Now, Lease: testLease, StoreLossGrace: storeLossGrace, Logger: zerolog.Nop()},
-		planSignal:  make(chan struct{}, 1), syncLoops: make(map[string]context.CancelFunc), acknowledged: make(map[string]acknowledgement), planner: p,
+		planSignal:  make(chan struct{}, 1), syncLoops: make(map[string]syncLoop), acknowledged: make(map[string]acknowledgement), planner: p,
 	}
 	f.workers.setResponse(f.reportRunning)
 	return f
