--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -46,3 +46,18 @@
 func (s *simulation) reportRestarted(id string) {
 	s.p.HandleReport(Report{Worker: id, Incarnation: testIncarnation + 1, RequestedAt: s.now}, s.now)
 }
+
+// An entry of the former incarnation was written late, after that of the present one, and brought the former address back.
+func TestEntryOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	s := newSimulation(t, 1)
+	w := testWorker(0)
+	w.Address, w.Incarnation = "10.0.1.0:80", testIncarnation+1
+	s.p.SetWorkers([]WorkerInfo{w}, s.now)
+	s.reportRestarted(w.ID)
+	s.p.SetWorkers([]WorkerInfo{testWorker(0)}, s.now)
+	require.Equal(t, []WorkerInfo{w}, s.p.SyncTargets())
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	l := s.plan()[OrderStart]
+	require.Len(t, l, 1)
+	require.Equal(t, w.Address, l[0].Address)
+}
