Ignore a worker's entry of an earlier incarnation

Callers would see starts at an address where nothing or another worker is, and a worker that is given more than it has, since an incarnation may be of another kind at the same address. Cause: an entry that is written late, after that of the next incarnation, replaced the address, the capacity and the draining state; only the incarnation itself was kept. An entry with a lower incarnation than the known one now changes nothing; an entry without one counts as before. TestEntryOfAnEarlierIncarnationIsIgnored failed before and passes; TestDispatchModel passes 20,000 cases.

--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -203,8 +203,13 @@
 	}
 }
 
+// setWorker applies an entry of the list. It ignores an entry of an earlier incarnation, which may have another address and
+// more capacity than the present one.
 func (p *Planner) setWorker(info WorkerInfo, now time.Time) {
 	w := p.worker(info.ID)
+	if info.Incarnation != 0 && info.Incarnation < w.Incarnation {
+		return
+	}
 	if info.Incarnation != 0 && w.Incarnation != 0 && info.Incarnation != w.Incarnation && info.Incarnation > w.Incarnation {
 		p.startIncarnation(w, info.Incarnation, now)
 	}
