--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -174,7 +174,7 @@
 		return
 	}
 	a.stopSentAt = now
-	p.orders = append(p.orders, Order{Ref: a.task.Ref, Kind: OrderStop, Run: a.run, Worker: w.ID, Address: w.Address})
+	p.orders = append(p.orders, Order{Ref: a.task.Ref, Kind: OrderStop, Run: a.run, Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation})
 }
 
 // SetDrainedDomains sets the failure domains that operators drained: their workers get no new tasks, but keep the
@@ -210,8 +210,13 @@
 	}
 }
 
+// setWorker applies an entry of the list. It ignores an entry of an earlier incarnation, which may have another address and
+// more capacity than the present one.
 func (p *Planner) setWorker(info WorkerInfo, now time.Time) {
 	w := p.worker(info.ID)
+	if info.Incarnation != 0 && info.Incarnation < w.Incarnation {
+		return
+	}
 	if info.Incarnation != 0 && w.Incarnation != 0 && info.Incarnation != w.Incarnation && info.Incarnation > w.Incarnation {
 		p.startIncarnation(w, info.Incarnation, now)
 	}
@@ -240,6 +245,8 @@
 			p.release(w, a, "worker started a new incarnation", now)
 			continue
 		}
+		// The new incarnation knows nothing of a stop that an earlier one accepted.
+		a.stopping, a.stopAcceptedAt = false, time.Time{}
 		p.stop(w, a, "start was meant for an earlier incarnation", now)
 	}
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -19,13 +19,13 @@
 	defaultRefusalBackoff = 300 * time.Millisecond
 )
 
-// HandleReport applies a report of a worker. It ignores reports of earlier incarnations, and reports to calls that were
-// sent before that of the latest applied report.
-func (p *Planner) HandleReport(r Report, now time.Time) {
+// HandleReport applies a report of a worker. It ignores reports of earlier incarnations, for which it returns false, and
+// reports to calls that were sent before that of the latest applied report.
+func (p *Planner) HandleReport(r Report, now time.Time) bool {
 	w := p.worker(r.Worker)
 	switch {
 	case r.Incarnation < w.Incarnation:
-		return
+		return false
 	case r.Incarnation > w.Incarnation:
 		if w.Incarnation != 0 {
 			p.startIncarnation(w, r.Incarnation, now)
@@ -33,7 +33,7 @@
 		w.Incarnation = r.Incarnation
 	}
 	if r.RequestedAt.Before(w.lastRequestedAt) {
-		return
+		return true
 	}
 	w.lastRequestedAt = r.RequestedAt
 	if !w.synced {
@@ -58,6 +58,7 @@
 	p.recordProgress(w, now)
 	p.observeInterference(w, now)
 	p.logSamples(w, now)
+	return true
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -251,10 +252,11 @@
 	return defaultRefusalBackoff
 }
 
-// HandleStopResult handles the result of a stop order; a stop that was not accepted is repeated by repeatStops.
+// HandleStopResult handles the result of a stop order; a stop that was not accepted by the present incarnation of the worker
+// is repeated by repeatStops.
 func (p *Planner) HandleStopResult(o Order, x OrderResult, now time.Time) {
 	w := p.workers[o.Worker]
-	if w == nil || w.attempts[o.Ref] == nil || w.attempts[o.Ref].run != o.Run || x != ResultAccepted {
+	if w == nil || w.attempts[o.Ref] == nil || w.attempts[o.Ref].run != o.Run || x != ResultAccepted || o.Incarnation != w.Incarnation {
 		return
 	}
 	a := w.attempts[o.Ref]
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -77,8 +78,8 @@
 	sequence   int64
 	latency    latencyEstimator
 	planSignal chan struct{}
-	// syncLoops holds, by worker ID, the function that stops the sync loop of the worker.
-	syncLoops  map[string]context.CancelFunc
+	// syncLoops holds the sync loops by worker ID.
+	syncLoops  map[string]syncLoop
 	goroutines sync.WaitGroup
 	publisher  *statePublisher
 	retention  *retention
@@ -110,7 +111,7 @@
 	o := &Owner{
 		OwnerConfig: c, planSignal: make(chan struct{}, 1),
 		publisher: newStatePublisher(c.Store, c.Replica, c.Logger), retention: newRetention(c.FinishedJobRetention),
-		syncLoops: make(map[string]context.CancelFunc), acknowledged: make(map[string]acknowledgement),
+		syncLoops: make(map[string]syncLoop), acknowledged: make(map[string]acknowledgement),
 	}
 	defer o.goroutines.Wait()
 	defer cancel()
@@ -160,8 +161,12 @@
 	}
 }
 
-// runCycle makes one plan, commits its changes, and then starts the execution of its orders.
+// runCycle makes one plan, commits its changes, and then starts the execution of its orders. It fails if another owner has
+// taken over, which an owner without changes to commit learns only from the record of the newer one.
 func (o *Owner) runCycle(ctx context.Context) error {
+	if o.Replica.HasNewerOwner(o.Identity, o.epoch) {
+		return fmt.Errorf("epoch %d: %w", o.epoch, ErrFenced)
+	}
 	o.mu.Lock()
 	now := time.Now()
 	o.planner.SetDrainedDomains(o.State.DrainedDomains())
