--- a/internal/jobserve/owner_test.go
+++ b/internal/jobserve/owner_test.go
@@ -67,7 +67,7 @@
 			defer close(stopped)
 			RunOwner(t.Context(), OwnerConfig{
 				Identity: "former", Store: s, Replica: NewReplica(s, zerolog.Nop()), Workers: &fakeWorkers{}, Directory: fakeDirectory{}, State: &OperatorState{},
-				RenewedAt: time.Now, Lease: testLease, StoreLossGrace: storeLossGrace, Metrics: NewMetrics(), Logger: zerolog.Nop(),
+				LastCommit: new(commitWatch).unchangedSince, Lease: testLease, StoreLossGrace: storeLossGrace, Metrics: NewMetrics(), Logger: zerolog.Nop(),
 			})
 		}()
 		time.Sleep(10 * time.Second)
--- a/internal/jobserve/sync_test.go
+++ b/internal/jobserve/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -75,8 +76,9 @@
 	p.SetWorkers([]dispatch.WorkerInfo{f.worker}, now)
 	p.AddJob(j, now)
 	f.Owner = &Owner{
-		OwnerConfig: OwnerConfig{Workers: f.workers, RenewedAt: time.Now, Lease: testLease, StoreLossGrace: storeLossGrace, Logger: zerolog.Nop()},
+		OwnerConfig: OwnerConfig{Workers: f.workers, Lease: testLease, StoreLossGrace: storeLossGrace, Logger: zerolog.Nop()},
 		planSignal:  make(chan struct{}, 1), syncLoops: make(map[string]syncLoop), acknowledged: make(map[string]acknowledgement), planner: p,
+		grantsUntil: math.MaxInt64,
 	}
 	f.workers.setResponse(f.reportRunning)
 	return f
