--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -8,7 +8,8 @@
 // An attempt whose start got no response may be running, and may still start.
 // Until the worker reports it as finished, its task is released for another
 // attempt only in these cases:
-//   - the worker accepted a stop, and a later report does not list the attempt;
+//   - the worker accepted a stop, and a later report of the same incarnation
+//     does not list the attempt;
 //   - the worker had reported the attempt, and then no longer reports it or
 //     starts a new incarnation;
 //   - the worker is unreachable, and its last lease has certainly expired;
