The read of a partition outlives its callers, and a load resumes after the last key

Cause, two parts that make each other worse. The load ran within the time of the caller that happened to need it, and began at the first key with the next caller. And callers queued at a lock that knows no deadline, so that one whose turn came had used up its time behind the one before: a load got no more time than passes between two requests, and took place only once the callers had given up. That a caller waits past its deadline is the same lock.

Change: one read runs for each partition, in a goroutine of its own, with a time limit for each call; callers wait for it within their own time. The page that a failed call leaves missing is the next to be read. What changed meanwhile has offsets from the first page's end on, which is where the replica reads on, so that a key that was changed or deleted after its page is put right. A call that timed out is given twice the time, once: more would let a connection that has gone silent hold up all callers.

--- /dev/null
+++ b/internal/jobserve/read.go
@@ -0,0 +1,216 @@
+package jobserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+const (
+	// readTimeout bounds a call for a page that doesn't wait for new records.
+	readTimeout = 3 * time.Second
+	// maxTimeoutDoublings bounds how often the time for a call is doubled after calls that timed out: a page may take longer on a
+	// slow link, but a connection that has gone silent must not be waited for much longer.
+	maxTimeoutDoublings = 1
+)
+
+// partitionState is how far the replica has read a partition.
+type partitionState struct {
+	// loaded means that the newest record of each key has been read, up to the key afterKey until then.
+	loaded   bool
+	afterKey string
+	// nextOffset is the offset of the next read; it is noOffset until the first page of the load.
+	nextOffset int64
+	// freshAt is the start of the latest read that reached the end.
+	freshAt time.Time
+	// polling means that a long poll waits for the next record, so that the replica is current without another read.
+	polling bool
+	// timeouts is the number of calls that timed out since the latest one that did not.
+	timeouts int
+	// run is the read in progress, nil if there is none.
+	run *readRun
+}
+
+// noOffset means that no offset is known yet.
+const noOffset = -1
+
+func newPartitionState() *partitionState { return &partitionState{nextOffset: noOffset} }
+
+// readRun is a read of a partition to its end, for which any number of callers wait.
+type readRun struct {
+	done chan struct{}
+	// err is the error that ended the read, to be read after done is closed.
+	err error
+}
+
+// errDropped means that the records of a partition were dropped during a read.
+var errDropped = errors.New("records were dropped")
+
+// Follow reads a partition to its end, unless a completed read began after since. If there is no new record, Follow waits for
+// one until the given time.
+//
+// One read runs at a time, and goes on when the callers that wait for it have
+// left: what a caller's deadline cut would have to begin again, and a load that
+// takes longer than callers wait would never end.
+func (r *Replica) Follow(ctx context.Context, p Partition, since, until time.Time) error {
+	for {
+		x := r.startRead(ctx, p, since, until)
+		if x == nil {
+			return nil
+		}
+		select {
+		case <-x.done:
+			if x.err != nil {
+				return x.err
+			}
+		case <-ctx.Done():
+			return fmt.Errorf("wait for records of jobs: %w", ctx.Err())
+		}
+	}
+}
+
+// startRead returns the read in progress or starts one; it returns nil if a completed read began after since.
+func (r *Replica) startRead(ctx context.Context, p Partition, since, until time.Time) *readRun {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.partitions[p]
+	if s.loaded && !s.freshAt.Before(since) {
+		return nil
+	}
+	if s.run == nil {
+		x := &readRun{done: make(chan struct{})}
+		s.run = x
+		go func() {
+			x.err = r.readToEnd(context.WithoutCancel(ctx), p, s, until)
+			r.mu.Lock()
+			s.run = nil
+			r.mu.Unlock()
+			close(x.done)
+		}()
+	}
+	return s.run
+}
+
+// readToEnd loads a partition if needed, and then reads to its end.
+func (r *Replica) readToEnd(ctx context.Context, p Partition, s *partitionState, until time.Time) error {
+	for {
+		if !r.isLoaded(s) {
+			// Callers that need no new record wait for the load too.
+			until = time.Time{}
+			if err := r.load(ctx, p, s); err != nil {
+				return err
+			}
+		}
+		start := time.Now()
+		g, err := r.readPage(ctx, p, s, until)
+		if errors.Is(err, ErrTruncated) {
+			r.logger.Warn().Err(err).Int("Partition", int(p)).Str("Decision", "LoadAgain").Msg("records were truncated in the store; partition is reloaded")
+			r.restartLoad(s)
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("follow jobs: %w", err)
+		}
+		if end, err := r.applyPage(p, s, g, start); end || err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Replica) isLoaded(s *partitionState) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return s.loaded
+}
+
+// load reads the newest record of each key of a partition; it resumes after the last key that was read before.
+//
+// Keys may change between two pages and between two attempts. Reading on from
+// the end offset of the first page covers that.
+func (r *Replica) load(ctx context.Context, p Partition, s *partitionState) error {
+	for {
+		n, err := r.loadPage(ctx, p, s)
+		if err != nil {
+			return fmt.Errorf("load jobs: %w", err)
+		}
+		r.mu.Lock()
+		if r.partitions[p] != s {
+			r.mu.Unlock()
+			return errDropped
+		}
+		r.applyRecords(p, n.Records)
+		if s.nextOffset == noOffset {
+			s.nextOffset = n.EndOffset
+		}
+		s.afterKey, s.loaded = n.After, n.After == ""
+		loaded := s.loaded
+		r.mu.Unlock()
+		if loaded {
+			return nil
+		}
+	}
+}
+
+// loadPage reads the next page of the newest records.
+func (r *Replica) loadPage(ctx context.Context, p Partition, s *partitionState) (NewestByKeyPage, error) {
+	r.mu.Lock()
+	after, d := s.afterKey, readTimeout<<s.timeouts
+	r.mu.Unlock()
+	c, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	n, err := r.store.NewestByKey(c, p, after)
+	r.countTimeout(s, err)
+	return n, err
+}
+
+// readPage reads records from the next offset on, and waits for one until the given time.
+func (r *Replica) readPage(ctx context.Context, p Partition, s *partitionState, until time.Time) (Page, error) {
+	w := time.Until(until)
+	r.mu.Lock()
+	next, d := s.nextOffset, readTimeout<<s.timeouts
+	if w > 0 {
+		s.polling, d = true, w+pollResponseTimeout<<s.timeouts
+	}
+	r.mu.Unlock()
+	c, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	g, err := r.store.Read(c, p, next, until)
+	r.countTimeout(s, err)
+	return g, err
+}
+
+// countTimeout records whether a call timed out, and that no long poll waits any more.
+func (r *Replica) countTimeout(s *partitionState, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.polling = false
+	if errors.Is(err, context.DeadlineExceeded) {
+		s.timeouts = min(s.timeouts+1, maxTimeoutDoublings)
+		return
+	}
+	s.timeouts = 0
+}
+
+// restartLoad makes the next read load the partition from the first key on.
+func (r *Replica) restartLoad(s *partitionState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.loaded, s.afterKey, s.nextOffset = false, "", noOffset
+}
+
+// applyPage applies a page and reports whether it reached the end of the partition.
+func (r *Replica) applyPage(p Partition, s *partitionState, g Page, start time.Time) (bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.partitions[p] != s {
+		return false, errDropped
+	}
+	r.applyRecords(p, g.Records)
+	s.nextOffset = max(s.nextOffset, g.NextOffset)
+	if s.nextOffset < g.EndOffset {
+		return false, nil
+	}
+	s.freshAt = start
+	return true, nil
+}
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -28,9 +26,6 @@
 	store  Store
 	logger zerolog.Logger
 
-	// readLocks serialize the reads of each partition.
-	readLocks [2]sync.Mutex
-
 	mu sync.Mutex
 	// specs holds the encoded submissions, and cancelled the jobs with a cancellation record, both by job ID.
 	specs     map[string][]byte
@@ -44,14 +39,8 @@
 	states    map[string]jobs.State
 	committed map[string]jobs.State
 	queues    map[string]string
-	// nextOffset is, by partition, the offset of the next read, and loaded means that the partition has been loaded.
-	nextOffset [2]int64
-	loaded     [2]bool
-	// freshAt is, by partition, the start of the latest read that reached the end.
-	freshAt [2]time.Time
-	// polling means, by partition, that a long poll waits for the next record, so that the replica is current without another
-	// read.
-	polling [2]bool
+	// partitions holds the state of the reads of each partition.
+	partitions [2]*partitionState
 }
 
 // NewReplica returns an empty replica, which loads its records on the first read.
@@ -60,6 +49,7 @@
 		store: s, logger: l,
 		specs: make(map[string][]byte), cancelled: make(map[string]bool), progress: make(map[string]Record),
 		states: make(map[string]jobs.State), committed: make(map[string]jobs.State), queues: make(map[string]string),
+		partitions: [2]*partitionState{newPartitionState(), newPartitionState()},
 	}
 }
 
@@ -75,7 +65,8 @@
 func (r *Replica) isCurrent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.loaded[PartitionRequests] && r.polling[PartitionRequests]
+	s := r.partitions[PartitionRequests]
+	return s.loaded && s.polling
 }
 
 // LoadAll reads the requests to their end and reloads all progress, as a new owner requires.
@@ -83,7 +74,7 @@
 	since := time.Now()
 	r.mu.Lock()
 	clear(r.progress)
-	r.loaded[PartitionProgress] = false
+	r.partitions[PartitionProgress] = newPartitionState()
 	r.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, p := range []Partition{PartitionRequests, PartitionProgress} {
@@ -104,91 +95,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.progress)
-	r.loaded[PartitionProgress] = false
-}
-
-func (r *Replica) setPolling(p Partition, polling bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.polling[p] = polling
-}
-
-// Follow reads a partition to its end, unless a completed read began after since. If there is no new record, Follow waits for
-// one until the given time.
-func (r *Replica) Follow(ctx context.Context, p Partition, since, until time.Time) error {
-	r.readLocks[p].Lock()
-	defer r.readLocks[p].Unlock()
-	for {
-		r.mu.Lock()
-		loaded, next, fresh := r.loaded[p], r.nextOffset[p], r.freshAt[p]
-		r.mu.Unlock()
-		if loaded && fresh.After(since) {
-			return nil
-		}
-		start := time.Now()
-		if !loaded {
-			if err := r.load(ctx, p); err != nil {
-				return err
-			}
-			continue
-		}
-		r.setPolling(p, time.Until(until) > 0)
-		g, err := r.store.Read(ctx, p, next, until)
-		r.setPolling(p, false)
-		if errors.Is(err, ErrTruncated) {
-			r.logger.Warn().Int("Partition", int(p)).Int64("Offset", next).Str("Decision", "LoadAgain").Msg("records were truncated in the store; partition is reloaded")
-			r.mu.Lock()
-			r.loaded[p] = false
-			r.mu.Unlock()
-			continue
-		}
-		if err != nil {
-			return fmt.Errorf("follow jobs: %w", err)
-		}
-		if r.applyPage(p, g, start) {
-			return nil
-		}
-	}
-}
-
-// load reads the newest record of each key of a partition.
-func (r *Replica) load(ctx context.Context, p Partition) error {
-	endOffset := int64(-1)
-	after := ""
-	for {
-		n, err := r.store.NewestByKey(ctx, p, after)
-		if err != nil {
-			return fmt.Errorf("load jobs: %w", err)
-		}
-		if endOffset < 0 {
-			endOffset = n.EndOffset
-		}
-		r.mu.Lock()
-		r.applyRecords(p, n.Records)
-		r.mu.Unlock()
-		if n.After == "" {
-			break
-		}
-		after = n.After
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.loaded[p] = true
-	r.nextOffset[p] = max(endOffset, r.nextOffset[p])
-	return nil
-}
-
-// applyPage applies a page and reports whether it reached the end of the partition.
-func (r *Replica) applyPage(p Partition, g Page, start time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.applyRecords(p, g.Records)
-	r.nextOffset[p] = max(r.nextOffset[p], g.NextOffset)
-	if r.nextOffset[p] < g.EndOffset {
-		return false
-	}
-	r.freshAt[p] = start
-	return true
+	r.partitions[PartitionProgress] = newPartitionState()
 }
 
 // applyRecords applies records of a partition; r.mu is held.
