A takeover keeps what its failed attempts have loaded

An owner on a slow link never began: each attempt of 3 s to take over dropped the progress that the one before had read, so that no job of the deployment ran.

Change: progress is dropped once, before the first attempt. The attempt's load goes on while the next one begins. That is safe: the former owner is fenced before the first page, a key changed or deleted after its page is read on, and a load that is still running when progress is dropped changes nothing (TestDroppedProgressIsNotAppliedLate, TestTakeoverForgetsEarlierOwnership; both fail with the two lines that they guard removed).

--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -69,13 +69,10 @@
 	return s.loaded && s.polling
 }
 
-// LoadAll reads the requests to their end and reloads all progress, as a new owner requires.
+// LoadAll reads the requests and the progress to their end, as a new owner requires. If it fails, the next call resumes the load;
+// the owner must have called DropProgress before the first one.
 func (r *Replica) LoadAll(ctx context.Context) error {
 	since := time.Now()
-	r.mu.Lock()
-	clear(r.progress)
-	r.partitions[PartitionProgress] = newPartitionState()
-	r.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, p := range []Partition{PartitionRequests, PartitionProgress} {
 		g.Go(func() error { return r.Follow(ctx, p, since, time.Time{}) })
@@ -90,7 +87,7 @@
 	return string(r.owner.Value)
 }
 
-// DropProgress drops all progress records when this instance no longer owns the jobs.
+// DropProgress drops all progress records, which this instance does not read on while it does not own the jobs.
 func (r *Replica) DropProgress() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/jobserve/replica_test.go
+++ b/internal/jobserve/replica_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -70,16 +71,28 @@
 	return s.asked
 }
 
+// readPages returns the number of pages of a partition that were read to their end.
+func (s *pagedStore) readPages(p Partition) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for k, c := range s.pages {
+		if strings.HasPrefix(k, fmt.Sprintf("%d ", p)) {
+			n += c
+		}
+	}
+	return n
+}
+
 func (s *pagedStore) NewestByKey(ctx context.Context, p Partition, after string) (NewestByKeyPage, error) {
 	s.mu.Lock()
 	s.asked++
-	d, gate := s.pageDuration, s.pageGate
+	d, gate, n := s.pageDuration, s.pageGate, s.newestPage(p, after)
 	s.mu.Unlock()
 	if gate != nil {
 		select {
 		case <-gate:
 		case <-ctx.Done():
-			return NewestByKeyPage{}, &StoreError{Call: "newest", Cause: ctx.Err()}
 		}
 	}
 	sleep(ctx, d)
@@ -89,7 +102,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pages[fmt.Sprintf("%d after %q", p, after)]++
-	return s.newestPage(p, after), nil
+	return n, nil
 }
 
 // newestPage returns a page; s.mu is held.
@@ -130,6 +143,15 @@
 	return Page{Records: slices.Clone(s.records[p][from:]), NextOffset: n, EndOffset: n}, nil
 }
 
+func (s *pagedStore) Append(_ context.Context, p Partition, l []Record, _ *Writer) (int64, error) {
+	for _, x := range l {
+		s.put(p, x.Key, x.Value)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.records[p])), nil
+}
+
 func testJob(i int) string { return fmt.Sprintf("%016x", i+1) }
 
 func testSpec(t *testing.T, i int) []byte {
@@ -244,6 +266,43 @@
 	require.Equal(t, []byte{1}, r.Progress(testJob(12*testPageRecords-1)))
 }
 
+// A load of an earlier ownership may still run when the next one begins.
+func TestDroppedProgressIsNotAppliedLate(t *testing.T) {
+	s := newPagedStore(0)
+	gate := make(chan struct{})
+	s.pageGate = gate
+	s.put(PartitionProgress, testJob(0), []byte{1})
+	r := NewReplica(s, zerolog.Nop())
+	require.Error(t, loadAllFor(r, 50*time.Millisecond))
+	r.DropProgress()
+	s.mu.Lock()
+	s.pageGate = nil
+	s.mu.Unlock()
+	s.put(PartitionProgress, testJob(0), nil)
+	s.truncate(PartitionProgress)
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		close(gate)
+	}()
+	require.NoError(t, loadAllFor(r, testPatience))
+	require.Eventually(t, func() bool { return s.readPages(PartitionProgress) >= 2 }, testPatience, time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
+	require.Nil(t, r.Progress(testJob(0)))
+}
+
+// An earlier attempt of this process to own the jobs failed after it had loaded progress that another owner removed since.
+func TestTakeoverForgetsEarlierOwnership(t *testing.T) {
+	s := newPagedStore(0)
+	s.put(PartitionProgress, testJob(0), []byte{1})
+	r := NewReplica(s, zerolog.Nop())
+	require.NoError(t, loadAllFor(r, testPatience))
+	s.put(PartitionProgress, testJob(0), nil)
+	s.truncate(PartitionProgress)
+	o := &Owner{OwnerConfig: OwnerConfig{Store: s, Replica: r, Directory: newBenchFleet(0), State: &OperatorState{}, Logger: zerolog.Nop()}}
+	require.NoError(t, o.takeOver(t.Context()))
+	require.Nil(t, r.Progress(testJob(0)))
+}
+
 // What an attempt has read may change before the next one.
 func TestResumedLoadSeesWhatChangedMeanwhile(t *testing.T) {
 	s := newPagedStore(30 * time.Millisecond)
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -10,9 +10,10 @@
 )
 
 // takeOver fences the former owner and builds the planner from the store's records. It retries until an attempt succeeds, a
-// newer owner has taken over, or the context ends.
+// newer owner has taken over, or the context ends. An attempt that fails leaves what it has loaded to the next one.
 func (o *Owner) takeOver(ctx context.Context) error {
 	start := time.Now()
+	o.Replica.DropProgress()
 	for {
 		c, cancel := context.WithTimeout(ctx, takeoverTimeout)
 		err := o.tryTakeOver(c)
