A long load reads new records between its pages

The store keeps records for 20 s on the grown deployments. A load that takes longer read on from an offset that was gone, and began at the first key again, each time.

Change: between two pages a load reads new records once replicaRefreshInterval has passed since the last read.

--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -25,6 +25,8 @@
 type Replica struct {
 	store  Store
 	logger zerolog.Logger
+	// catchUpInterval is the time after which a load reads new records between two pages.
+	catchUpInterval time.Duration
 
 	mu sync.Mutex
 	// specs holds the encoded submissions, and cancelled the jobs with a cancellation record, both by job ID.
@@ -46,7 +48,7 @@
 // NewReplica returns an empty replica, which loads its records on the first read.
 func NewReplica(s Store, l zerolog.Logger) *Replica {
 	return &Replica{
-		store: s, logger: l,
+		store: s, logger: l, catchUpInterval: replicaRefreshInterval,
 		specs: make(map[string][]byte), cancelled: make(map[string]bool), progress: make(map[string]Record),
 		states: make(map[string]jobs.State), committed: make(map[string]jobs.State), queues: make(map[string]string),
 		partitions: [2]*partitionState{newPartitionState(), newPartitionState()},
