A load after a truncation forgets what was removed in the truncated range

An instance that was cut off for longer than the store keeps records loaded the newest records over those it had. A job or progress that had been removed meanwhile stayed known there, since nothing told of its removal.

Change: such a load notes the submissions that it finds and at its end removes the others; progress is dropped at its start.

Evidence: TestJobRemovedInATruncatedRangeIsForgotten failed before, TestProgressRemovedInATruncatedRangeIsForgotten fails without this change, both pass.

--- a/internal/jobserve/read.go
+++ b/internal/jobserve/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -28,6 +29,8 @@
 	freshAt time.Time
 	// polling means that a long poll waits for the next record, so that the replica is current without another read.
 	polling bool
+	// seen holds the IDs of the jobs whose submissions exist, during a load that follows another one; it is nil otherwise.
+	seen map[string]bool
 	// timeouts is the number of calls that timed out since the latest one that did not.
 	timeouts int
 	// run is the read in progress, nil if there is none.
@@ -117,7 +120,7 @@
 	g, err := r.readPage(ctx, p, s, until)
 	if errors.Is(err, ErrTruncated) {
 		r.logger.Warn().Err(err).Int("Partition", int(p)).Str("Decision", "LoadAgain").Msg("records were truncated in the store; partition is reloaded")
-		r.restartLoad(s)
+		r.restartLoad(p, s)
 		return false, nil
 	}
 	if err != nil {
@@ -153,11 +156,16 @@
 			return errDropped
 		}
 		r.applyRecords(p, n.Records)
+		s.noteSubmissions(n.Records)
 		if s.nextOffset == noOffset {
 			s.nextOffset, s.readAt = n.EndOffset, start
 		}
 		s.afterKey, s.loaded = n.After, n.After == ""
 		loaded := s.loaded
+		if loaded && s.seen != nil {
+			r.removeUnseen(s.seen)
+			s.seen = nil
+		}
 		r.mu.Unlock()
 		if loaded {
 			return nil
@@ -217,11 +225,41 @@
 	s.timeouts = 0
 }
 
-// restartLoad makes the next read load the partition from the first key on.
-func (r *Replica) restartLoad(s *partitionState) {
+// restartLoad makes the next read load the partition from the first key on. Jobs stay known until the load shows which of them
+// were removed; progress is dropped, since it is read only by an owner that has to load all of it.
+func (r *Replica) restartLoad(p Partition, s *partitionState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.loaded, s.afterKey, s.nextOffset = false, "", noOffset
+	s.seen = make(map[string]bool)
+	if p == PartitionProgress && r.partitions[p] == s {
+		clear(r.progress)
+	}
+}
+
+// noteSubmissions records which submissions exist, if they are needed at the end of the load; the mutex of the replica is held.
+func (s *partitionState) noteSubmissions(l []Record) {
+	if s.seen == nil {
+		return
+	}
+	for _, x := range l {
+		id, ok := strings.CutPrefix(x.Key, submissionPrefix)
+		switch {
+		case ok && len(x.Value) == 0:
+			delete(s.seen, id)
+		case ok:
+			s.seen[id] = true
+		}
+	}
+}
+
+// removeUnseen removes the jobs whose submissions a load did not find; r.mu is held.
+func (r *Replica) removeUnseen(seen map[string]bool) {
+	for id := range r.specs {
+		if !seen[id] {
+			r.applySubmission(id, nil)
+		}
+	}
 }
 
 // applyPage applies a page and reports whether it reached the end of the partition.
@@ -232,6 +270,7 @@
 		return false, errDropped
 	}
 	r.applyRecords(p, g.Records)
+	s.noteSubmissions(g.Records)
 	s.nextOffset, s.readAt = max(s.nextOffset, g.NextOffset), start
 	if s.nextOffset < g.EndOffset {
 		return false, nil
--- a/internal/jobserve/replica_test.go
+++ b/internal/jobserve/replica_test.go
@@ -363,3 +363,15 @@
 	require.False(t, r.Contains(testJob(5)))
 	require.True(t, r.Contains(testJob(6)))
 }
+
+// The same for progress, between two attempts of a takeover.
+func TestProgressRemovedInATruncatedRangeIsForgotten(t *testing.T) {
+	s := newPagedStore(0)
+	s.put(PartitionProgress, testJob(0), []byte{1})
+	r := NewReplica(s, zerolog.Nop())
+	require.NoError(t, loadAllFor(r, testPatience))
+	s.put(PartitionProgress, testJob(0), nil)
+	s.truncate(PartitionProgress)
+	require.NoError(t, loadAllFor(r, testPatience))
+	require.Nil(t, r.Progress(testJob(0)))
+}
