An instance is not ready before it has loaded the jobs

Callers were sent to instances that had started again and knew no job yet: their queries waited there and were refused.

Change: the readiness probe fails until the requests are loaded, also again after a truncation; while they are not, the background read goes on after storeBackoff.

--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -231,8 +231,10 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// isReady reports whether callers are better served here than elsewhere: until the jobs are loaded, this instance can only let
+// queries wait.
 func (i *Instance) isReady() bool {
-	return !i.stopping.Load() && i.State.Configuration() != nil && i.storeAge() < maxReadyStoreAge
+	return !i.stopping.Load() && i.State.Configuration() != nil && i.storeAge() < maxReadyStoreAge && i.Replica.IsLoaded()
 }
 
 // followOperators applies changes by operators until the context ends.
@@ -261,7 +263,7 @@
 	}
 }
 
-// refreshReplica reads new records in the background until the context ends.
+// refreshReplica loads the jobs, and then reads new records in the background, until the context ends.
 func (i *Instance) refreshReplica(ctx context.Context) {
 	for ctx.Err() == nil {
 		c, cancel := context.WithTimeout(ctx, takeoverTimeout)
@@ -270,6 +272,10 @@
 		if err != nil && ctx.Err() == nil {
 			i.Logger.Warn().Err(err).Msg("job records were not read")
 		}
-		sleep(ctx, replicaRefreshInterval)
+		if i.Replica.IsLoaded() {
+			sleep(ctx, replicaRefreshInterval)
+			continue
+		}
+		sleep(ctx, storeBackoff)
 	}
 }
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -71,6 +71,9 @@
 	return s.loaded && s.polling
 }
 
+// IsLoaded reports whether the requests and states have been loaded.
+func (r *Replica) IsLoaded() bool { return r.isLoaded(r.partitions[PartitionRequests]) }
+
 // LoadAll reads the requests and the progress to their end, as a new owner requires. If it fails, the next call resumes the load;
 // the owner must have called DropProgress before the first one.
 func (r *Replica) LoadAll(ctx context.Context) error {
--- a/internal/jobserve/replica_test.go
+++ b/internal/jobserve/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -35,6 +36,8 @@
 	first [2]int64
 	// pages counts, by key after which they begin, the pages that were read to their end.
 	pages map[string]int
+	// failures is the number of calls for pages that still fail at once.
+	failures int
 	// asked counts the calls for pages.
 	asked int
 }
@@ -88,7 +91,12 @@
 	s.mu.Lock()
 	s.asked++
 	d, gate, n := s.pageDuration, s.pageGate, s.newestPage(p, after)
+	fails := s.failures > 0
+	s.failures--
 	s.mu.Unlock()
+	if fails {
+		return NewestByKeyPage{}, &StoreError{Call: "newest", Status: http.StatusServiceUnavailable, NotApplied: true}
+	}
 	if gate != nil {
 		select {
 		case <-gate:
@@ -255,6 +263,16 @@
 	require.True(t, i.isReady())
 }
 
+// An instance whose first read failed waited for replicaRefreshInterval before it went on with the load.
+func TestLoadGoesOnSoonAfterAFailure(t *testing.T) {
+	s := newPagedStore(0)
+	s.putJobs(t, 1)
+	s.failures = 3
+	i := &Instance{InstanceConfig: InstanceConfig{Replica: NewReplica(s, zerolog.Nop()), Logger: zerolog.Nop()}}
+	go i.refreshReplica(t.Context())
+	require.Eventually(t, i.Replica.IsLoaded, 2*replicaRefreshInterval, time.Millisecond)
+}
+
 // Each attempt to take over dropped the progress that the one before had read, so that an owner on a slow link never began.
 func TestTakeoverResumesItsLoad(t *testing.T) {
 	s := newPagedStore(30 * time.Millisecond)
