--- a/internal/jobserve/read.go
+++ b/internal/jobserve/read.go
@@ -29,6 +29,9 @@
 	freshAt time.Time
 	// polling means that a long poll waits for the next record, so that the replica is current without another read.
 	polling bool
+	// loadStart is the start of the load's first page, and loadedKeys the number of keys that the load has read.
+	loadStart  time.Time
+	loadedKeys int
 	// seen holds the IDs of the jobs whose submissions exist, during a load that follows another one; it is nil otherwise.
 	seen map[string]bool
 	// timeouts is the number of calls that timed out since the latest one that did not.
@@ -158,13 +161,13 @@
 		r.applyRecords(p, n.Records)
 		s.noteSubmissions(n.Records)
 		if s.nextOffset == noOffset {
-			s.nextOffset, s.readAt = n.EndOffset, start
+			s.nextOffset, s.readAt, s.loadStart, s.loadedKeys = n.EndOffset, start, start, 0
 		}
 		s.afterKey, s.loaded = n.After, n.After == ""
+		s.loadedKeys += len(n.Records)
 		loaded := s.loaded
-		if loaded && s.seen != nil {
-			r.removeUnseen(s.seen)
-			s.seen = nil
+		if loaded {
+			r.finishLoad(p, s)
 		}
 		r.mu.Unlock()
 		if loaded {
@@ -173,6 +176,15 @@
 	}
 }
 
+// finishLoad removes the jobs that a load after another one did not find; r.mu is held.
+func (r *Replica) finishLoad(p Partition, s *partitionState) {
+	if s.seen != nil {
+		r.removeUnseen(s.seen)
+	}
+	r.logger.Info().Int("Partition", int(p)).Int("Keys", s.loadedKeys).Dur("Took", time.Since(s.loadStart)).Str("Decision", "Loaded").Msg("the newest records of a partition were loaded")
+	s.seen = nil
+}
+
 // catchUp reads a page of new records if catchUpInterval has passed since the latest one.
 func (r *Replica) catchUp(ctx context.Context, p Partition, s *partitionState) error {
 	r.mu.Lock()
