A read without a response is repeated while callers wait for it

Since one read serves all callers, one on a connection that has gone silent would have held up all of them for 3 s, and a member that asks for the incumbent within 0.9 s with them.

Refusals by the store still reach them at once.

--- a/internal/jobserve/read.go
+++ b/internal/jobserve/read.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// readTimeout bounds a call for a page that doesn't wait for new records.
-	readTimeout = 3 * time.Second
+	// loadPageTimeout bounds a call for a page of the newest records, which is large.
+	loadPageTimeout = 3 * time.Second
 	// maxTimeoutDoublings bounds how often the time for a call is doubled after calls that timed out: a page may take longer on a
 	// slow link, but a connection that has gone silent must not be waited for much longer.
 	maxTimeoutDoublings = 1
@@ -34,8 +34,10 @@
 	loadedKeys int
 	// seen holds the IDs of the jobs whose submissions exist, during a load that follows another one; it is nil otherwise.
 	seen map[string]bool
-	// timeouts is the number of calls that timed out since the latest one that did not.
+	// timeouts is the number of calls that timed out since the latest one that did not, up to maxTimeoutDoublings.
 	timeouts int
+	// latency gives the time for reads that do not wait for new records.
+	latency latencyEstimator
 	// run is the read in progress, nil if there is none.
 	run *readRun
 }
@@ -48,8 +50,10 @@
 // readRun is a read of a partition to its end, for which any number of callers wait.
 type readRun struct {
 	done chan struct{}
-	// err is the error that ended the read, to be read after done is closed.
-	err error
+	// err is the error that ended the read, and timedOut means that a call to the store got no response in time. Both are set when
+	// done is closed.
+	err      error
+	timedOut bool
 }
 
 // errDropped means that the records of a partition were dropped during a read.
@@ -60,7 +64,8 @@
 //
 // One read runs at a time, and goes on when the callers that wait for it have
 // left: what a caller's deadline cut would have to begin again, and a load that
-// takes longer than callers wait would never end.
+// takes longer than callers wait would never end. A call without a response is
+// repeated for as long as a caller waits, since only its connection may be dead.
 func (r *Replica) Follow(ctx context.Context, p Partition, since, until time.Time) error {
 	for {
 		x := r.startRead(ctx, p, since, until)
@@ -69,7 +74,7 @@
 		}
 		select {
 		case <-x.done:
-			if x.err != nil {
+			if x.err != nil && !x.timedOut {
 				return x.err
 			}
 		case <-ctx.Done():
@@ -93,6 +98,7 @@
 			x.err = r.readToEnd(context.WithoutCancel(ctx), p, s, until)
 			r.mu.Lock()
 			s.run = nil
+			x.timedOut = x.err != nil && s.timeouts > 0
 			r.mu.Unlock()
 			close(x.done)
 		}()
@@ -200,12 +206,12 @@
 // loadPage reads the next page of the newest records.
 func (r *Replica) loadPage(ctx context.Context, p Partition, s *partitionState) (NewestByKeyPage, error) {
 	r.mu.Lock()
-	after, d := s.afterKey, readTimeout<<s.timeouts
+	after, d := s.afterKey, loadPageTimeout<<s.timeouts
 	r.mu.Unlock()
 	c, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
 	n, err := r.store.NewestByKey(c, p, after)
-	r.countTimeout(s, err)
+	r.countTimeout(s, c.Err() != nil && err != nil)
 	return n, err
 }
 
@@ -213,24 +219,28 @@
 func (r *Replica) readPage(ctx context.Context, p Partition, s *partitionState, until time.Time) (Page, error) {
 	w := time.Until(until)
 	r.mu.Lock()
-	next, d := s.nextOffset, readTimeout<<s.timeouts
+	next, d := s.nextOffset, s.latency.timeout()
 	if w > 0 {
 		s.polling, d = true, w+pollResponseTimeout<<s.timeouts
 	}
 	r.mu.Unlock()
 	c, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
+	start := time.Now()
 	g, err := r.store.Read(c, p, next, until)
-	r.countTimeout(s, err)
+	r.countTimeout(s, c.Err() != nil && err != nil)
+	if w <= 0 {
+		s.latency.observe(time.Since(start))
+	}
 	return g, err
 }
 
 // countTimeout records whether a call timed out, and that no long poll waits any more.
-func (r *Replica) countTimeout(s *partitionState, err error) {
+func (r *Replica) countTimeout(s *partitionState, timedOut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.polling = false
-	if errors.Is(err, context.DeadlineExceeded) {
+	if timedOut {
 		s.timeouts = min(s.timeouts+1, maxTimeoutDoublings)
 		return
 	}
--- a/internal/jobserve/replica_test.go
+++ b/internal/jobserve/replica_test.go
@@ -36,6 +36,8 @@
 	first [2]int64
 	// pages counts, by key after which they begin, the pages that were read to their end.
 	pages map[string]int
+	// lostReads is the number of reads that still get no response.
+	lostReads int
 	// failures is the number of calls for pages that still fail at once.
 	failures int
 	// asked counts the calls for pages.
@@ -141,8 +143,14 @@
 	return n
 }
 
-func (s *pagedStore) Read(_ context.Context, p Partition, from int64, _ time.Time) (Page, error) {
+func (s *pagedStore) Read(ctx context.Context, p Partition, from int64, _ time.Time) (Page, error) {
 	s.mu.Lock()
+	if s.lostReads > 0 {
+		s.lostReads--
+		s.mu.Unlock()
+		<-ctx.Done()
+		return Page{}, &StoreError{Call: "read", Cause: ctx.Err()}
+	}
 	defer s.mu.Unlock()
 	if from < s.first[p] {
 		return Page{}, ErrTruncated
@@ -273,6 +281,17 @@
 	require.Eventually(t, i.Replica.IsLoaded, 2*replicaRefreshInterval, time.Millisecond)
 }
 
+// A read on a connection that had gone silent held up all callers until the first one's deadline.
+func TestReadWithoutAResponseIsRepeatedWhileCallersWait(t *testing.T) {
+	s := newPagedStore(0)
+	s.putJobs(t, 1)
+	s.lostReads = 1
+	r := NewReplica(s, zerolog.Nop())
+	start := time.Now()
+	require.NoError(t, refreshFor(r, testPatience))
+	require.Less(t, time.Since(start), maxCallTimeout)
+}
+
 // Each attempt to take over dropped the progress that the one before had read, so that an owner on a slow link never began.
 func TestTakeoverResumesItsLoad(t *testing.T) {
 	s := newPagedStore(30 * time.Millisecond)
