--- a/internal/jobserve/sync_test.go
+++ b/internal/jobserve/sync_test.go
@@ -58,8 +58,8 @@
 	task    *jobs.Task
 }
 
-// testJob returns a job of one task that lasts.
-func testJob() *jobs.Job {
+// longRunningJob returns a job of one task that lasts.
+func longRunningJob() *jobs.Job {
 	q := jobs.Queue{Name: "queue", Pool: "pool", MaxAttempts: 3}
 	s := jobs.Step{Tasks: 1, Size: jobs.Resources{MilliCPU: 1000}, LongRunning: true}
 	return jobs.New(jobs.Spec{ID: "0000000000000001", Queue: q, Steps: []jobs.Step{s}, SubmittedAt: time.Now()})
@@ -69,7 +69,7 @@
 	f := &syncFixture{workers: &fakeWorkers{}}
 	f.worker = dispatch.WorkerInfo{ID: "i-00", Address: "10.0.0.1:80", Pool: "pool", Capacity: jobs.Resources{MilliCPU: 32000, MemoryMB: 128000}, Incarnation: testIncarnation}
 	now := time.Now()
-	j := testJob()
+	j := longRunningJob()
 	f.task = j.Tasks[0][0][0]
 	require.True(t, j.Assign(f.task, f.worker.ID, testIncarnation, now))
 	p := dispatch.New(dispatch.Config{Lease: testLease, Logger: zerolog.Nop()}, now)
