--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -108,7 +108,8 @@
 	}
 	p.waits.loggedAt[t.Job] = now
 	e := p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Dur("Waited", x.waited).Dur("Slack", c.slack).Float64("Left", c.remainingFraction).Int("OpenWorkers", len(p.schedulable)).
-		Int("RoomFor", p.taskCapacity(c, t, now)).Int("FailedAt", len(t.FailedAt)).Float64("ReservedPart", p.reserve.fraction())
+		Int("RoomFor", p.taskCapacity(c, t, now)).Int("FailedAt", len(t.FailedAt)).Float64("ReservedPart", p.reserve.fraction()).
+		Str("Image", c.step.Image).Int("NeedsMilliCPU", c.step.Size.MilliCPU).Int("NeedsMemoryMB", c.step.Size.MemoryMB)
 	if x.skipped {
 		e.Bool("Skipped", true)
 	}
--- a/internal/dispatch/wait_test.go
+++ b/internal/dispatch/wait_test.go
@@ -78,7 +78,7 @@
 	p.workers["i-08"].speed.straggler = true
 	p.workers["i-09"].Capacity.MilliCPU = 1000
 	step := plainStep(1)
-	step.Label, step.MaxPerWorker = "a", 1
+	step.Label, step.MaxPerWorker, step.Image = "a", 1, "image"
 	j := testJob(testID(1), s.now, step)
 	j.Tasks[0][0][0].FailedAt = []string{"i-10", "i-11"}
 	c := &candidateStep{job: j, step: &j.Steps[0], tasks: j.Tasks[0][0]}
@@ -89,6 +89,9 @@
 		require.EqualValues(t, 1, l[0][k], k)
 	}
 	require.EqualValues(t, 2, l[0]["FailedThere"])
+	require.Equal(t, "image", l[0]["Image"])
+	require.EqualValues(t, 2000, l[0]["NeedsMilliCPU"])
+	require.EqualValues(t, 1000, l[0]["NeedsMemoryMB"])
 	for _, k := range []string{"Takers", "NoPermit", "NoSpareCPU", "Interference", "TaskLimit", "Reserve", "Skipped"} {
 		require.NotContains(t, l[0], k)
 	}
