--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,6 +20,8 @@
 	modelJobs    = 4
 	// modelMilliCPU is the CPU capacity of each worker.
 	modelMilliCPU = 8000
+	// modelStoreLossGrace is the time for which a former owner grants leases after another owner has taken over.
+	modelStoreLossGrace = 3 * time.Second
 )
 
 // modelWorker simulates a worker with a fencing token, lease, incarnation and finished attempts.
@@ -27,11 +32,23 @@
 	leaseUntil  time.Time
 	// runs holds the number of the running attempt of each task, and highestRun the highest number of an attempt of each task
 	// that was stopped or has finished.
-	runs        map[jobs.Ref]int
-	highestRun  map[jobs.Ref]int
-	finished    []FinishedAttempt
-	lastNumber  int64
-	partitioned bool
+	runs       map[jobs.Ref]int
+	highestRun map[jobs.Ref]int
+	finished   []FinishedAttempt
+	lastNumber int64
+	// lapsedNumber is the highest number of an attempt that finished before the worker's lease last lapsed. To acknowledge such
+	// an attempt later doesn't count, since an owner may have started the task again in between.
+	lapsedNumber int64
+	partitioned  bool
+	// unlisted means that the platform does not list the worker, which runs on.
+	unlisted bool
+}
+
+// formerOwner is an owner that does not know yet that another one took over at lostAt.
+type formerOwner struct {
+	p      *Planner
+	fence  int64
+	lostAt time.Time
 }
 
 // call is an order as sent to a worker, with the values at the time of sending; the worker may execute the order late.
@@ -44,15 +61,18 @@
 
 // model executes random sequences of events of owners, log and workers, and checks the orders that reach the workers.
 type model struct {
-	t       *rapid.T
-	now     time.Time
-	p       *Planner
-	fence   int64
-	log     map[string][]byte
-	specs   map[string]jobs.Spec
-	cancels map[string]bool
-	workers []*modelWorker
-	delayed []call
+	t      *rapid.T
+	now    time.Time
+	p      *Planner
+	fence  int64
+	former []formerOwner
+	log    map[string][]byte
+	// snapshot is the latest committed snapshot, nil if there is none.
+	snapshot []byte
+	specs    map[string]jobs.Spec
+	cancels  map[string]bool
+	workers  []*modelWorker
+	delayed  []call
 	// done holds the tasks with a successful attempt, acknowledged the tasks whose success the owner has acknowledged, and
 	// failed the number of acknowledged failures of each task.
 	done         map[jobs.Ref]bool
@@ -77,18 +97,30 @@
 // reset clears the state that a worker loses when a new incarnation starts.
 func (w *modelWorker) reset() {
 	w.runs, w.highestRun = make(map[jobs.Ref]int), make(map[jobs.Ref]int)
-	w.finished, w.lastNumber, w.fence, w.leaseUntil = nil, 0, 0, time.Time{}
+	w.finished, w.lastNumber, w.lapsedNumber, w.fence, w.leaseUntil = nil, 0, 0, 0, time.Time{}
+}
+
+// runningTasks returns the tasks of the running attempts in a fixed order, so that a seed yields the same sequence again.
+func (w *modelWorker) runningTasks() []jobs.Ref {
+	return slices.SortedFunc(maps.Keys(w.runs), func(a, b jobs.Ref) int { return cmp.Compare(a.String(), b.String()) })
 }
 
-// takeOver replaces the owner by a new owner, which restores the jobs from the log.
+// takeOver replaces the owner by a new owner, which restores the snapshot and the jobs from the log. The former owner grants
+// leases for a while.
 func (m *model) takeOver() {
+	if m.p != nil {
+		m.former = append(m.former, formerOwner{m.p, m.fence, m.now})
+	}
 	m.fence++
-	m.p = New(Config{Lease: testLease, StoreLossGrace: 0, Logger: zerolog.Nop()}, m.now)
+	m.p = New(Config{Lease: testLease, StoreLossGrace: modelStoreLossGrace, Logger: zerolog.Nop()}, m.now)
+	if m.snapshot != nil {
+		require.NoError(m.t, m.p.RestoreSnapshot(m.snapshot))
+	}
 	m.setWorkers()
-	for id, s := range m.specs {
-		m.p.AddJob(m.restore(id, s), m.now)
+	for _, id := range slices.Sorted(maps.Keys(m.specs)) {
+		m.p.AddJob(m.restore(id, m.specs[id]), m.now)
 	}
-	for id := range m.cancels {
+	for _, id := range slices.Sorted(maps.Keys(m.cancels)) {
 		m.p.Cancel(id, m.now)
 	}
 }
@@ -106,6 +138,9 @@
 func (m *model) setWorkers() {
 	var l []WorkerInfo
 	for _, w := range m.workers {
+		if w.unlisted {
+			continue
+		}
 		l = append(l, WorkerInfo{
 			ID: w.id, Address: w.id, Pool: "pool", FailureDomain: "domain",
 			Capacity: jobs.Resources{MilliCPU: modelMilliCPU, MemoryMB: 64000}, Incarnation: w.incarnation,
@@ -136,24 +171,77 @@
 	}
 }
 
-// planAndCommit plans and commits, and sends the orders unless the owner is lost first.
+// planAndCommit plans and commits, and sends the orders unless the owner is lost first. The owner may be lost before or after
+// the store has the records.
 func (m *model) planAndCommit() {
 	m.p.Plan(m.now)
 	changed, orders := m.p.TakeChanges()
+	b := m.prepareRandomSnapshot()
+	m.grantLease(m.p, m.fence, m.randomWorker())
+	lost := rapid.IntRange(0, 11).Draw(m.t, "owner lost")
+	if lost == 1 {
+		m.takeOver()
+		return
+	}
 	for _, j := range changed {
 		b, err := j.EncodeProgress()
 		require.NoError(m.t, err)
 		m.log[j.ID] = b
 	}
-	if rapid.IntRange(0, 9).Draw(m.t, "owner lost") == 0 {
+	if b != nil {
+		m.snapshot = b
+	}
+	if lost == 0 {
 		m.takeOver()
 		return
 	}
+	if b != nil {
+		m.p.SnapshotCommitted()
+	}
 	for _, o := range m.p.OrdersCommitted(orders, m.now) {
 		m.send(o)
 	}
 }
 
+// prepareRandomSnapshot returns a snapshot to commit, or nil if the owner makes none now.
+func (m *model) prepareRandomSnapshot() []byte {
+	changed := rapid.Bool().Draw(m.t, "changed snapshot") && m.p.DetectUnresponsiveChange()
+	if !changed && rapid.IntRange(0, 3).Draw(m.t, "regular snapshot") != 0 {
+		return nil
+	}
+	b, err := m.p.PrepareSnapshot(m.now)
+	require.NoError(m.t, err)
+	return b
+}
+
+// grantLease renews the lease of a worker that an owner may grant one and that has seen no later owner.
+func (m *model) grantLease(p *Planner, fence int64, w *modelWorker) {
+	if len(w.runs) == 0 || fence < w.fence || !p.NeedsLease(w.id) {
+		return
+	}
+	p.LeaseGranted(w.id, m.now)
+	w.fence = fence
+	w.leaseUntil = later(w.leaseUntil, m.now.Add(testLease))
+}
+
+// callFromFormerOwner lets a former owner that still grants leases call a worker, also one that the present owner can't reach.
+func (m *model) callFromFormerOwner() {
+	m.former = slices.DeleteFunc(m.former, func(o formerOwner) bool { return m.now.Sub(o.lostAt) >= modelStoreLossGrace })
+	if len(m.former) > 0 {
+		o := m.former[rapid.IntRange(0, len(m.former)-1).Draw(m.t, "former owner")]
+		m.grantLease(o.p, o.fence, m.randomWorker())
+	}
+}
+
+// loseOwnersInSeries lets several owners take over one after another, each after a short time.
+func (m *model) loseOwnersInSeries() {
+	for range rapid.IntRange(2, 4).Draw(m.t, "owners") {
+		m.planAndCommit()
+		m.advanceTime()
+		m.takeOver()
+	}
+}
+
 // send sends an order; the order or its response may be lost, and the order may be delayed.
 func (m *model) send(o Order) {
 	w := m.worker(o.Worker)
@@ -184,6 +272,10 @@
 	}
 }
 
+func (m *model) randomWorker() *modelWorker {
+	return m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "worker")]
+}
+
 func (m *model) worker(id string) *modelWorker {
 	for _, w := range m.workers {
 		if w.id == id {
@@ -262,24 +354,28 @@
 	delete(w.runs, r)
 }
 
-// syncRandomWorker calls a worker. If the response arrives, the owner applies the report, commits the changes, and
-// acknowledges the finished attempts.
 func (m *model) syncRandomWorker() {
-	w := m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "worker")]
+	m.sync(m.randomWorker())
+}
+
+// sync calls a worker. If the response arrives, the owner applies the report, commits the changes, and
+// acknowledges the finished attempts.
+func (m *model) sync(w *modelWorker) {
+	if !slices.ContainsFunc(m.p.SyncTargets(), func(x WorkerInfo) bool { return x.ID == w.id }) {
+		return
+	}
 	if w.partitioned || m.fence < w.fence {
 		m.p.SyncFailed(w.id)
 		return
 	}
 	w.fence = m.fence
-	if len(w.runs) > 0 && m.p.NeedsLease(w.id) {
-		m.p.LeaseGranted(w.id, m.now)
-		w.leaseUntil = later(w.leaseUntil, m.now.Add(testLease))
-	}
+	m.grantLease(m.p, m.fence, w)
 	r := Report{Worker: w.id, Incarnation: w.incarnation, RequestedAt: m.now, Finished: append([]FinishedAttempt(nil), w.finished...)}
-	for ref, n := range w.runs {
-		r.Running = append(r.Running, RunningAttempt{Ref: ref, Run: n, ProgressPercent: 50})
+	for _, ref := range w.runningTasks() {
+		r.Running = append(r.Running, RunningAttempt{Ref: ref, Run: w.runs[ref], ProgressPercent: 50})
 	}
 	if rapid.IntRange(0, 9).Draw(m.t, "response lost") == 0 {
+		m.p.SyncFailed(w.id)
 		return
 	}
 	m.p.HandleReport(r, m.now)
@@ -289,7 +385,9 @@
 		return
 	}
 	for len(w.finished) > 0 && w.finished[0].Number <= n {
-		m.acknowledge(w.finished[0])
+		if w.finished[0].Number > w.lapsedNumber {
+			m.acknowledge(w.finished[0])
+		}
 		w.finished = w.finished[1:]
 	}
 }
@@ -306,8 +404,8 @@
 
 // finishRandomTask finishes a running attempt of a run-to-completion task on a worker, as done or failed.
 func (m *model) finishRandomTask() {
-	w := m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "worker")]
-	for r := range w.runs {
+	w := m.randomWorker()
+	for _, r := range w.runningTasks() {
 		if m.specs[r.Job].Steps[r.Step].LongRunning {
 			continue
 		}
@@ -321,16 +419,36 @@
 }
 
 func (m *model) crashRandomWorker() {
-	w := m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "worker")]
+	w := m.randomWorker()
 	w.reset()
 	w.incarnation++
 }
 
 func (m *model) togglePartitionOfRandomWorker() {
-	w := m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "worker")]
+	w := m.randomWorker()
 	w.partitioned = !w.partitioned
 }
 
+// toggleListingOfRandomWorker removes a worker from the platform's list or returns it, while its attempts run on.
+func (m *model) toggleListingOfRandomWorker() {
+	w := m.randomWorker()
+	w.unlisted = !w.unlisted
+}
+
+// cutOffRandomWorker lets a worker be away from the list and out of the owner's reach for a while.
+func (m *model) cutOffRandomWorker() {
+	w := m.randomWorker()
+	w.partitioned, w.unlisted = true, true
+	for range rapid.IntRange(2, 8).Draw(m.t, "calls") {
+		m.sync(w)
+		m.advanceTime()
+		m.planAndCommit()
+	}
+	w.partitioned, w.unlisted = false, false
+	m.setWorkers()
+	m.sync(w)
+}
+
 func (m *model) executeOldestDelayed() {
 	if len(m.delayed) == 0 {
 		return
@@ -351,7 +469,8 @@
 		if m.now.Before(w.leaseUntil) {
 			continue
 		}
-		for r := range w.runs {
+		w.lapsedNumber = w.lastNumber
+		for _, r := range w.runningTasks() {
 			m.finishAt(w, r, jobs.OutcomeExpired)
 		}
 	}
@@ -368,6 +487,8 @@
 			"report": func(*rapid.T) { m.syncRandomWorker() }, "report again": func(*rapid.T) { m.syncRandomWorker() }, "finish": func(*rapid.T) { m.finishRandomTask() },
 			"crash": func(*rapid.T) { m.crashRandomWorker() }, "disconnect or reconnect": func(*rapid.T) { m.togglePartitionOfRandomWorker() }, "handle delayed order": func(*rapid.T) { m.executeOldestDelayed() },
 			"let time pass": func(*rapid.T) { m.advanceTime() }, "take over": func(*rapid.T) { m.takeOver() },
+			"call from a former owner": func(*rapid.T) { m.callFromFormerOwner() }, "lose owners in series": func(*rapid.T) { m.loseOwnersInSeries() },
+			"cut off": func(*rapid.T) { m.cutOffRandomWorker() }, "leave or enter the list": func(*rapid.T) { m.toggleListingOfRandomWorker() },
 		})
 	})
 }
