The next owner goes on with the wait for a worker that has left

What callers saw: tasks that last stood still from 57.4 s to 91.96 s, while owners were lost in series.

Cause: an owner that restores an attempt on a worker that isn't listed waits 9.45 s from its own takeover, until the leases that a former owner may have granted have expired.

When its lease had expired before, it had to respond once more, after a long poll of up to 1.9 s.

`make lint test` passes.

--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -280,7 +280,7 @@
 				p.release(w, a, "worker lease expired")
 			}
 		}
-		w.synced = false
+		w.synced = w.isResponding(now)
 		if w.isRemovable() {
 			delete(p.workers, w.ID)
 		}
--- a/internal/dispatch/series_test.go
+++ b/internal/dispatch/series_test.go
@@ -103,6 +103,35 @@
 	require.LessOrEqual(t, s.now.Sub(start), 2*wait+life)
 }
 
+func TestListedWorkerIsNotNamedBeforeItFailedToRespond(t *testing.T) {
+	s := newOwnerSeries(t)
+	s.p = New(Config{Lease: testLease, StoreLossGrace: testStoreLossGrace, Logger: zerolog.Nop()}, s.now)
+	s.p.SetWorkers([]WorkerInfo{testWorker(0), testWorker(9)}, s.now)
+	s.p.AddJob(s.job, s.now)
+	require.False(t, s.p.DetectUnresponsiveChange())
+	s.p.SyncFailed(missingWorker)
+	require.False(t, s.p.DetectUnresponsiveChange())
+	require.True(t, s.p.NeedsLease(missingWorker))
+}
+
+// A worker that is missing at a takeover may only have lost its entry, and is used again without waiting for a lease.
+func TestMissingWorkerIsUsedAgainOnceItIsListed(t *testing.T) {
+	s := newOwnerSeries(t)
+	s.commitSnapshot()
+	s.now = s.now.Add(testSnapshotInterval)
+	s.p.SetWorkers([]WorkerInfo{testWorker(9)}, s.now)
+	s.p.HandleReport(Report{Worker: missingWorker, Incarnation: testIncarnation, RequestedAt: s.now, Running: []RunningAttempt{{Ref: s.task().Ref, Run: 1}}}, s.now)
+	require.False(t, s.p.NeedsLease(missingWorker), "the stored snapshot says that the worker gets no lease")
+	require.True(t, s.p.DetectUnresponsiveChange())
+	s.commitSnapshot()
+	require.True(t, s.p.NeedsLease(missingWorker))
+	s.p.AddJob(testJob(testID(2), s.now, plainStep(1)), s.now)
+	s.p.Plan(s.now)
+	_, l := s.p.TakeChanges()
+	require.Len(t, l, 1)
+	require.Equal(t, missingWorker, l[0].Worker)
+}
+
 // The planner dropped a worker that a stored snapshot named, and granted it a lease once it was listed again. The next owner
 // took the old snapshot to be true and would have started the tasks of the worker elsewhere while they ran there.
 func TestWorkerThatASnapshotNamesIsGrantedNoLeaseAfterItsAttemptsWereReleased(t *testing.T) {
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -34,7 +34,7 @@
 	Demand float64
 	// Maintained holds, by wave number, the instances whose maintenance is complete.
 	Maintained map[int][]string
-	// Unresponsive holds, by worker ID, the workers that do not respond and are granted no lease, with the milliseconds until
+	// Unresponsive holds, by worker ID, the workers that are unresponsive and are granted no lease, with the milliseconds until
 	// their last lease has expired. The next owner counts the milliseconds from its takeover, which is later than this
 	// snapshot, since instances share no clock.
 	Unresponsive map[string]int64
@@ -43,7 +43,7 @@
 // restoredVariance is added to the variance of restored estimates, since the interference may have changed.
 const restoredVariance = 0.05
 
-// PrepareSnapshot withholds leases from the unresponsive workers that hold attempts, and returns an encoded snapshot that
+// PrepareSnapshot withholds leases from the unresponsive workers, and returns an encoded snapshot that
 // names these workers. It returns nil if there is nothing to store. The caller calls SnapshotCommitted once the snapshot
 // is stored.
 func (p *Planner) PrepareSnapshot(now time.Time) ([]byte, error) {
@@ -68,15 +68,15 @@
 	return b, nil
 }
 
-// withholdLeases withholds leases from unresponsive workers that hold attempts, and returns, by worker ID, the
-// milliseconds until their last lease has expired.
+// withholdLeases withholds leases from unresponsive workers, and returns, by worker ID, the milliseconds until their last
+// lease has expired.
 //
 // A later owner relies on these times. Such a worker therefore gets no lease
 // until a snapshot that does not name the worker is committed.
 func (p *Planner) withholdLeases(now time.Time) map[string]int64 {
 	m := make(map[string]int64)
 	for id, w := range p.workers {
-		if len(w.attempts) > 0 && w.failedCalls >= unresponsiveCalls {
+		if w.isUnresponsive() {
 			w.leaseWithheld = true
 			m[id] = max(0, w.leaseUntil.Sub(now).Milliseconds())
 		}
@@ -96,12 +96,11 @@
 	p.unresponsiveChanged = false
 }
 
-// DetectUnresponsiveChange reports whether the unresponsive workers that hold attempts differ from the workers with withheld
-// leases, and records that a new snapshot is due if so.
+// DetectUnresponsiveChange reports whether the unresponsive workers differ from the workers with withheld leases, and records
+// that a new snapshot is due if so.
 func (p *Planner) DetectUnresponsiveChange() bool {
 	for _, w := range p.workerList {
-		unresponsive := len(w.attempts) > 0 && w.failedCalls >= unresponsiveCalls
-		if unresponsive != w.leaseWithheld {
+		if w.isUnresponsive() != w.leaseWithheld {
 			p.unresponsiveChanged = true
 			return true
 		}
@@ -109,6 +108,17 @@
 	return false
 }
 
+// HasUnexpiredLeases reports whether the latest snapshot names workers whose leases had not expired. The next owner starts with
+// the times in that snapshot, so that a newer snapshot shortens its wait.
+func (p *Planner) HasUnexpiredLeases() bool {
+	for _, ms := range p.unresponsive {
+		if ms > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // unresponsiveCalls is the number of consecutive calls without a response after which a worker is granted no lease.
 const unresponsiveCalls = 2
 
@@ -124,6 +134,7 @@
 	if r.Maintained != nil {
 		p.maintained = r.Maintained
 	}
+	p.unresponsive = r.Unresponsive
 	for id, ms := range r.Unresponsive {
 		w := p.worker(id)
 		w.leaseUntil = p.takeoverAt.Add(time.Duration(ms) * time.Millisecond)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -115,7 +115,7 @@
 type worker struct {
 	WorkerInfo
 	// listed means that the platform lists the worker, and synced that the worker has responded to a sync call of this owner
-	// since its incarnation began or its last lease expired.
+	// since its incarnation began or, if it did not respond then, since its last lease expired.
 	listed bool
 	synced bool
 	// fenced means that the worker's incarnation has responded to this owner, and so refuses earlier owners.
@@ -196,8 +196,14 @@
 	w.services = slices.DeleteFunc(w.services, func(o *attempt) bool { return o == a })
 }
 
-// isRemovable reports whether the worker is unlisted and holds no attempts.
-func (w *worker) isRemovable() bool { return !w.listed && len(w.attempts) == 0 }
+// isUnresponsive reports whether the worker holds attempts and its latest unresponsiveCalls calls got no response, or the owner
+// can't call it. A worker that left before the owner took over has no address.
+func (w *worker) isUnresponsive() bool {
+	return len(w.attempts) > 0 && (w.failedCalls >= unresponsiveCalls || w.Address == "")
+}
+
+// isRemovable reports whether the worker is unlisted, holds no attempts, and may be granted a lease if it is listed again.
+func (w *worker) isRemovable() bool { return !w.listed && len(w.attempts) == 0 && !w.leaseWithheld }
 
 // imageCPU is the CPU use of the tasks of one image, in thousandths of a core.
 type imageCPU struct {
@@ -223,8 +229,10 @@
 	return milliCPU / float64(max(w.Capacity.MilliCPU, 1))
 }
 
-// isReachable reports whether the worker responded to its latest call, less than maxResponseAge ago, and may be
-// granted a lease.
-func (w *worker) isReachable(now time.Time) bool {
-	return w.synced && !w.leaseWithheld && w.failedCalls == 0 && now.Sub(w.lastResponseAt) < maxResponseAge
+// isReachable reports whether the worker is responding and may be granted a lease.
+func (w *worker) isReachable(now time.Time) bool { return !w.leaseWithheld && w.isResponding(now) }
+
+// isResponding reports whether the worker responded to its latest call, less than maxResponseAge ago.
+func (w *worker) isResponding(now time.Time) bool {
+	return w.synced && w.failedCalls == 0 && now.Sub(w.lastResponseAt) < maxResponseAge
 }
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -33,6 +33,9 @@
 	// unresponsiveSnapshotInterval is the minimum time between the latest snapshot and one that is made because the set of
 	// unresponsive workers changed.
 	unresponsiveSnapshotInterval = 500 * time.Millisecond
+	// leaseSnapshotInterval is the time between two snapshots while the latest names workers whose leases have not expired. The
+	// next owner repeats at most this much of the wait for the leases.
+	leaseSnapshotInterval = time.Second
 	// snapshotKey is the key of the snapshot record; it is not a valid job ID.
 	snapshotKey = "knowledge"
 	// storeBackoff is the delay after a failed call to the store.
@@ -212,9 +215,7 @@
 		}
 		r = append(r, Record{Key: j.ID, Value: b})
 	}
-	due := len(r) > 0 && now.Sub(o.snapshotAt) >= snapshotInterval
-	urgent := now.Sub(o.snapshotAt) >= unresponsiveSnapshotInterval && o.planner.DetectUnresponsiveChange()
-	if !due && !urgent {
+	if !o.isSnapshotDue(len(r) > 0, now) {
 		return r, nil
 	}
 	o.snapshotAt = now
@@ -225,6 +226,19 @@
 	return append(r, Record{Key: snapshotKey, Value: b}), nil
 }
 
+// isSnapshotDue reports whether a snapshot is due; o.mu is held. Regular snapshots are committed only together with other
+// records.
+func (o *Owner) isSnapshotDue(hasRecords bool, now time.Time) bool {
+	age := now.Sub(o.snapshotAt)
+	switch {
+	case o.planner.DetectUnresponsiveChange():
+		return age >= unresponsiveSnapshotInterval
+	case o.planner.HasUnexpiredLeases():
+		return age >= leaseSnapshotInterval
+	}
+	return hasRecords && age >= snapshotInterval
+}
+
 // requestPlan triggers a planning cycle.
 func (o *Owner) requestPlan() {
 	select {
