--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -225,11 +225,11 @@
 }
 
 // callFromFormerOwner lets a former owner that still grants leases call a worker, also one that the present owner can't reach.
-func (m *model) callFromFormerOwner() {
+func (m *model) callFromFormerOwner(w *modelWorker) {
 	m.former = slices.DeleteFunc(m.former, func(o formerOwner) bool { return m.now.Sub(o.lostAt) >= modelStoreLossGrace })
 	if len(m.former) > 0 {
 		o := m.former[rapid.IntRange(0, len(m.former)-1).Draw(m.t, "former owner")]
-		m.grantLease(o.p, o.fence, m.randomWorker())
+		m.grantLease(o.p, o.fence, w)
 	}
 }
 
@@ -435,12 +435,14 @@
 	w.unlisted = !w.unlisted
 }
 
-// cutOffRandomWorker lets a worker be away from the list and out of the owner's reach for a while.
+// cutOffRandomWorker lets a worker be away from the list and out of the owner's reach for a while, but not out of that of
+// former owners.
 func (m *model) cutOffRandomWorker() {
 	w := m.randomWorker()
 	w.partitioned, w.unlisted = true, true
 	for range rapid.IntRange(2, 8).Draw(m.t, "calls") {
 		m.sync(w)
+		m.callFromFormerOwner(w)
 		m.advanceTime()
 		m.planAndCommit()
 	}
@@ -487,7 +489,7 @@
 			"report": func(*rapid.T) { m.syncRandomWorker() }, "report again": func(*rapid.T) { m.syncRandomWorker() }, "finish": func(*rapid.T) { m.finishRandomTask() },
 			"crash": func(*rapid.T) { m.crashRandomWorker() }, "disconnect or reconnect": func(*rapid.T) { m.togglePartitionOfRandomWorker() }, "handle delayed order": func(*rapid.T) { m.executeOldestDelayed() },
 			"let time pass": func(*rapid.T) { m.advanceTime() }, "take over": func(*rapid.T) { m.takeOver() },
-			"call from a former owner": func(*rapid.T) { m.callFromFormerOwner() }, "lose owners in series": func(*rapid.T) { m.loseOwnersInSeries() },
+			"call from a former owner": func(*rapid.T) { m.callFromFormerOwner(m.randomWorker()) }, "lose owners in series": func(*rapid.T) { m.loseOwnersInSeries() },
 			"cut off": func(*rapid.T) { m.cutOffRandomWorker() }, "leave or enter the list": func(*rapid.T) { m.toggleListingOfRandomWorker() },
 		})
 	})
