--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -295,7 +295,7 @@
 				p.release(w, a, "worker lease expired", now)
 			}
 		}
-		w.synced = false
+		w.synced = w.isResponding(now)
 		if w.isRemovable() {
 			delete(p.workers, w.ID)
 		}
@@ -342,6 +342,12 @@
 	return w != nil && len(w.attempts) > 0 && !w.leaseWithheld
 }
 
+// IsLeaseWithheld reports whether a snapshot names a worker as unresponsive, so that it may be granted no lease.
+func (p *Planner) IsLeaseWithheld(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.leaseWithheld
+}
+
 // OrdersCommitted records that orders were committed, and returns those that are still to be executed. It releases the
 // attempts of starts that are out of date.
 func (p *Planner) OrdersCommitted(l []Order, now time.Time) []Order {
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -34,6 +34,9 @@
 	// unresponsiveSnapshotInterval is the minimum time between the latest snapshot and one that is made because the set of
 	// unresponsive workers changed.
 	unresponsiveSnapshotInterval = 500 * time.Millisecond
+	// leaseSnapshotInterval is the time between two snapshots while the latest names workers whose leases have not expired. The
+	// next owner repeats at most this much of the wait for the leases.
+	leaseSnapshotInterval = time.Second
 	// snapshotKey is the key of the snapshot record; it is not a valid job ID.
 	snapshotKey = "knowledge"
 	// keepAliveKey is the key of the record that an owner commits if it has committed nothing else for keepAliveInterval; it is
@@ -220,8 +223,8 @@
 	}
 }
 
-// encodeRecords encodes changed jobs, or a keep-alive record if there is none and one is due, and a snapshot of the learned
-// estimates if one is due; o.mu is held.
+// encodeRecords encodes changed jobs, and a snapshot of the learned estimates if one is due, or a keep-alive record if there is
+// nothing else and one is due; o.mu is held.
 func (o *Owner) encodeRecords(l []*jobs.Job, now time.Time) ([]Record, error) {
 	r := make([]Record, 0, len(l))
 	for _, j := range l {
@@ -231,20 +234,33 @@
 		}
 		r = append(r, Record{Key: j.ID, Value: b})
 	}
+	if o.isSnapshotDue(len(r) > 0, now) {
+		o.snapshotAt = now
+		b, err := o.planner.PrepareSnapshot(now)
+		if err != nil {
+			return nil, err
+		}
+		if b != nil {
+			r = append(r, Record{Key: snapshotKey, Value: b})
+		}
+	}
 	if len(r) == 0 && now.Sub(o.committedAt) >= keepAliveInterval {
 		r = append(r, Record{Key: keepAliveKey, Value: []byte{1}})
 	}
-	due := len(r) > 0 && now.Sub(o.snapshotAt) >= snapshotInterval
-	urgent := now.Sub(o.snapshotAt) >= unresponsiveSnapshotInterval && o.planner.DetectUnresponsiveChange()
-	if !due && !urgent {
-		return r, nil
-	}
-	o.snapshotAt = now
-	b, err := o.planner.PrepareSnapshot(now)
-	if err != nil || b == nil {
-		return r, err
+	return r, nil
+}
+
+// isSnapshotDue reports whether a snapshot is due; o.mu is held. Regular snapshots are committed only together with other
+// records.
+func (o *Owner) isSnapshotDue(hasRecords bool, now time.Time) bool {
+	age := now.Sub(o.snapshotAt)
+	switch {
+	case o.planner.DetectUnresponsiveChange():
+		return age >= unresponsiveSnapshotInterval
+	case o.planner.HasUnexpiredLeases():
+		return age >= leaseSnapshotInterval
 	}
-	return append(r, Record{Key: snapshotKey, Value: b}), nil
+	return hasRecords && age >= snapshotInterval
 }
 
 // requestPlan triggers a planning cycle.
--- a/internal/jobserve/sync.go
+++ b/internal/jobserve/sync.go
@@ -193,14 +193,14 @@
 }
 
 // executeAtWorker calls the worker that an order names. An order that starts an attempt also grants a lease; it is refused if
-// the owner may grant none.
+// the owner may grant the worker none.
 func (o *Owner) executeAtWorker(ctx context.Context, x dispatch.Order) {
 	f := FencedOrder{Order: x, Fence: o.epoch}
 	now := time.Now()
 	if x.Kind == dispatch.OrderStart {
 		f.LeaseUntil = now.Add(o.Lease)
 		if !o.recordGrant(x.Worker, now) {
-			o.Logger.Warn().Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Str("Decision", "StartWithheld").Msg("start was not sent: the latest commit is too long ago to grant a lease")
+			o.Logger.Warn().Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Str("Decision", "StartWithheld").Msg("start was not sent: the owner may grant the worker no lease now")
 			o.handleOrderResult(x, dispatch.ResultRefused)
 			return
 		}
@@ -224,7 +224,7 @@
 func (o *Owner) recordGrant(worker string, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.mayGrantLeases() {
+	if !o.mayGrantLeases() || o.planner.IsLeaseWithheld(worker) {
 		return false
 	}
 	o.planner.LeaseGranted(worker, now)
