--- a/internal/jobserve/member_test.go
+++ b/internal/jobserve/member_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -17,11 +18,16 @@
 	mu         sync.Mutex
 	membership Membership
 	members    []string
+	// silent means that joins get no response.
+	silent bool
 }
 
 func (f *fakeGroup) Join(context.Context, int64, time.Duration) (Membership, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.silent {
+		return Membership{}, &StoreError{Call: "join", Cause: context.DeadlineExceeded}
+	}
 	return f.membership, nil
 }
 
@@ -117,3 +123,22 @@
 	f.renew(false, testIdentity(1, 0.4), testIdentity(2, 0.4))
 	require.False(t, f.member.IsOwner(), "another process has taken over")
 }
+
+// The store executed a join after the member had left: the membership was revived, and nobody renewed it.
+func TestMemberStaysWhileItsJoinMayStillBeExecuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		l := []Identity{testIdentity(1, 0.4), testIdentity(2, 0.8), testIdentity(3, 0.8), testIdentity(4, 0.8)}
+		f.group.silent = true
+		f.renew(false, l...)
+		f.group.silent = false
+		f.renew(false, l...)
+		time.Sleep(longestLateDelay)
+		require.False(t, f.member.isRedundant(t.Context()))
+		time.Sleep(2 * time.Second)
+		require.True(t, f.member.isRedundant(t.Context()))
+	})
+}
+
+// longestLateDelay is the longest time from a call without a response to its execution that was seen.
+const longestLateDelay = 6 * time.Second
