A member does not leave the group while the store may execute its join late

Cause: a member whose join got no response left, and the store then executed the join; the revived membership held its partitions until it expired. A member now stays for 7 s after a join without a response. TestMemberStaysWhileItsJoinMayStillBeExecuted fails without this. It is not the whole cause: TestOwnerIsReplacedWhileWritesAreExecutedLate still fails, with 9.5, 26.6 and 16.4 s in three runs.

--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -36,6 +36,8 @@
 	maxJoinDelay     = 2 * time.Second
 	// joinTimeout bounds one call that joins or reads the group, or reads the incumbent or the worker list.
 	joinTimeout = 900 * time.Millisecond
+	// lateCallWindow is the time after which the store no longer executes a call without a response.
+	lateCallWindow = 7 * time.Second
 	// leaveTimeout bounds the call that gives up the membership.
 	leaveTimeout = 700 * time.Millisecond
 )
@@ -68,6 +70,8 @@
 
 	// joined means that the store may hold a membership of this instance.
 	joined bool
+	// unansweredAt is the end of the latest join without a response, which the store may still execute.
+	unansweredAt time.Time
 	// redundancyCheckedAt and ownershipCheckedAt are the times of the latest checks.
 	redundancyCheckedAt time.Time
 	ownershipCheckedAt  time.Time
@@ -142,9 +146,10 @@
 }
 
 // isRedundant reports whether the group has enough members without this instance. It reads the group at intervals, and returns
-// false between two reads and if a read fails.
+// false between two reads and if a read fails. It also returns false while the store may execute a join late, since that would
+// add this instance to the group again after it has left.
 func (m *Member) isRedundant(ctx context.Context) bool {
-	if time.Since(m.redundancyCheckedAt) < redundancyCheckInterval {
+	if time.Since(m.unansweredAt) < lateCallWindow || time.Since(m.redundancyCheckedAt) < redundancyCheckInterval {
 		return false
 	}
 	m.redundancyCheckedAt = time.Now()
@@ -181,6 +186,9 @@
 	x, err := m.Store.Join(c, m.generation, memberLease)
 	cancel()
 	if err != nil {
+		if !isNotApplied(err) {
+			m.unansweredAt = time.Now()
+		}
 		if ctx.Err() == nil {
 			m.Logger.Warn().Err(err).Int64("Generation", m.generation).Str("Decision", "JoinFailed").Msg("renewal of the membership failed")
 		}
