A join without a response is repeated after 0.3 s, while the first still waits

Cause: a member waited 0.9 s for each response and 0.3 s more, so that two lost responses in a row, or a lost one and a late start, ended its membership of 2.5 s, and the group changed. Now each renewal makes up to three calls.

--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -183,19 +183,20 @@
 	}
 	start := time.Now()
 	c, cancel := context.WithTimeout(ctx, joinTimeout)
-	x, err := m.Store.Join(c, m.generation, memberLease)
+	g := m.generation
+	x, err := callRepeatedly(c, func(c context.Context) (Membership, error) { return m.Store.Join(c, g, memberLease) })
 	cancel()
+	if time.Since(start) >= retryDelay || err != nil && !isNotApplied(err) {
+		m.unansweredAt = time.Now()
+	}
 	if err != nil {
-		if !isNotApplied(err) {
-			m.unansweredAt = time.Now()
-		}
 		if ctx.Err() == nil {
-			m.Logger.Warn().Err(err).Int64("Generation", m.generation).Str("Decision", "JoinFailed").Msg("renewal of the membership failed")
+			m.Logger.Warn().Err(err).Int64("Generation", g).Str("Decision", "JoinFailed").Msg("renewal of the membership failed")
 		}
 		return
 	}
 	m.renewedAt.Store(start.UnixNano())
-	changed := x.Generation != m.generation
+	changed := x.Generation != g
 	if changed {
 		m.Logger.Info().Int64("Generation", x.Generation).Bool("Next", x.NextOwner).Str("Decision", "Joined").Msg("the group has a new generation")
 	}
--- a/internal/jobserve/member_test.go
+++ b/internal/jobserve/member_test.go
@@ -20,23 +20,51 @@
 	members    []string
 	// silent means that joins get no response.
 	silent bool
+	// unanswered is the number of joins that get no response before one does.
+	unanswered int
 }
 
-func (f *fakeGroup) Join(context.Context, int64, time.Duration) (Membership, error) {
+func (f *fakeGroup) Join(ctx context.Context, _ int64, _ time.Duration) (Membership, error) {
+	if f.isLost() {
+		<-ctx.Done()
+		return Membership{}, &StoreError{Call: "join", Cause: ctx.Err()}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.silent {
-		return Membership{}, &StoreError{Call: "join", Cause: context.DeadlineExceeded}
-	}
 	return f.membership, nil
 }
 
+// isLost reports whether the next join gets no response.
+func (f *fakeGroup) isLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unanswered--
+	return f.silent || f.unanswered >= 0
+}
+
 func (f *fakeGroup) Members(context.Context) ([]string, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.members, nil
 }
 
+// set replaces the members and begins a new generation.
+func (f *fakeGroup) set(next bool, members []Identity) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.membership = Membership{Generation: f.membership.Generation + 1, NextOwner: next}
+	f.members = nil
+	for _, m := range members {
+		f.members = append(f.members, m.String())
+	}
+}
+
+func (f *fakeGroup) setSilent(silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+}
+
 // memberFixture is a member whose renewals the test triggers one at a time.
 type memberFixture struct {
 	*testing.T
@@ -67,11 +95,7 @@
 
 // renew changes the group and renews the membership.
 func (f *memberFixture) renew(next bool, members ...Identity) {
-	f.group.membership = Membership{Generation: f.group.membership.Generation + 1, NextOwner: next}
-	f.group.members = nil
-	for _, m := range members {
-		f.group.members = append(f.group.members, m.String())
-	}
+	f.group.set(next, members)
 	f.member.renew(f.Context())
 }
 
@@ -129,9 +153,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newMemberFixture(t)
 		l := []Identity{testIdentity(1, 0.4), testIdentity(2, 0.8), testIdentity(3, 0.8), testIdentity(4, 0.8)}
-		f.group.silent = true
+		f.group.setSilent(true)
 		f.renew(false, l...)
-		f.group.silent = false
+		f.group.setSilent(false)
 		f.renew(false, l...)
 		time.Sleep(longestLateDelay)
 		require.False(t, f.member.isRedundant(t.Context()))
@@ -140,5 +164,18 @@
 	})
 }
 
+// A member waited 0.9 s for each response, so that three that were lost in a row ended its membership.
+func TestLostResponseDelaysARenewalByLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		f.group.unanswered = 2
+		startedAt := time.Now()
+		f.renew(false, testIdentity(1, 0.4))
+		require.Equal(t, startedAt, f.member.RenewedAt())
+		require.Less(t, time.Since(startedAt), 700*time.Millisecond)
+		require.False(t, f.member.isRedundant(t.Context()), "the lost joins may still be executed")
+	})
+}
+
 // longestLateDelay is the longest time from a call without a response to its execution that was seen.
 const longestLateDelay = 6 * time.Second
