One member takes over from an owner: claims in a partition of their own, each appended after the one that was read

Cause: the record that names the owner was appended to the requests without a condition.

The claim names the epoch and the identity. The store appends it only at the offset that was read, so of several claims after the same one it takes one, also late. A takeover ends when another has claimed.

Without the change, TestOneMemberTakesOverFromAnOwner and TestLongTakeoverEndsWhenAnotherHasClaimed cannot be written: there was no condition. Members of an earlier version do not read claims; while both versions run, both may take over, and the epochs fence the earlier one.

--- a/internal/jobserve/bench_test.go
+++ b/internal/jobserve/bench_test.go
@@ -131,6 +131,8 @@
 	return int64(f.records), nil
 }
 
+func (f *benchFleet) AppendAt(context.Context, Partition, int64, []Record) error { return nil }
+
 func (f *benchFleet) Read(_ context.Context, _ Partition, from int64, until time.Time) (Page, error) {
 	time.Sleep(time.Until(until))
 	return Page{NextOffset: from, EndOffset: from}, nil
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -87,7 +87,7 @@
 	i := &Instance{InstanceConfig: c}
 	i.CallerHandler = instrumentHandler(c.Metrics, c.CallerHandler)
 	i.registerGauges()
-	i.member = NewMember(MemberConfig{Store: c.Store, Identity: c.Identity, Logger: c.Logger, RunOwner: i.runOwner, OnGroup: i.updateRelayOwners, Incumbent: i.incumbent})
+	i.member = NewMember(MemberConfig{Store: c.Store, Identity: c.Identity, Logger: c.Logger, RunOwner: i.runOwner, OnGroup: i.updateRelayOwners, Incumbent: i.Replica.RefreshClaim})
 	return i
 }
 
@@ -123,17 +123,11 @@
 	return time.Since(time.Unix(0, i.storeRespondedAt.Load()))
 }
 
-// incumbent returns the identity of the process that last became the owner.
-func (i *Instance) incumbent(ctx context.Context) (string, error) {
-	err := i.Replica.Refresh(ctx, time.Now())
-	return i.Replica.Owner(), err
-}
-
 // runOwner runs the owner until the context ends, another owner has taken over, or the owner fails.
-func (i *Instance) runOwner(ctx context.Context) {
+func (i *Instance) runOwner(ctx context.Context, predecessor Claim) {
 	i.Metrics.Add(metricTakeovers, "", 1)
 	RunOwner(ctx, OwnerConfig{
-		Identity: i.Identity.String(), Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Advisor: i.Advisor, Maintenance: i.Maintenance,
+		Identity: i.Identity.String(), Predecessor: predecessor, Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Advisor: i.Advisor, Maintenance: i.Maintenance,
 		State: i.State, MaintenanceDelay: i.MaintenanceDelay,
 		RenewedAt: i.member.RenewedAt, Lease: i.Lease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, Metrics: i.Metrics, Logger: i.Logger,
 	})
--- a/internal/jobserve/instrument.go
+++ b/internal/jobserve/instrument.go
@@ -34,6 +34,8 @@
 		return "ok"
 	case errors.Is(err, ErrFenced):
 		return "fenced"
+	case errors.Is(err, ErrConflict):
+		return "conflict"
 	case errors.Is(err, ErrTruncated):
 		return "truncated"
 	case errors.As(err, &e) && e.Status != 0:
@@ -50,6 +52,14 @@
 	return n, err
 }
 
+// AppendAt implements Store.
+func (s *instrumentedStore) AppendAt(ctx context.Context, p Partition, at int64, r []Record) error {
+	t := time.Now()
+	err := s.Store.AppendAt(ctx, p, at, r)
+	s.observe("append", t, err)
+	return err
+}
+
 // Read implements Store; the measured time includes the long poll for a record.
 func (s *instrumentedStore) Read(ctx context.Context, p Partition, from int64, until time.Time) (Page, error) {
 	t := time.Now()
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -48,11 +48,11 @@
 	Identity Identity
 	Logger   zerolog.Logger
 	// RunOwner runs the owner until its context ends, another owner has taken over, or the owner fails.
-	RunOwner func(ctx context.Context)
+	RunOwner func(ctx context.Context, predecessor Claim)
 	// OnGroup is called with the group after each successful read of the group from the store.
 	OnGroup func(group)
-	// Incumbent returns the identity of the process that last became the owner, empty if there was none.
-	Incumbent func(ctx context.Context) (string, error)
+	// Incumbent reads the newest claim.
+	Incumbent func(ctx context.Context) (Claim, error)
 }
 
 // Member maintains this instance's membership of the group and runs the owner while this instance is elected.
@@ -222,11 +222,11 @@
 		}
 		return
 	}
-	if incumbent != m.Identity.String() && (!next || incumbent != "" && m.isMember(ctx, incumbent)) {
+	if incumbent.Identity != m.Identity.String() && (!next || incumbent.Identity != "" && m.isMember(ctx, incumbent.Identity)) {
 		return
 	}
-	m.Logger.Info().Str("Incumbent", incumbent).Int64("Generation", m.generation).Str("Decision", "Own").Msg("this instance is elected to own the jobs")
-	m.startOwner(ctx)
+	m.Logger.Info().Str("Incumbent", incumbent.Identity).Int64("Generation", m.generation).Str("Decision", "Own").Msg("this instance is elected to own the jobs")
+	m.startOwner(ctx, incumbent)
 }
 
 // isMember reports whether a process is in the group; it returns true if the group cannot be read.
@@ -259,7 +259,7 @@
 }
 
 // startOwner runs the owner in a new goroutine.
-func (m *Member) startOwner(ctx context.Context) {
+func (m *Member) startOwner(ctx context.Context, predecessor Claim) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.startedOwner = true
@@ -269,7 +269,7 @@
 	go func() {
 		defer close(d)
 		defer cancel()
-		m.RunOwner(c)
+		m.RunOwner(c, predecessor)
 	}()
 }
 
--- a/internal/jobserve/member_test.go
+++ b/internal/jobserve/member_test.go
@@ -80,8 +80,8 @@
 	x := testIdentity(1, 0.4)
 	f.member = NewMember(MemberConfig{
 		Store: f.group, Identity: x, Logger: zerolog.Nop(), OnGroup: func(group) {},
-		Incumbent: func(context.Context) (string, error) { return f.incumbent, nil },
-		RunOwner: func(ctx context.Context) {
+		Incumbent: func(context.Context) (Claim, error) { return Claim{Identity: f.incumbent}, nil },
+		RunOwner: func(ctx context.Context, _ Claim) {
 			f.incumbent = x.String()
 			select {
 			case <-ctx.Done():
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -22,7 +22,9 @@
 	batchFactor = 1
 	// workerListInterval is the time between two reads of the worker list.
 	workerListInterval = 500 * time.Millisecond
-	// takeoverTimeout bounds one attempt to take over, and one background refresh of the replica.
+	// takeoverCallTimeout bounds the claim of the jobs and the fencing of the former owner, with repetitions.
+	takeoverCallTimeout = 1500 * time.Millisecond
+	// takeoverTimeout bounds the load of the records in a takeover, and one background refresh of the replica.
 	takeoverTimeout = 3 * time.Second
 	// requestsPollTimeout is the duration of the long poll for submissions and cancellations in one read.
 	requestsPollTimeout = time.Second
@@ -42,7 +44,9 @@
 // OwnerConfig holds the settings and dependencies of an owner.
 type OwnerConfig struct {
 	// Identity is the name of this process in the group, which the owner stores so that members know the incumbent.
-	Identity    string
+	Identity string
+	// Predecessor is the claim after which the owner appends its own.
+	Predecessor Claim
 	Store       Store
 	Replica     *Replica
 	Workers     Workers
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -19,7 +19,7 @@
 	submissionPrefix = "s/"
 	cancelPrefix     = "c/"
 	statePrefix      = "t/"
-	// ownerKey is the key of the record that names the owner.
+	// ownerKey is the key of the claims in PartitionOwners.
 	ownerKey = "owner"
 )
 
@@ -29,14 +29,14 @@
 	logger zerolog.Logger
 
 	// readLocks serialize the reads of each partition.
-	readLocks [2]sync.Mutex
+	readLocks [partitions]sync.Mutex
 
 	mu sync.Mutex
 	// specs holds the encoded submissions, and cancelled the jobs with a cancellation record, both by job ID.
 	specs     map[string][]byte
 	cancelled map[string]bool
-	// owner is the newest record that names an owner.
-	owner Record
+	// claim is the newest claim, without its EndOffset.
+	claim Claim
 	// progress holds, by key, the newest progress record.
 	progress map[string]Record
 	// states holds the published states of jobs, committed the states that this instance has committed as the owner, and
@@ -45,13 +45,13 @@
 	committed map[string]jobs.State
 	queues    map[string]string
 	// nextOffset is, by partition, the offset of the next read, and loaded means that the partition has been loaded.
-	nextOffset [2]int64
-	loaded     [2]bool
+	nextOffset [partitions]int64
+	loaded     [partitions]bool
 	// freshAt is, by partition, the start of the latest read that reached the end.
-	freshAt [2]time.Time
+	freshAt [partitions]time.Time
 	// polling means, by partition, that a long poll waits for the next record, so that the replica is current without another
 	// read.
-	polling [2]bool
+	polling [partitions]bool
 }
 
 // NewReplica returns an empty replica, which loads its records on the first read.
@@ -92,11 +92,26 @@
 	return g.Wait()
 }
 
-// Owner returns the identity of the process that last became the owner, empty if there was none.
-func (r *Replica) Owner() string {
+// RefreshClaim reads and returns the newest claim.
+func (r *Replica) RefreshClaim(ctx context.Context) (Claim, error) {
+	if err := r.Follow(ctx, PartitionOwners, time.Now(), time.Time{}); err != nil {
+		return Claim{}, err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return string(r.owner.Value)
+	c := r.claim
+	c.EndOffset = r.nextOffset[PartitionOwners]
+	return c, nil
+}
+
+// requestsEnd reads the requests to their end and returns the offset after them.
+func (r *Replica) requestsEnd(ctx context.Context) (int64, error) {
+	if err := r.Follow(ctx, PartitionRequests, time.Now(), time.Time{}); err != nil {
+		return 0, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.nextOffset[PartitionRequests], nil
 }
 
 // DropProgress drops all progress records when this instance no longer owns the jobs.
@@ -194,15 +209,25 @@
 // applyRecords applies records of a partition; r.mu is held.
 func (r *Replica) applyRecords(p Partition, l []Record) {
 	for _, x := range l {
-		if p == PartitionProgress {
+		switch p {
+		case PartitionProgress:
 			r.applyProgress(x)
-			continue
+		case PartitionOwners:
+			r.applyClaim(x)
+		case PartitionRequests:
+			r.applyRequest(x)
 		}
-		r.applyRequest(x)
 	}
 }
 
-// applyRequest applies a submission, a cancellation, a published state or the name of the owner; r.mu is held.
+// applyClaim applies a claim unless a newer one is known; r.mu is held.
+func (r *Replica) applyClaim(x Record) {
+	if c, ok := parseClaim(x.Value); ok && c.Epoch > r.claim.Epoch {
+		r.claim = c
+	}
+}
+
+// applyRequest applies a submission, a cancellation or a published state; r.mu is held.
 func (r *Replica) applyRequest(x Record) {
 	if id, ok := strings.CutPrefix(x.Key, submissionPrefix); ok {
 		r.applySubmission(id, x.Value)
@@ -211,12 +236,6 @@
 	if len(x.Value) == 0 {
 		return
 	}
-	if x.Key == ownerKey {
-		if x.Offset >= r.owner.Offset {
-			r.owner = x
-		}
-		return
-	}
 	if id, ok := strings.CutPrefix(x.Key, cancelPrefix); ok {
 		r.cancelled[id] = true
 		return
--- a/internal/jobserve/store.go
+++ b/internal/jobserve/store.go
@@ -12,13 +12,19 @@
 
 // The partitions of the jobs' records.
 const (
-	// PartitionRequests holds submissions and cancellations, which every instance writes, and the published states and the name
-	// of the owner, which the owner writes. The owner also deletes the records of expired jobs.
+	// PartitionRequests holds submissions and cancellations, which every instance writes, and the published states, which the
+	// owner writes. The owner also deletes the records of expired jobs.
 	PartitionRequests Partition = 0
 	// PartitionProgress holds the progress of jobs, written by the owner alone.
 	PartitionProgress Partition = 1
+	// PartitionOwners holds a claim for each ownership. An instance appends its claim only after the claim that it has read, so
+	// that one instance takes over from each owner.
+	PartitionOwners Partition = 2
 )
 
+// partitions is the number of partitions of the jobs' records.
+const partitions = 3
+
 // Record is a keyed record. The store keeps the newest record of each key, until a record without a value deletes the key.
 type Record struct {
 	Key    string
@@ -63,6 +69,8 @@
 	// Append adds records and returns the offset after the last one. With a writer, it returns ErrFenced if the store has seen
 	// a higher epoch; without a writer, the append is not fenced.
 	Append(ctx context.Context, p Partition, r []Record, w *Writer) (int64, error)
+	// AppendAt adds records if the partition ends at the given offset, and otherwise returns ErrConflict.
+	AppendAt(ctx context.Context, p Partition, at int64, r []Record) error
 	// Read returns records from an offset on; if there is none yet, it waits for one until the given time. It returns
 	// ErrTruncated if the store no longer holds the record at the offset.
 	Read(ctx context.Context, p Partition, from int64, until time.Time) (Page, error)
@@ -79,6 +87,9 @@
 // ErrTruncated means that the store no longer holds the requested records.
 var ErrTruncated = errors.New("records are no longer in the store")
 
+// ErrConflict means that the partition has records that the caller has not read.
+var ErrConflict = errors.New("the partition has newer records")
+
 // ErrFenced means that another owner has taken over.
 var ErrFenced = errors.New("another owner has taken over")
 
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -14,9 +14,7 @@
 func (o *Owner) takeOver(ctx context.Context) error {
 	start := time.Now()
 	for {
-		c, cancel := context.WithTimeout(ctx, takeoverTimeout)
-		err := o.tryTakeOver(c)
-		cancel()
+		err := o.tryTakeOver(ctx)
 		if err == nil {
 			o.Logger.Info().Int64("Epoch", o.epoch).Dur("Took", time.Since(start)).Str("Decision", "TookOver").Msg("this instance now owns the jobs")
 			return nil
@@ -26,22 +24,84 @@
 		}
 		o.Logger.Warn().Err(err).Int64("Epoch", o.epoch).Msg("takeover failed; it is retried")
 		sleep(ctx, storeBackoff)
+		if err := o.checkNewest(ctx); err != nil {
+			return err
+		}
 	}
 }
 
-// tryTakeOver makes one attempt to take over. The first successful append of a record that names this process as the owner
-// gives the epoch: the end offset after the record, so that no two ownerships share an epoch.
-func (o *Owner) tryTakeOver(ctx context.Context) error {
-	if o.epoch == 0 {
-		n, err := o.Store.Append(ctx, PartitionRequests, []Record{{Key: ownerKey, Value: []byte(o.Identity)}}, nil)
+// checkNewest returns ErrFenced if another process has claimed the jobs since; it returns nil if the claims cannot be read.
+func (o *Owner) checkNewest(ctx context.Context) error {
+	c, cancel := context.WithTimeout(ctx, takeoverCallTimeout)
+	defer cancel()
+	x, err := o.Replica.RefreshClaim(c)
+	if err == nil && x.Epoch > max(o.epoch, o.Predecessor.Epoch) && x.Identity != o.Identity {
+		return fmt.Errorf("take over after %s: %w", x.Identity, ErrFenced)
+	}
+	return nil
+}
+
+// claim appends the claim of this process after that of the predecessor, which gives the epoch. It returns ErrFenced if another
+// process has claimed the jobs first.
+func (o *Owner) claim(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, takeoverCallTimeout)
+	defer cancel()
+	x := Claim{Identity: o.Identity, Epoch: o.Predecessor.Epoch + 1}
+	if o.Predecessor.Epoch == 0 {
+		// The epochs of earlier versions were offsets in the requests.
+		n, err := o.Replica.requestsEnd(ctx)
 		if err != nil {
-			return fmt.Errorf("write the owner record: %w", err)
+			return err
 		}
-		o.epoch = n
+		x.Epoch += n
+	}
+	_, err := callRepeatedly(ctx, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, o.Store.AppendAt(ctx, PartitionOwners, o.Predecessor.EndOffset, []Record{x.record()})
+	})
+	if errors.Is(err, ErrConflict) {
+		err = o.checkClaimed(ctx, x)
+	}
+	if err != nil {
+		return fmt.Errorf("claim the jobs: %w", err)
 	}
-	if _, err := o.Store.Append(ctx, PartitionProgress, nil, &Writer{Epoch: o.epoch}); err != nil {
+	o.epoch = x.Epoch
+	return nil
+}
+
+// checkClaimed returns nil if a call without a response has appended the claim, and ErrFenced if there is another claim.
+func (o *Owner) checkClaimed(ctx context.Context, x Claim) error {
+	newest, err := o.Replica.RefreshClaim(ctx)
+	if err == nil && !newest.isSameOwnership(x) {
+		err = ErrFenced
+	}
+	return err
+}
+
+// fence makes the store refuse the commits of former owners.
+func (o *Owner) fence(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, takeoverCallTimeout)
+	defer cancel()
+	_, err := callRepeatedly(ctx, func(ctx context.Context) (int64, error) {
+		return o.Store.Append(ctx, PartitionProgress, nil, &Writer{Epoch: o.epoch})
+	})
+	if err != nil {
 		return fmt.Errorf("fence the former owner: %w", err)
 	}
+	return nil
+}
+
+// tryTakeOver makes one attempt to take over.
+func (o *Owner) tryTakeOver(ctx context.Context) error {
+	if o.epoch == 0 {
+		if err := o.claim(ctx); err != nil {
+			return err
+		}
+	}
+	if err := o.fence(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
 	if err := o.Replica.LoadAll(ctx); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/jobserve/takeover_test.go
@@ -0,0 +1,102 @@
+package jobserve
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// fakeOwners is a Store that holds only PartitionOwners.
+type fakeOwners struct {
+	Store
+
+	mu     sync.Mutex
+	claims []Record
+	// unanswered is the number of calls of AppendAt that are executed but get no response before one does.
+	unanswered int
+	// beforeFence is called before each append to PartitionProgress.
+	beforeFence func()
+}
+
+func (f *fakeOwners) Append(context.Context, Partition, []Record, *Writer) (int64, error) {
+	f.beforeFence()
+	return 0, &StoreError{Call: "append", Status: 503, NotApplied: true}
+}
+
+func (f *fakeOwners) AppendAt(ctx context.Context, _ Partition, at int64, r []Record) error {
+	lost, err := f.appendAt(at, r)
+	if lost {
+		<-ctx.Done()
+		return &StoreError{Call: "append", Cause: ctx.Err()}
+	}
+	return err
+}
+
+func (f *fakeOwners) appendAt(at int64, r []Record) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unanswered--
+	if at != int64(len(f.claims)) {
+		return f.unanswered >= 0, ErrConflict
+	}
+	f.claims = append(f.claims, r...)
+	return f.unanswered >= 0, nil
+}
+
+func (f *fakeOwners) Read(_ context.Context, p Partition, from int64, _ time.Time) (Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p != PartitionOwners {
+		return Page{}, nil
+	}
+	n := int64(len(f.claims))
+	return Page{Records: f.claims[from:], NextOffset: n, EndOffset: n}, nil
+}
+
+func (f *fakeOwners) NewestByKey(context.Context, Partition, string) (NewestByKeyPage, error) {
+	return NewestByKeyPage{}, nil
+}
+
+func newTestOwner(s Store, identity string, predecessor Claim) *Owner {
+	return &Owner{OwnerConfig: OwnerConfig{Identity: identity, Predecessor: predecessor, Store: s, Replica: NewReplica(s, zerolog.Nop()), Logger: zerolog.Nop()}}
+}
+
+// Two members took over from the same owner: the one that had begun first finished last and displaced the other.
+func TestOneMemberTakesOverFromAnOwner(t *testing.T) {
+	s := &fakeOwners{}
+	first, second := newTestOwner(s, "first", Claim{}), newTestOwner(s, "second", Claim{})
+	require.NoError(t, first.claim(t.Context()))
+	require.ErrorIs(t, second.claim(t.Context()), ErrFenced)
+	c, err := second.Replica.RefreshClaim(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, Claim{Identity: "first", Epoch: first.epoch, EndOffset: 1}, c)
+	third := newTestOwner(s, "third", c)
+	require.NoError(t, third.claim(t.Context()))
+	require.Greater(t, third.epoch, first.epoch)
+}
+
+func TestClaimWithoutAResponseIsFound(t *testing.T) {
+	s := &fakeOwners{unanswered: 2}
+	o := newTestOwner(s, "first", Claim{})
+	require.NoError(t, o.claim(t.Context()))
+	require.Len(t, s.claims, 1)
+}
+
+// A takeover went on for 6.4 s, and displaced the owner that had taken over meanwhile.
+func TestLongTakeoverEndsWhenAnotherHasClaimed(t *testing.T) {
+	s := &fakeOwners{}
+	first := newTestOwner(s, "first", Claim{})
+	second := newTestOwner(s, "second", Claim{})
+	s.beforeFence = sync.OnceFunc(func() {
+		var err error
+		second.Predecessor, err = second.Replica.RefreshClaim(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, second.claim(t.Context()))
+	})
+	require.ErrorIs(t, first.takeOver(t.Context()), ErrFenced)
+	require.Less(t, first.epoch, second.epoch)
+}
