A member takes over when the next owner does not

Cause: only the member that held the first partition could take over. Now each member looks at the claim when the group changes, and takes over once the owner has been gone for 0.8 s and its join delay; the claim lets one of them through. TestMemberTakesOverIfTheNextOwnerDoesNot fails without this.

--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -38,6 +38,9 @@
 	joinTimeout = 900 * time.Millisecond
 	// lateCallWindow is the time after which the store no longer executes a call without a response.
 	lateCallWindow = 7 * time.Second
+	// takeoverPatience is the time for which the jobs are without an owner after which a member takes over that the store does
+	// not name as the next owner.
+	takeoverPatience = 800 * time.Millisecond
 	// leaveTimeout bounds the call that gives up the membership.
 	leaveTimeout = 700 * time.Millisecond
 )
@@ -59,9 +62,10 @@
 //
 // The store names one member as the next owner, and may name another whenever
 // members join or leave. The incumbent remains the owner for as long as it is a
-// member; the next owner takes over once the incumbent has left the group. If
-// two instances run an owner, the store and the workers reject the owner with the
-// lower epoch.
+// member; the next owner takes over once the incumbent has left the group. Other
+// members take over if the next owner does not, because the store may name a
+// process that no longer runs. If two instances run an owner, the store and the
+// workers reject the owner with the lower epoch.
 type Member struct {
 	MemberConfig
 	// renewedAt is the start of the latest successful renewal, in nanoseconds since 1970.
@@ -80,6 +84,10 @@
 	neededBefore bool
 	joinDelay    time.Duration
 	generation   int64
+	// vacantAfter is the claim whose owner is outside the group, and vacantSince the time at which that was first seen, zero if
+	// the newest owner is a member.
+	vacantAfter Claim
+	vacantSince time.Time
 	// startedOwner means that this process has owned the jobs, or tried to.
 	startedOwner bool
 
@@ -201,17 +209,22 @@
 		m.Logger.Info().Int64("Generation", x.Generation).Bool("Next", x.NextOwner).Str("Decision", "Joined").Msg("the group has a new generation")
 	}
 	m.generation = x.Generation
-	if changed || time.Since(m.ownershipCheckedAt) >= ownershipCheckInterval {
+	if !m.IsOwner() && m.isCheckDue(x.NextOwner, changed) {
 		m.checkOwnership(ctx, x.NextOwner)
 	}
 }
 
-// checkOwnership starts the owner if this instance is elected and no owner runs here. The instance is elected if its process is
-// the incumbent, or if the store names this instance as the next owner and the incumbent is known to be outside the group.
-func (m *Member) checkOwnership(ctx context.Context, next bool) {
-	if m.IsOwner() || !next && !m.startedOwner {
-		return
+// isCheckDue reports whether to check if this instance is elected.
+func (m *Member) isCheckDue(next, changed bool) bool {
+	if changed || !m.vacantSince.IsZero() {
+		return true
 	}
+	return (next || m.startedOwner) && time.Since(m.ownershipCheckedAt) >= ownershipCheckInterval
+}
+
+// checkOwnership starts the owner if this instance is elected. The instance is elected if its process is the incumbent, or if
+// the jobs are vacant and the store names this instance as the next owner or the next owner had time to take over.
+func (m *Member) checkOwnership(ctx context.Context, next bool) {
 	m.ownershipCheckedAt = time.Now()
 	c, cancel := context.WithTimeout(ctx, joinTimeout)
 	incumbent, err := m.Incumbent(c)
@@ -222,13 +235,28 @@
 		}
 		return
 	}
-	if incumbent.Identity != m.Identity.String() && (!next || incumbent.Identity != "" && m.isMember(ctx, incumbent.Identity)) {
-		return
+	if incumbent.Identity != m.Identity.String() {
+		vacant := m.vacantFor(ctx, incumbent)
+		if vacant < 0 || !next && vacant < takeoverPatience+m.joinDelay {
+			return
+		}
 	}
 	m.Logger.Info().Str("Incumbent", incumbent.Identity).Int64("Generation", m.generation).Str("Decision", "Own").Msg("this instance is elected to own the jobs")
 	m.startOwner(ctx, incumbent)
 }
 
+// vacantFor returns for how long the incumbent has been seen outside the group, negative if it is in the group.
+func (m *Member) vacantFor(ctx context.Context, incumbent Claim) time.Duration {
+	if incumbent.Identity != "" && m.isMember(ctx, incumbent.Identity) {
+		m.vacantSince = time.Time{}
+		return -1
+	}
+	if m.vacantSince.IsZero() || !m.vacantAfter.isSameOwnership(incumbent) {
+		m.vacantAfter, m.vacantSince = incumbent, time.Now()
+	}
+	return time.Since(m.vacantSince)
+}
+
 // isMember reports whether a process is in the group; it returns true if the group cannot be read.
 func (m *Member) isMember(ctx context.Context, identity string) bool {
 	g, ok := m.fetchGroup(ctx)
--- a/internal/jobserve/member_test.go
+++ b/internal/jobserve/member_test.go
@@ -124,6 +124,23 @@
 	require.True(t, f.member.IsOwner())
 }
 
+// The store named a process that had been killed, whose joins it executed late, and no member took over.
+func TestMemberTakesOverIfTheNextOwnerDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		f.incumbent = testIdentity(2, 0.4).String()
+		f.renew(false, testIdentity(1, 0.4), testIdentity(3, 0.4))
+		require.False(t, f.member.IsOwner(), "the next owner comes first")
+		time.Sleep(takeoverPatience)
+		f.incumbent = testIdentity(3, 0.4).String()
+		f.renew(false, testIdentity(1, 0.4))
+		require.False(t, f.member.IsOwner(), "the patience begins anew with each owner")
+		time.Sleep(2 * takeoverPatience)
+		f.renew(false, testIdentity(1, 0.4))
+		require.True(t, f.member.IsOwner())
+	})
+}
+
 // A process that restarted on the incumbent's instance has a new identity, so the incumbent is gone.
 func TestRestartedIncumbentIsReplaced(t *testing.T) {
 	f := newMemberFixture(t)
