An owner that no longer responds is replaced while the store may execute its joins late

While joins got no response lately, a member now also takes over once the owner's process has not responded over the relays' connection for 3.5 s; the first response of a connection names the process, since its address is used again. An instance that was cut off, or owned the jobs shortly before, trusts the store instead, so that two that do not reach each other do not take turns. A later process of the owner's instance in the group also means that the owner is gone.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -64,6 +64,7 @@
 		Listen: s.RelayListen, Pool: relay.NewPool(workers, s.Processors, l),
 		Agent: relay.NewAgent(relay.Hello{Name: s.Name, FailureDomain: s.FailureDomain}, jobserve.InstrumentWorkers(workers, m), l),
 	}
+	node.Identity = id.String()
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, ShutdownTimeout: s.ShutdownTimeout,
 		Lease: min(s.MaxLease, maxLease), FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, Identity: id,
--- a/internal/jobserve/group.go
+++ b/internal/jobserve/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -62,6 +63,11 @@
 	return g
 }
 
+// hasLaterProcess reports whether a process that started later on the instance of x is a member.
+func (g group) hasLaterProcess(x Identity) bool {
+	return slices.ContainsFunc(g, func(m Identity) bool { return m.Name == x.Name && m.Start > x.Start })
+}
+
 // peerAddresses returns the addresses at which relays reach the members other than self.
 func (g group) peerAddresses(self Identity) []string {
 	var l []string
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -41,6 +41,16 @@
 	// takeoverPatience is the time for which the jobs are without an owner after which a member takes over that the store does
 	// not name as the next owner.
 	takeoverPatience = 800 * time.Millisecond
+	// joinDelayDivisor is the ratio of the join delay to the time that a member adds to takeoverPatience, so that members with
+	// more CPU take over first.
+	joinDelayDivisor = 4
+	// maxSilence is the time without a response from the incumbent's process after which its membership is not trusted while
+	// the store may execute joins late. It is longer than a renewal gap, so that a lost connection is restored in it.
+	maxSilence = 3500 * time.Millisecond
+	// maxRenewalGap is the time between two renewals after which this instance may have been cut off.
+	maxRenewalGap = 2 * time.Second
+	// lateMembershipWindow is the time after a join without a response in which the store may list a process that no longer runs.
+	lateMembershipWindow = lateCallWindow + memberLease
 	// leaveTimeout bounds the call that gives up the membership.
 	leaveTimeout = 700 * time.Millisecond
 )
@@ -56,6 +66,8 @@
 	OnGroup func(group)
 	// Incumbent reads the newest claim.
 	Incumbent func(ctx context.Context) (Claim, error)
+	// RespondedAt returns the time of the latest response of a process to this instance, zero if none is known.
+	RespondedAt func(identity string) time.Time
 }
 
 // Member maintains this instance's membership of the group and runs the owner while this instance is elected.
@@ -66,6 +78,11 @@
 // members take over if the next owner does not, because the store may name a
 // process that no longer runs. If two instances run an owner, the store and the
 // workers reject the owner with the lower epoch.
+//
+// While calls get no response, the store may execute joins of a process that no
+// longer runs, and list it as a member for longer than all of these calls take. Then
+// the incumbent also counts as gone if its process has stopped responding to this
+// instance, or if a later process of its instance is a member.
 type Member struct {
 	MemberConfig
 	// renewedAt is the start of the latest successful renewal, in nanoseconds since 1970.
@@ -88,6 +105,12 @@
 	// the newest owner is a member.
 	vacantAfter Claim
 	vacantSince time.Time
+	// incumbent is the claim that was read last.
+	incumbent Claim
+	// renewingSince is the start of the renewals without a gap up to the present one, and ownedAt the time of the latest renewal
+	// while this instance ran the owner.
+	renewingSince time.Time
+	ownedAt       time.Time
 	// startedOwner means that this process has owned the jobs, or tried to.
 	startedOwner bool
 
@@ -203,7 +226,7 @@
 		}
 		return
 	}
-	m.renewedAt.Store(start.UnixNano())
+	m.recordRenewal(start)
 	changed := x.Generation != g
 	if changed {
 		m.Logger.Info().Int64("Generation", x.Generation).Bool("Next", x.NextOwner).Str("Decision", "Joined").Msg("the group has a new generation")
@@ -214,9 +237,20 @@
 	}
 }
 
+// recordRenewal records a successful renewal that began at start.
+func (m *Member) recordRenewal(start time.Time) {
+	if start.Sub(m.RenewedAt()) > maxRenewalGap {
+		m.renewingSince = start
+	}
+	m.renewedAt.Store(start.UnixNano())
+	if m.IsOwner() {
+		m.ownedAt = start
+	}
+}
+
 // isCheckDue reports whether to check if this instance is elected.
 func (m *Member) isCheckDue(next, changed bool) bool {
-	if changed || !m.vacantSince.IsZero() {
+	if changed || !m.vacantSince.IsZero() || m.isSilent(m.incumbent.Identity) {
 		return true
 	}
 	return (next || m.startedOwner) && time.Since(m.ownershipCheckedAt) >= ownershipCheckInterval
@@ -235,9 +269,10 @@
 		}
 		return
 	}
+	m.incumbent = incumbent
 	if incumbent.Identity != m.Identity.String() {
 		vacant := m.vacantFor(ctx, incumbent)
-		if vacant < 0 || !next && vacant < takeoverPatience+m.joinDelay {
+		if vacant < 0 || !next && vacant < m.patience(incumbent.Identity) {
 			return
 		}
 	}
@@ -245,6 +280,16 @@
 	m.startOwner(ctx, incumbent)
 }
 
+// patience returns the time that the next owner has to take over before this instance does, if it is not the next owner. Nobody
+// waits for the next owner if the incumbent is silent, because the store may name the incumbent itself.
+func (m *Member) patience(incumbent string) time.Duration {
+	d := m.joinDelay / joinDelayDivisor
+	if m.isSilent(incumbent) {
+		return d
+	}
+	return takeoverPatience + d
+}
+
 // vacantFor returns for how long the incumbent has been seen outside the group, negative if it is in the group.
 func (m *Member) vacantFor(ctx context.Context, incumbent Claim) time.Duration {
 	if incumbent.Identity != "" && m.isMember(ctx, incumbent.Identity) {
@@ -257,10 +302,26 @@
 	return time.Since(m.vacantSince)
 }
 
-// isMember reports whether a process is in the group; it returns true if the group cannot be read.
+// isMember reports whether a process is in the group and seems to run; it returns true if the group cannot be read.
 func (m *Member) isMember(ctx context.Context, identity string) bool {
 	g, ok := m.fetchGroup(ctx)
-	return !ok || slices.Contains(g, parseIdentity(identity))
+	if !ok {
+		return true
+	}
+	x := parseIdentity(identity)
+	return slices.Contains(g, x) && !g.hasLaterProcess(x) && !m.isSilent(identity)
+}
+
+// isSilent reports whether a process has stopped responding to this instance while the store may list members that no longer
+// run. It returns false on an instance that has owned the jobs shortly before, so that two instances without a connection to
+// each other do not take over from each other in turn.
+func (m *Member) isSilent(identity string) bool {
+	now := time.Now()
+	if now.Sub(m.unansweredAt) > lateMembershipWindow || now.Sub(m.ownedAt) <= lateMembershipWindow || now.Sub(m.renewingSince) <= maxSilence {
+		return false
+	}
+	t := m.RespondedAt(identity)
+	return !t.IsZero() && now.Sub(t) > maxSilence
 }
 
 // RenewedAt returns the start of the latest successful renewal.
--- a/internal/jobserve/member_test.go
+++ b/internal/jobserve/member_test.go
@@ -65,12 +65,20 @@
 	f.silent = silent
 }
 
+func (f *fakeGroup) setUnanswered(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unanswered = n
+}
+
 // memberFixture is a member whose renewals the test triggers one at a time.
 type memberFixture struct {
 	*testing.T
 	member    *Member
 	group     *fakeGroup
 	incumbent string
+	// respondedAt is the time of the latest response of the incumbent.
+	respondedAt time.Time
 	// stopOwner makes the running owner return.
 	stopOwner chan struct{}
 }
@@ -80,7 +88,8 @@
 	x := testIdentity(1, 0.4)
 	f.member = NewMember(MemberConfig{
 		Store: f.group, Identity: x, Logger: zerolog.Nop(), OnGroup: func(group) {},
-		Incumbent: func(context.Context) (Claim, error) { return Claim{Identity: f.incumbent}, nil },
+		Incumbent:   func(context.Context) (Claim, error) { return Claim{Identity: f.incumbent}, nil },
+		RespondedAt: func(string) time.Time { return f.respondedAt },
 		RunOwner: func(ctx context.Context, _ Claim) {
 			f.incumbent = x.String()
 			select {
@@ -141,6 +150,68 @@
 	})
 }
 
+// renewFor renews the membership every renewInterval with the given members.
+func (f *memberFixture) renewFor(d time.Duration, members ...Identity) {
+	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(renewInterval) {
+		f.renew(true, members...)
+	}
+}
+
+// The store listed a killed owner for 8 s, because it executed its joins late.
+func TestSilentOwnerIsReplacedWhileJoinsMayBeExecutedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		l := []Identity{testIdentity(1, 0.4), testIdentity(2, 0.4)}
+		f.incumbent, f.respondedAt = l[1].String(), time.Now()
+		f.renewFor(2*maxSilence, l...)
+		require.False(t, f.member.IsOwner(), "the store has answered each call, so that its list is right")
+		f.group.setUnanswered(1)
+		f.respondedAt = time.Now()
+		f.renewFor(maxSilence, l...)
+		require.False(t, f.member.IsOwner())
+		f.renewFor(2*renewInterval, l...)
+		require.True(t, f.member.IsOwner())
+	})
+}
+
+func TestInstanceThatWasCutOffTrustsTheStoreAtFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		l := []Identity{testIdentity(1, 0.4), testIdentity(2, 0.4)}
+		f.incumbent, f.respondedAt = l[1].String(), time.Now()
+		f.renewFor(2*maxSilence, l...)
+		f.respondedAt = time.Now()
+		f.group.setSilent(true)
+		f.renewFor(2*maxSilence, l...)
+		f.group.setSilent(false)
+		f.renewFor(time.Second, l...)
+		require.False(t, f.member.IsOwner(), "its connection to the owner may not be restored yet")
+	})
+}
+
+func TestFormerOwnerDoesNotTakeOverFromASilentOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		l := []Identity{testIdentity(1, 0.4), testIdentity(2, 0.4)}
+		f.renewFor(2*maxSilence, l[0])
+		f.stopOwner <- struct{}{}
+		synctest.Wait()
+		f.incumbent, f.respondedAt = l[1].String(), time.Now()
+		f.group.setUnanswered(1)
+		f.renewFor(maxSilence+time.Second, l...)
+		require.False(t, f.member.IsOwner())
+	})
+}
+
+func TestLaterProcessOnTheOwnersInstanceMeansThatTheOwnerIsGone(t *testing.T) {
+	f := newMemberFixture(t)
+	f.incumbent = testIdentity(2, 0.4).String()
+	restarted := testIdentity(2, 0.4)
+	restarted.Start += "0"
+	f.renew(true, testIdentity(1, 0.4), testIdentity(2, 0.4), restarted)
+	require.True(t, f.member.IsOwner())
+}
+
 // A process that restarted on the incumbent's instance has a new identity, so the incumbent is gone.
 func TestRestartedIncumbentIsReplaced(t *testing.T) {
 	f := newMemberFixture(t)
@@ -185,7 +256,7 @@
 func TestLostResponseDelaysARenewalByLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newMemberFixture(t)
-		f.group.unanswered = 2
+		f.group.setUnanswered(2)
 		startedAt := time.Now()
 		f.renew(false, testIdentity(1, 0.4))
 		require.Equal(t, startedAt, f.member.RenewedAt())
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	dialTimeout = 600 * time.Millisecond
 	// redialInterval is the time from a failed attempt or a lost connection to the next attempt.
 	redialInterval = 300 * time.Millisecond
+	// responseRetention is the time for which the latest response of an owner is remembered.
+	responseRetention = time.Minute
 )
 
 // Agent calls workers on behalf of the instances that may own the jobs.
@@ -32,7 +35,9 @@
 	mu sync.Mutex
 	// cancelByOwner holds, by owner address, the function that closes the connection and stops reconnecting.
 	cancelByOwner map[string]context.CancelFunc
-	ctx           context.Context //nolint:containedctx // SetOwners opens connections while Run serves
+	// respondedAt holds, by the owner's identity, the time of its latest response to a ping.
+	respondedAt map[string]time.Time
+	ctx         context.Context //nolint:containedctx // SetOwners opens connections while Run serves
 	// leaving is closed by Leave.
 	leaving    chan struct{}
 	goroutines sync.WaitGroup
@@ -40,7 +45,7 @@
 
 // NewAgent returns an agent; Run starts it.
 func NewAgent(h Hello, w jobserve.Workers, l zerolog.Logger) *Agent {
-	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), leaving: make(chan struct{})}
+	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), respondedAt: make(map[string]time.Time), leaving: make(chan struct{})}
 }
 
 // Run maintains the connections to owners until the context is cancelled, and waits until they are closed.
@@ -52,6 +57,24 @@
 	a.goroutines.Wait()
 }
 
+// RespondedAt returns the time of the latest response of the process with an identity, zero if none is known.
+func (a *Agent) RespondedAt(identity string) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.respondedAt[identity]
+}
+
+// recordResponse records a response, and forgets processes that have not responded for responseRetention.
+func (a *Agent) recordResponse(identity string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if _, ok := a.respondedAt[identity]; !ok {
+		maps.DeleteFunc(a.respondedAt, func(_ string, t time.Time) bool { return now.Sub(t) > responseRetention })
+	}
+	a.respondedAt[identity] = now
+}
+
 // Leave tells the owners to send no more calls; calls in flight are completed.
 func (a *Agent) Leave() {
 	a.mu.Lock()
@@ -106,7 +129,9 @@
 // session is the relay's side of one connection to an owner.
 type session struct {
 	*Agent
-	conn      net.Conn
+	conn net.Conn
+	// owner is the owner's identity, once known.
+	owner     string
 	clock     clock
 	responses chan response
 	// clockKnown receives a value after the first reading of the owner's clock; only then does writeLoop send the
@@ -143,7 +168,11 @@
 		if _, err := frame.Read(s.conn, &m); err != nil {
 			return err
 		}
+		if m.Owner != "" {
+			s.owner = m.Owner
+		}
 		if m.Echo != 0 {
+			s.recordResponse(s.owner)
 			s.handlePong(m.Echo, m.OwnerTime)
 		}
 		for i := range m.Calls {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -25,10 +25,12 @@
 
 // link is the owner's side of the connection to one relay.
 type link struct {
-	conn   net.Conn
-	calls  chan call
-	pongs  chan time.Duration
-	closed chan struct{}
+	conn net.Conn
+	// identity is the owner's identity.
+	identity string
+	calls    chan call
+	pongs    chan time.Duration
+	closed   chan struct{}
 
 	mu     sync.Mutex
 	lastID uint64
@@ -36,9 +38,9 @@
 	pending map[uint64]chan response
 }
 
-func newLink(c net.Conn) *link {
+func newLink(c net.Conn, identity string) *link {
 	return &link{
-		conn: c, calls: make(chan call, maxQueuedCalls), pongs: make(chan time.Duration, 1), closed: make(chan struct{}),
+		conn: c, identity: identity, calls: make(chan call, maxQueuedCalls), pongs: make(chan time.Duration, 1), closed: make(chan struct{}),
 		pending: make(map[uint64]chan response),
 	}
 }
@@ -120,6 +122,7 @@
 
 // writeLoop sends pongs and calls, batching queued calls, until the connection is closed or a write fails.
 func (l *link) writeLoop() error {
+	identity := l.identity
 	for {
 		var m toRelay
 		select {
@@ -127,6 +130,7 @@
 			return nil
 		case m.Echo = <-l.pongs:
 			m.OwnerTime = bootTime(time.Now())
+			m.Owner, identity = identity, ""
 		case c := <-l.calls:
 			m.Calls = collectBatch(l.calls, c)
 		}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -21,7 +21,9 @@
 	// this frame, by the owner's boot clock. Both are 0 in a frame that responds to no ping.
 	Echo      time.Duration `msgpack:",omitempty"`
 	OwnerTime time.Duration `msgpack:"At,omitempty"`
-	Calls     []call        `msgpack:",omitempty"`
+	// Owner is the owner's identity in the first response of a connection, and empty later.
+	Owner string `msgpack:",omitempty"`
+	Calls []call `msgpack:",omitempty"`
 }
 
 // toOwner is a frame from a relay to an owner.
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -32,8 +32,10 @@
 
 // Pool calls workers through connected relays, or directly if the workers are few or no relay is connected.
 type Pool struct {
-	local  jobserve.Workers
-	logger zerolog.Logger
+	// Identity is the identity of this process, which relays learn; it is set before Run.
+	Identity string
+	local    jobserve.Workers
+	logger   zerolog.Logger
 	// directLimit is the number of workers up to which this instance calls all of them directly.
 	directLimit int
 
@@ -81,7 +83,7 @@
 func (p *Pool) serve(ctx context.Context, c net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	l := newLink(c)
+	l := newLink(c, p.Identity)
 	var w sync.WaitGroup
 	w.Go(func() {
 		if err := l.writeLoop(); err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -100,6 +100,7 @@
 	t.Helper()
 	h := &harness{T: t, local: &fakeWorkers{}}
 	h.pool = NewPool(h.local, 1.0/directWorkersPerCore, zerolog.Nop())
+	h.pool.Identity = "owner|1"
 	h.pool.SetWorkerCount(2)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -202,6 +203,14 @@
 	require.Greater(t, time.Until(w.syncs[0].LeaseUntil), 4*time.Second)
 }
 
+func TestRelayKnowsWhenAnOwnerHasRespondedLast(t *testing.T) {
+	h := newHarness(t)
+	_, a, _ := h.connectRelay("r", "north")
+	startedAt := time.Now()
+	h.eventually(func() bool { return a.RespondedAt("owner|1").After(startedAt) })
+	require.Zero(t, a.RespondedAt("owner|2"), "another process on the same instance")
+}
+
 // A relay that was suspended must not execute calls whose deadline passed meanwhile.
 func TestExpiredCallIsNotMade(t *testing.T) {
 	w := &fakeWorkers{}
@@ -289,7 +298,7 @@
 // A relay adds latency and can fail; an owner of few workers therefore calls the workers directly.
 func TestFewWorkersAreCalledDirectly(t *testing.T) {
 	p := NewPool(&fakeWorkers{}, 0.16, zerolog.Nop())
-	p.relays["r"], p.links["r"] = Hello{"r", "north"}, newLink(nil)
+	p.relays["r"], p.links["r"] = Hello{"r", "north"}, newLink(nil, "")
 	p.SetWorkerCount(48)
 	_, l, err := p.relayFor(t.Context(), "i-1", "north")
 	require.NoError(t, err)
@@ -327,7 +336,7 @@
 		done <- n
 	}()
 	time.Sleep(10 * time.Millisecond)
-	p.handle(newLink(nil), &toOwner{Hello: &Hello{"r", "north"}})
+	p.handle(newLink(nil, ""), &toOwner{Hello: &Hello{"r", "north"}})
 	require.Equal(t, "r", <-done)
 	require.Equal(t, workers, direct(now))
 	require.Empty(t, p.directWorkers, "with a relay no worker is called directly")
