A new owner is not replaced before the store lists it as a member

Cause: the store lists a member only once others have given up partitions, and killed members hold theirs until they expire. TestNewOwnerStaysAlthoughTheStoreDoesNotListItYet fails without this.

--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -105,8 +105,9 @@
 	// the newest owner is a member.
 	vacantAfter Claim
 	vacantSince time.Time
-	// incumbent is the claim that was read last.
-	incumbent Claim
+	// incumbent is the claim that was read last, if knowsIncumbent.
+	incumbent      Claim
+	knowsIncumbent bool
 	// renewingSince is the start of the renewals without a gap up to the present one, and ownedAt the time of the latest renewal
 	// while this instance ran the owner.
 	renewingSince time.Time
@@ -269,9 +270,10 @@
 		}
 		return
 	}
-	m.incumbent = incumbent
+	replaced := m.knowsIncumbent && !m.incumbent.isSameOwnership(incumbent)
+	m.incumbent, m.knowsIncumbent = incumbent, true
 	if incumbent.Identity != m.Identity.String() {
-		vacant := m.vacantFor(ctx, incumbent)
+		vacant := m.vacantFor(ctx, incumbent, replaced)
 		if vacant < 0 || !next && vacant < m.patience(incumbent.Identity) {
 			return
 		}
@@ -290,14 +292,18 @@
 	return takeoverPatience + d
 }
 
-// vacantFor returns for how long the incumbent has been seen outside the group, negative if it is in the group.
-func (m *Member) vacantFor(ctx context.Context, incumbent Claim) time.Duration {
+// vacantFor returns for how long the incumbent has been seen outside the group, negative if it is in the group. An incumbent that
+// has just replaced another has memberLease more, since the store lists a new member only once others have given up partitions.
+func (m *Member) vacantFor(ctx context.Context, incumbent Claim, replaced bool) time.Duration {
 	if incumbent.Identity != "" && m.isMember(ctx, incumbent.Identity) {
 		m.vacantSince = time.Time{}
 		return -1
 	}
 	if m.vacantSince.IsZero() || !m.vacantAfter.isSameOwnership(incumbent) {
 		m.vacantAfter, m.vacantSince = incumbent, time.Now()
+		if replaced {
+			m.vacantSince = m.vacantSince.Add(memberLease)
+		}
 	}
 	return time.Since(m.vacantSince)
 }
