An owner's silence counts only while this instance tries to reach it

A relay closes its connection to an instance that is outside the group. When the instance came back, its silence counted from the earlier connection, so that an owner that had just taken over could seem to be silent. It now begins anew with each new attempt. TestSilenceBeginsAnewWithNewAttemptsToConnect fails without this.

--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -87,7 +87,7 @@
 	i := &Instance{InstanceConfig: c}
 	i.CallerHandler = instrumentHandler(c.Metrics, c.CallerHandler)
 	i.registerGauges()
-	i.member = NewMember(MemberConfig{Store: c.Store, Identity: c.Identity, Logger: c.Logger, RunOwner: i.runOwner, OnGroup: i.updateRelayOwners, RespondedAt: c.Relays.RespondedAt, Incumbent: i.Replica.RefreshClaim})
+	i.member = NewMember(MemberConfig{Store: c.Store, Identity: c.Identity, Logger: c.Logger, RunOwner: i.runOwner, OnGroup: i.updateRelayOwners, SilentSince: c.Relays.SilentSince, Incumbent: i.Replica.RefreshClaim})
 	return i
 }
 
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -66,8 +66,9 @@
 	OnGroup func(group)
 	// Incumbent reads the newest claim.
 	Incumbent func(ctx context.Context) (Claim, error)
-	// RespondedAt returns the time of the latest response of a process to this instance, zero if none is known.
-	RespondedAt func(identity string) time.Time
+	// SilentSince returns from when on a process has not responded although this instance tried to reach it, zero if it never
+	// responded.
+	SilentSince func(identity string) time.Time
 }
 
 // Member maintains this instance's membership of the group and runs the owner while this instance is elected.
@@ -326,7 +327,7 @@
 	if now.Sub(m.unansweredAt) > lateMembershipWindow || now.Sub(m.ownedAt) <= lateMembershipWindow || now.Sub(m.renewingSince) <= maxSilence {
 		return false
 	}
-	t := m.RespondedAt(identity)
+	t := m.SilentSince(identity)
 	return !t.IsZero() && now.Sub(t) > maxSilence
 }
 
--- a/internal/jobserve/member_test.go
+++ b/internal/jobserve/member_test.go
@@ -77,7 +77,7 @@
 	member    *Member
 	group     *fakeGroup
 	incumbent string
-	// respondedAt is the time of the latest response of the incumbent.
+	// respondedAt is the time of the latest response of the incumbent, from which on it is silent.
 	respondedAt time.Time
 	// stopOwner makes the running owner return.
 	stopOwner chan struct{}
@@ -89,7 +89,7 @@
 	f.member = NewMember(MemberConfig{
 		Store: f.group, Identity: x, Logger: zerolog.Nop(), OnGroup: func(group) {},
 		Incumbent:   func(context.Context) (Claim, error) { return Claim{Identity: f.incumbent}, nil },
-		RespondedAt: func(string) time.Time { return f.respondedAt },
+		SilentSince: func(string) time.Time { return f.respondedAt },
 		RunOwner: func(ctx context.Context, _ Claim) {
 			f.incumbent = x.String()
 			select {
--- a/internal/jobserve/workers.go
+++ b/internal/jobserve/workers.go
@@ -47,8 +47,9 @@
 	Run(ctx context.Context) error
 	// SetOwners sets the addresses of the other instances that may own the jobs.
 	SetOwners(addresses []string)
-	// RespondedAt returns the time of the latest response of a process that may own the jobs, zero if none is known.
-	RespondedAt(identity string) time.Time
+	// SilentSince returns from when on a process that may own the jobs has not responded although this instance tried to reach
+	// it, zero if it never responded.
+	SilentSince(identity string) time.Time
 	// Leave tells the owners to send no more calls to this instance; calls in flight are completed.
 	Leave()
 	// Count returns the number of instances that call workers for this one.
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -35,17 +35,24 @@
 	mu sync.Mutex
 	// cancelByOwner holds, by owner address, the function that closes the connection and stops reconnecting.
 	cancelByOwner map[string]context.CancelFunc
-	// respondedAt holds, by the owner's identity, the time of its latest response to a ping.
-	respondedAt map[string]time.Time
-	ctx         context.Context //nolint:containedctx // SetOwners opens connections while Run serves
+	// heard holds, by the owner's identity, when this instance has heard from it last.
+	heard map[string]heardOwner
+	ctx   context.Context //nolint:containedctx // SetOwners opens connections while Run serves
 	// leaving is closed by Leave.
 	leaving    chan struct{}
 	goroutines sync.WaitGroup
 }
 
+// heardOwner is the address of an owner, and the time of its latest response to a ping, or of the beginning of new attempts to
+// connect if that is later.
+type heardOwner struct {
+	address string
+	at      time.Time
+}
+
 // NewAgent returns an agent; Run starts it.
 func NewAgent(h Hello, w jobserve.Workers, l zerolog.Logger) *Agent {
-	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), respondedAt: make(map[string]time.Time), leaving: make(chan struct{})}
+	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), heard: make(map[string]heardOwner), leaving: make(chan struct{})}
 }
 
 // Run maintains the connections to owners until the context is cancelled, and waits until they are closed.
@@ -57,22 +64,35 @@
 	a.goroutines.Wait()
 }
 
-// RespondedAt returns the time of the latest response of the process with an identity, zero if none is known.
-func (a *Agent) RespondedAt(identity string) time.Time {
+// SilentSince returns from when on the process with an identity has not responded although this instance tried to reach it,
+// zero if it never responded.
+func (a *Agent) SilentSince(identity string) time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.respondedAt[identity]
+	return a.heard[identity].at
 }
 
 // recordResponse records a response, and forgets processes that have not responded for responseRetention.
-func (a *Agent) recordResponse(identity string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+func (s *session) recordResponse() {
+	if s.owner == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
-	if _, ok := a.respondedAt[identity]; !ok {
-		maps.DeleteFunc(a.respondedAt, func(_ string, t time.Time) bool { return now.Sub(t) > responseRetention })
+	if _, ok := s.heard[s.owner]; !ok {
+		maps.DeleteFunc(s.heard, func(_ string, x heardOwner) bool { return now.Sub(x.at) > responseRetention })
+	}
+	s.heard[s.owner] = heardOwner{s.address, now}
+}
+
+// restartSilence makes the silence of the processes at an address begin now; a.mu is held.
+func (a *Agent) restartSilence(address string) {
+	for id, x := range a.heard {
+		if x.address == address {
+			a.heard[id] = heardOwner{address, time.Now()}
+		}
 	}
-	a.respondedAt[identity] = now
 }
 
 // Leave tells the owners to send no more calls; calls in flight are completed.
@@ -99,6 +119,7 @@
 		if a.cancelByOwner[x] != nil {
 			continue
 		}
+		a.restartSilence(x)
 		c, cancel := context.WithCancel(a.ctx)
 		a.cancelByOwner[x] = cancel
 		a.goroutines.Go(func() { a.reconnectLoop(c, x) })
@@ -129,7 +150,8 @@
 // session is the relay's side of one connection to an owner.
 type session struct {
 	*Agent
-	conn net.Conn
+	conn    net.Conn
+	address string
 	// owner is the owner's identity, once known.
 	owner     string
 	clock     clock
@@ -148,7 +170,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	context.AfterFunc(ctx, func() { _ = c.Close() })
-	s := &session{Agent: a, conn: c, responses: make(chan response, maxQueuedCalls), clockKnown: make(chan struct{}, 1)}
+	s := &session{Agent: a, conn: c, address: address, responses: make(chan response, maxQueuedCalls), clockKnown: make(chan struct{}, 1)}
 	a.goroutines.Go(func() {
 		if err := s.writeLoop(ctx); err != nil {
 			a.logger.Debug().Err(err).Msg("writing a frame to an owner failed")
@@ -172,7 +194,7 @@
 			s.owner = m.Owner
 		}
 		if m.Echo != 0 {
-			s.recordResponse(s.owner)
+			s.recordResponse()
 			s.handlePong(m.Echo, m.OwnerTime)
 		}
 		for i := range m.Calls {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -207,8 +207,24 @@
 	h := newHarness(t)
 	_, a, _ := h.connectRelay("r", "north")
 	startedAt := time.Now()
-	h.eventually(func() bool { return a.RespondedAt("owner|1").After(startedAt) })
-	require.Zero(t, a.RespondedAt("owner|2"), "another process on the same instance")
+	h.eventually(func() bool { return a.SilentSince("owner|1").After(startedAt) })
+	require.Zero(t, a.SilentSince("owner|2"), "another process on the same instance")
+}
+
+// A relay closed its connection while the owner was outside the group, and then counted the owner's silence from before.
+func TestSilenceBeginsAnewWithNewAttemptsToConnect(t *testing.T) {
+	h := newHarness(t)
+	_, a, stop := h.connectRelay("r", "north")
+	h.eventually(func() bool { return !a.SilentSince("owner|1").IsZero() })
+	stop()
+	a.mu.Lock()
+	a.heard["owner|1"] = heardOwner{h.address, time.Now().Add(-time.Minute)}
+	clear(a.cancelByOwner)
+	a.ctx = t.Context()
+	a.mu.Unlock()
+	startedAt := time.Now()
+	a.SetOwners([]string{h.address})
+	require.False(t, a.SilentSince("owner|1").Before(startedAt))
 }
 
 // A relay that was suspended must not execute calls whose deadline passed meanwhile.
