A repeated call is not abandoned when another has got a response

Cause: a fault of the repeated joins, found with 40 and 300 simulated members: where each call takes 0.4 s, each renewal abandoned its second call, and since a member stays for 7 s after a call without a response, all 300 stayed members for good. Each call now has its whole timeout, and a member waits for its calls before it leaves.

--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -87,13 +87,15 @@
 type Member struct {
 	MemberConfig
 	// renewedAt is the start of the latest successful renewal, in nanoseconds since 1970.
-	renewedAt  atomic.Int64
+	renewedAt atomic.Int64
+	// unansweredAt is the end of the latest join without a response, which the store may still execute, in nanoseconds since 1970.
+	unansweredAt atomic.Int64
+	// joins are the joins that wait for a response.
+	joins      sync.WaitGroup
 	suspension *suspensionDetector
 
 	// joined means that the store may hold a membership of this instance.
 	joined bool
-	// unansweredAt is the end of the latest join without a response, which the store may still execute.
-	unansweredAt time.Time
 	// redundancyCheckedAt and ownershipCheckedAt are the times of the latest checks.
 	redundancyCheckedAt time.Time
 	ownershipCheckedAt  time.Time
@@ -182,12 +184,16 @@
 // false between two reads and if a read fails. It also returns false while the store may execute a join late, since that would
 // add this instance to the group again after it has left.
 func (m *Member) isRedundant(ctx context.Context) bool {
-	if time.Since(m.unansweredAt) < lateCallWindow || time.Since(m.redundancyCheckedAt) < redundancyCheckInterval {
+	if m.sinceUnanswered() < lateCallWindow || time.Since(m.redundancyCheckedAt) < redundancyCheckInterval {
 		return false
 	}
 	m.redundancyCheckedAt = time.Now()
 	l, ok := m.fetchGroup(ctx)
-	return ok && l.isRedundant(m.Identity, m.IsOwner())
+	if !ok || !l.isRedundant(m.Identity, m.IsOwner()) {
+		return false
+	}
+	m.joins.Wait()
+	return m.sinceUnanswered() >= lateCallWindow
 }
 
 // fetchGroup reads the group from the store, passes it to OnGroup, and reports whether the read succeeded.
@@ -215,13 +221,8 @@
 		m.stopOwner("the instance was suspended")
 	}
 	start := time.Now()
-	c, cancel := context.WithTimeout(ctx, joinTimeout)
 	g := m.generation
-	x, err := callRepeatedly(c, func(c context.Context) (Membership, error) { return m.Store.Join(c, g, memberLease) })
-	cancel()
-	if time.Since(start) >= retryDelay || err != nil && !isNotApplied(err) {
-		m.unansweredAt = time.Now()
-	}
+	x, err := callRepeatedly(ctx, joinTimeout, func(c context.Context) (Membership, error) { return m.join(c, g) })
 	if err != nil {
 		if ctx.Err() == nil {
 			m.Logger.Warn().Err(err).Int64("Generation", g).Str("Decision", "JoinFailed").Msg("renewal of the membership failed")
@@ -239,6 +240,22 @@
 	}
 }
 
+// join makes one call to join the group, and records when it got no response.
+func (m *Member) join(ctx context.Context, generation int64) (Membership, error) {
+	m.joins.Add(1)
+	defer m.joins.Done()
+	x, err := m.Store.Join(ctx, generation, memberLease)
+	if err != nil && !isNotApplied(err) {
+		m.unansweredAt.Store(time.Now().UnixNano())
+	}
+	return x, err
+}
+
+// sinceUnanswered returns the time since the latest join without a response.
+func (m *Member) sinceUnanswered() time.Duration {
+	return time.Since(time.Unix(0, m.unansweredAt.Load()))
+}
+
 // recordRenewal records a successful renewal that began at start.
 func (m *Member) recordRenewal(start time.Time) {
 	if start.Sub(m.RenewedAt()) > maxRenewalGap {
@@ -324,7 +341,7 @@
 // each other do not take over from each other in turn.
 func (m *Member) isSilent(identity string) bool {
 	now := time.Now()
-	if now.Sub(m.unansweredAt) > lateMembershipWindow || now.Sub(m.ownedAt) <= lateMembershipWindow || now.Sub(m.renewingSince) <= maxSilence {
+	if m.sinceUnanswered() > lateMembershipWindow || now.Sub(m.ownedAt) <= lateMembershipWindow || now.Sub(m.renewingSince) <= maxSilence {
 		return false
 	}
 	t := m.SilentSince(identity)
--- a/internal/jobserve/member_test.go
+++ b/internal/jobserve/member_test.go
@@ -275,6 +275,7 @@
 		f.renew(false, testIdentity(1, 0.4))
 		require.Equal(t, startedAt, f.member.RenewedAt())
 		require.Less(t, time.Since(startedAt), 700*time.Millisecond)
+		f.group.set(false, []Identity{testIdentity(2, 0.8), testIdentity(3, 0.8), testIdentity(4, 0.8)})
 		require.False(t, f.member.isRedundant(t.Context()), "the lost joins may still be executed")
 	})
 }
--- a/internal/jobserve/retry.go
+++ b/internal/jobserve/retry.go
@@ -16,44 +16,42 @@
 }
 
 // callRepeatedly makes a call that may safely be repeated, and makes it again every retryDelay until a call gets a response or
-// the context ends. A call without a response thus delays the result by no more than retryDelay, and a slow store still has the
-// time until the context ends.
-func callRepeatedly[T any](ctx context.Context, call func(context.Context) (T, error)) (T, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// the timeout has passed since the first. A call without a response thus delays the result by no more than retryDelay.
+//
+// Each call has the whole timeout, also after another has got a response, so that calls to a slow store are not abandoned.
+func callRepeatedly[T any](ctx context.Context, timeout time.Duration, call func(context.Context) (T, error)) (T, error) {
 	results := make(chan callResult[T])
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	t := time.NewTicker(retryDelay)
 	defer t.Stop()
-	var last callResult[T]
-	for {
+	x := callResult[T]{err: &StoreError{Call: "repeated", Cause: context.DeadlineExceeded}}
+	for again := true; again; {
 		go func() {
-			v, err := call(ctx)
+			c, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+			defer cancel()
+			v, err := call(c)
 			select {
 			case results <- callResult[T]{v, err}:
 			case <-ctx.Done():
 			}
 		}()
-		if !receiveResponse(ctx, results, t.C, &last) {
-			return last.value, last.err
-		}
+		again = awaitResponse(ctx, results, t.C, &x)
 	}
+	return x.value, x.err
 }
 
-// receiveResponse waits until the call should be made again and reports true, or until a response is in last and reports false.
-func receiveResponse[T any](ctx context.Context, results chan callResult[T], again <-chan time.Time, last *callResult[T]) bool {
+// awaitResponse reports whether the call should be made again; otherwise the response or the latest error is in x.
+func awaitResponse[T any](ctx context.Context, results chan callResult[T], again <-chan time.Time, x *callResult[T]) bool {
 	for {
 		select {
-		case x := <-results:
-			*last = x
+		case *x = <-results:
 			if x.err == nil || isResponse(x.err) {
 				return false
 			}
 		case <-again:
 			return true
 		case <-ctx.Done():
-			if last.err == nil {
-				last.err = &StoreError{Call: "repeated", Cause: ctx.Err()}
-			}
 			return false
 		}
 	}
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -44,18 +44,18 @@
 // claim appends the claim of this process after that of the predecessor, which gives the epoch. It returns ErrFenced if another
 // process has claimed the jobs first.
 func (o *Owner) claim(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, takeoverCallTimeout)
-	defer cancel()
 	x := Claim{Identity: o.Identity, Epoch: o.Predecessor.Epoch + 1}
 	if o.Predecessor.Epoch == 0 {
 		// The epochs of earlier versions were offsets in the requests.
-		n, err := o.Replica.requestsEnd(ctx)
+		c, cancel := context.WithTimeout(ctx, takeoverTimeout)
+		n, err := o.Replica.requestsEnd(c)
+		cancel()
 		if err != nil {
 			return err
 		}
 		x.Epoch += n
 	}
-	_, err := callRepeatedly(ctx, func(ctx context.Context) (struct{}, error) {
+	_, err := callRepeatedly(ctx, takeoverCallTimeout, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, o.Store.AppendAt(ctx, PartitionOwners, o.Predecessor.EndOffset, []Record{x.record()})
 	})
 	if errors.Is(err, ErrConflict) {
@@ -70,6 +70,8 @@
 
 // checkClaimed returns nil if a call without a response has appended the claim, and ErrFenced if there is another claim.
 func (o *Owner) checkClaimed(ctx context.Context, x Claim) error {
+	ctx, cancel := context.WithTimeout(ctx, takeoverCallTimeout)
+	defer cancel()
 	newest, err := o.Replica.RefreshClaim(ctx)
 	if err == nil && !newest.isSameOwnership(x) {
 		err = ErrFenced
@@ -79,9 +81,7 @@
 
 // fence makes the store refuse the commits of former owners.
 func (o *Owner) fence(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, takeoverCallTimeout)
-	defer cancel()
-	_, err := callRepeatedly(ctx, func(ctx context.Context) (int64, error) {
+	_, err := callRepeatedly(ctx, takeoverCallTimeout, func(ctx context.Context) (int64, error) {
 		return o.Store.Append(ctx, PartitionProgress, nil, &Writer{Epoch: o.epoch})
 	})
 	if err != nil {
