--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -47,8 +47,8 @@
 	// maxSilence is the time without a response from the incumbent's process after which its membership is not trusted while
 	// the store may execute joins late. It is longer than a renewal gap, so that a lost connection is restored in it.
 	maxSilence = 3500 * time.Millisecond
-	// maxRenewalGap is the time between two renewals after which this instance may have been cut off.
-	maxRenewalGap = 2 * time.Second
+	// maxRenewalGap is the time between two responses to renewals after which this instance may have been cut off.
+	maxRenewalGap = 2200 * time.Millisecond
 	// lateMembershipWindow is the time after a join without a response in which the store may list a process that no longer runs.
 	lateMembershipWindow = lateCallWindow + memberLease
 	// leaveTimeout bounds the call that gives up the membership.
@@ -111,8 +111,9 @@
 	// incumbent is the claim that was read last, if knowsIncumbent.
 	incumbent      Claim
 	knowsIncumbent bool
-	// renewingSince is the start of the renewals without a gap up to the present one, and ownedAt the time of the latest renewal
-	// while this instance ran the owner.
+	// answeredAt is the time of the latest response to a renewal, renewingSince the first of the responses without a gap up to it,
+	// and ownedAt the start of the latest renewal while this instance ran the owner.
+	answeredAt    time.Time
 	renewingSince time.Time
 	ownedAt       time.Time
 	// startedOwner means that this process has owned the jobs, or tried to.
@@ -258,9 +259,11 @@
 
 // recordRenewal records a successful renewal that began at start.
 func (m *Member) recordRenewal(start time.Time) {
-	if start.Sub(m.RenewedAt()) > maxRenewalGap {
-		m.renewingSince = start
+	now := time.Now()
+	if now.Sub(m.answeredAt) > maxRenewalGap {
+		m.renewingSince = now
 	}
+	m.answeredAt = now
 	m.renewedAt.Store(start.UnixNano())
 	if m.IsOwner() {
 		m.ownedAt = start
