--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -36,6 +36,21 @@
 	maxJoinDelay     = 2 * time.Second
 	// joinTimeout bounds one call that joins or reads the group, or reads the incumbent or the worker list.
 	joinTimeout = 900 * time.Millisecond
+	// lateCallWindow is the time after which the store no longer executes a call without a response.
+	lateCallWindow = 7 * time.Second
+	// takeoverPatience is the time for which the jobs are without an owner after which a member takes over that the store does
+	// not name as the next owner.
+	takeoverPatience = 800 * time.Millisecond
+	// joinDelayDivisor is the ratio of the join delay to the time that a member adds to takeoverPatience, so that members with
+	// more CPU take over first.
+	joinDelayDivisor = 4
+	// maxSilence is the time without a response from the incumbent's process after which its membership is not trusted while
+	// the store may execute joins late. It is longer than a renewal gap, so that a lost connection is restored in it.
+	maxSilence = 3500 * time.Millisecond
+	// maxRenewalGap is the time between two responses to renewals after which this instance may have been cut off.
+	maxRenewalGap = 2200 * time.Millisecond
+	// lateMembershipWindow is the time after a join without a response in which the store may list a process that no longer runs.
+	lateMembershipWindow = lateCallWindow + memberLease
 	// leaveTimeout bounds the call that gives up the membership.
 	leaveTimeout = 700 * time.Millisecond
 )
@@ -46,24 +61,37 @@
 	Identity Identity
 	Logger   zerolog.Logger
 	// RunOwner runs the owner until its context ends, another owner has taken over, or the owner fails.
-	RunOwner func(ctx context.Context)
+	RunOwner func(ctx context.Context, predecessor Claim)
 	// OnGroup is called with the group after each successful read of the group from the store.
 	OnGroup func(group)
-	// Incumbent returns the identity of the process that last became the owner, empty if there was none.
-	Incumbent func(ctx context.Context) (string, error)
+	// Incumbent reads the newest claim.
+	Incumbent func(ctx context.Context) (Claim, error)
+	// SilentSince returns from when on a process has not responded although this instance tried to reach it, zero if it never
+	// responded.
+	SilentSince func(identity string) time.Time
 }
 
 // Member maintains this instance's membership of the group and runs the owner while this instance is elected.
 //
 // The store names one member as the next owner, and may name another whenever
 // members join or leave. The incumbent remains the owner for as long as it is a
-// member; the next owner takes over once the incumbent has left the group. If
-// two instances run an owner, the store and the workers reject the owner with the
-// lower epoch.
+// member; the next owner takes over once the incumbent has left the group. Other
+// members take over if the next owner does not, because the store may name a
+// process that no longer runs. If two instances run an owner, the store and the
+// workers reject the owner with the lower epoch.
+//
+// While calls get no response, the store may execute joins of a process that no
+// longer runs, and list it as a member for longer than all of these calls take. Then
+// the incumbent also counts as gone if its process has stopped responding to this
+// instance, or if a later process of its instance is a member.
 type Member struct {
 	MemberConfig
 	// renewed means that a renewal has succeeded since this instance last left the group.
-	renewed    atomic.Bool
+	renewed atomic.Bool
+	// unansweredAt is the end of the latest join without a response, which the store may still execute, in nanoseconds since 1970.
+	unansweredAt atomic.Int64
+	// joins are the joins that wait for a response.
+	joins      sync.WaitGroup
 	suspension *suspensionDetector
 
 	// joined means that the store may hold a membership of this instance.
@@ -76,6 +104,18 @@
 	neededBefore bool
 	joinDelay    time.Duration
 	generation   int64
+	// vacantAfter is the claim whose owner is outside the group, and vacantSince the time at which that was first seen, zero if
+	// the newest owner is a member.
+	vacantAfter Claim
+	vacantSince time.Time
+	// incumbent is the claim that was read last, if knowsIncumbent.
+	incumbent      Claim
+	knowsIncumbent bool
+	// answeredAt is the time of the latest response to a renewal, renewingSince the first of the responses without a gap up to it,
+	// and ownedAt the start of the latest renewal while this instance ran the owner.
+	answeredAt    time.Time
+	renewingSince time.Time
+	ownedAt       time.Time
 	// startedOwner means that this process has owned the jobs, or tried to.
 	startedOwner bool
 
@@ -142,14 +182,19 @@
 }
 
 // isRedundant reports whether the group has enough members without this instance. It reads the group at intervals, and returns
-// false between two reads and if a read fails.
+// false between two reads and if a read fails. It also returns false while the store may execute a join late, since that would
+// add this instance to the group again after it has left.
 func (m *Member) isRedundant(ctx context.Context) bool {
-	if time.Since(m.redundancyCheckedAt) < redundancyCheckInterval {
+	if m.sinceUnanswered() < lateCallWindow || time.Since(m.redundancyCheckedAt) < redundancyCheckInterval {
 		return false
 	}
 	m.redundancyCheckedAt = time.Now()
 	l, ok := m.fetchGroup(ctx)
-	return ok && l.isRedundant(m.Identity, m.IsOwner())
+	if !ok || !l.isRedundant(m.Identity, m.IsOwner()) {
+		return false
+	}
+	m.joins.Wait()
+	return m.sinceUnanswered() >= lateCallWindow
 }
 
 // fetchGroup reads the group from the store, passes it to OnGroup, and reports whether the read succeeded.
@@ -176,32 +221,66 @@
 		m.Logger.Warn().Str("Decision", "Suspended").Msg("the instance was suspended; it gives up the ownership of the jobs if it has it")
 		m.stopOwner("the instance was suspended")
 	}
-	c, cancel := context.WithTimeout(ctx, joinTimeout)
-	x, err := m.Store.Join(c, m.generation, memberLease)
-	cancel()
+	start := time.Now()
+	g := m.generation
+	x, err := callRepeatedly(ctx, joinTimeout, func(c context.Context) (Membership, error) { return m.join(c, g) })
 	if err != nil {
 		if ctx.Err() == nil {
-			m.Logger.Warn().Err(err).Int64("Generation", m.generation).Str("Decision", "JoinFailed").Msg("renewal of the membership failed")
+			m.Logger.Warn().Err(err).Int64("Generation", g).Str("Decision", "JoinFailed").Msg("renewal of the membership failed")
 		}
 		return
 	}
-	m.renewed.Store(true)
-	changed := x.Generation != m.generation
+	m.recordRenewal(start)
+	changed := x.Generation != g
 	if changed {
 		m.Logger.Info().Int64("Generation", x.Generation).Bool("Next", x.NextOwner).Str("Decision", "Joined").Msg("the group has a new generation")
 	}
 	m.generation = x.Generation
-	if changed || time.Since(m.ownershipCheckedAt) >= ownershipCheckInterval {
+	if !m.IsOwner() && m.isCheckDue(x.NextOwner, changed) {
 		m.checkOwnership(ctx, x.NextOwner)
 	}
 }
 
-// checkOwnership starts the owner if this instance is elected and no owner runs here. The instance is elected if its process is
-// the incumbent, or if the store names this instance as the next owner and the incumbent is known to be outside the group.
-func (m *Member) checkOwnership(ctx context.Context, next bool) {
-	if m.IsOwner() || !next && !m.startedOwner {
-		return
+// join makes one call to join the group, and records when it got no response.
+func (m *Member) join(ctx context.Context, generation int64) (Membership, error) {
+	m.joins.Add(1)
+	defer m.joins.Done()
+	x, err := m.Store.Join(ctx, generation, memberLease)
+	if err != nil && !isNotApplied(err) {
+		m.unansweredAt.Store(time.Now().UnixNano())
+	}
+	return x, err
+}
+
+// sinceUnanswered returns the time since the latest join without a response.
+func (m *Member) sinceUnanswered() time.Duration {
+	return time.Since(time.Unix(0, m.unansweredAt.Load()))
+}
+
+// recordRenewal records a successful renewal that began at start.
+func (m *Member) recordRenewal(start time.Time) {
+	now := time.Now()
+	if now.Sub(m.answeredAt) > maxRenewalGap {
+		m.renewingSince = now
+	}
+	m.answeredAt = now
+	m.renewed.Store(true)
+	if m.IsOwner() {
+		m.ownedAt = start
 	}
+}
+
+// isCheckDue reports whether to check if this instance is elected.
+func (m *Member) isCheckDue(next, changed bool) bool {
+	if changed || !m.vacantSince.IsZero() || m.isSilent(m.incumbent.Identity) {
+		return true
+	}
+	return (next || m.startedOwner) && time.Since(m.ownershipCheckedAt) >= ownershipCheckInterval
+}
+
+// checkOwnership starts the owner if this instance is elected. The instance is elected if its process is the incumbent, or if
+// the jobs are vacant and the store names this instance as the next owner or the next owner had time to take over.
+func (m *Member) checkOwnership(ctx context.Context, next bool) {
 	m.ownershipCheckedAt = time.Now()
 	c, cancel := context.WithTimeout(ctx, joinTimeout)
 	incumbent, err := m.Incumbent(c)
@@ -212,17 +291,64 @@
 		}
 		return
 	}
-	if incumbent != m.Identity.String() && (!next || incumbent != "" && m.isMember(ctx, incumbent)) {
-		return
+	replaced := m.knowsIncumbent && !m.incumbent.isSameOwnership(incumbent)
+	m.incumbent, m.knowsIncumbent = incumbent, true
+	if incumbent.Identity != m.Identity.String() {
+		vacant := m.vacantFor(ctx, incumbent, replaced)
+		if vacant < 0 || !next && vacant < m.patience(incumbent.Identity) {
+			return
+		}
+	}
+	m.Logger.Info().Str("Incumbent", incumbent.Identity).Int64("Generation", m.generation).Str("Decision", "Own").Msg("this instance is elected to own the jobs")
+	m.startOwner(ctx, incumbent)
+}
+
+// patience returns the time that the next owner has to take over before this instance does, if it is not the next owner. Nobody
+// waits for the next owner if the incumbent is silent, because the store may name the incumbent itself.
+func (m *Member) patience(incumbent string) time.Duration {
+	d := m.joinDelay / joinDelayDivisor
+	if m.isSilent(incumbent) {
+		return d
 	}
-	m.Logger.Info().Str("Incumbent", incumbent).Int64("Generation", m.generation).Str("Decision", "Own").Msg("this instance is elected to own the jobs")
-	m.startOwner(ctx)
+	return takeoverPatience + d
 }
 
-// isMember reports whether a process is in the group; it returns true if the group cannot be read.
+// vacantFor returns for how long the incumbent has been seen outside the group, negative if it is in the group. An incumbent that
+// has just replaced another has memberLease more, since the store lists a new member only once others have given up partitions.
+func (m *Member) vacantFor(ctx context.Context, incumbent Claim, replaced bool) time.Duration {
+	if incumbent.Identity != "" && m.isMember(ctx, incumbent.Identity) {
+		m.vacantSince = time.Time{}
+		return -1
+	}
+	if m.vacantSince.IsZero() || !m.vacantAfter.isSameOwnership(incumbent) {
+		m.vacantAfter, m.vacantSince = incumbent, time.Now()
+		if replaced {
+			m.vacantSince = m.vacantSince.Add(memberLease)
+		}
+	}
+	return time.Since(m.vacantSince)
+}
+
+// isMember reports whether a process is in the group and seems to run; it returns true if the group cannot be read.
 func (m *Member) isMember(ctx context.Context, identity string) bool {
 	g, ok := m.fetchGroup(ctx)
-	return !ok || slices.Contains(g, parseIdentity(identity))
+	if !ok {
+		return true
+	}
+	x := parseIdentity(identity)
+	return slices.Contains(g, x) && !g.hasLaterProcess(x) && !m.isSilent(identity)
+}
+
+// isSilent reports whether a process has stopped responding to this instance while the store may list members that no longer
+// run. It returns false on an instance that has owned the jobs shortly before, so that two instances without a connection to
+// each other do not take over from each other in turn.
+func (m *Member) isSilent(identity string) bool {
+	now := time.Now()
+	if m.sinceUnanswered() > lateMembershipWindow || now.Sub(m.ownedAt) <= lateMembershipWindow || now.Sub(m.renewingSince) <= maxSilence {
+		return false
+	}
+	t := m.SilentSince(identity)
+	return !t.IsZero() && now.Sub(t) > maxSilence
 }
 
 // MayBecomeOwner reports whether this instance is in the group, as far as it knows, and does not run the owner.
@@ -249,7 +375,7 @@
 }
 
 // startOwner runs the owner in a new goroutine.
-func (m *Member) startOwner(ctx context.Context) {
+func (m *Member) startOwner(ctx context.Context, predecessor Claim) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.startedOwner = true
@@ -259,7 +385,7 @@
 	go func() {
 		defer close(d)
 		defer cancel()
-		m.RunOwner(c)
+		m.RunOwner(c, predecessor)
 	}()
 }
 
--- a/internal/jobserve/member_test.go
+++ b/internal/jobserve/member_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -17,26 +18,67 @@
 	mu         sync.Mutex
 	membership Membership
 	members    []string
+	// silent means that joins get no response.
+	silent bool
+	// unanswered is the number of joins that get no response before one does.
+	unanswered int
 }
 
-func (f *fakeGroup) Join(context.Context, int64, time.Duration) (Membership, error) {
+func (f *fakeGroup) Join(ctx context.Context, _ int64, _ time.Duration) (Membership, error) {
+	if f.isLost() {
+		<-ctx.Done()
+		return Membership{}, &StoreError{Call: "join", Cause: ctx.Err()}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.membership, nil
 }
 
+// isLost reports whether the next join gets no response.
+func (f *fakeGroup) isLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unanswered--
+	return f.silent || f.unanswered >= 0
+}
+
 func (f *fakeGroup) Members(context.Context) ([]string, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.members, nil
 }
 
+// set replaces the members and begins a new generation.
+func (f *fakeGroup) set(next bool, members []Identity) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.membership = Membership{Generation: f.membership.Generation + 1, NextOwner: next}
+	f.members = nil
+	for _, m := range members {
+		f.members = append(f.members, m.String())
+	}
+}
+
+func (f *fakeGroup) setSilent(silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+}
+
+func (f *fakeGroup) setUnanswered(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unanswered = n
+}
+
 // memberFixture is a member whose renewals the test triggers one at a time.
 type memberFixture struct {
 	*testing.T
 	member    *Member
 	group     *fakeGroup
 	incumbent string
+	// respondedAt is the time of the latest response of the incumbent, from which on it is silent.
+	respondedAt time.Time
 	// stopOwner makes the running owner return.
 	stopOwner chan struct{}
 }
@@ -46,8 +88,9 @@
 	x := testIdentity(1, 0.4)
 	f.member = NewMember(MemberConfig{
 		Store: f.group, Identity: x, Logger: zerolog.Nop(), OnGroup: func(group) {},
-		Incumbent: func(context.Context) (string, error) { return f.incumbent, nil },
-		RunOwner: func(ctx context.Context) {
+		Incumbent:   func(context.Context) (Claim, error) { return Claim{Identity: f.incumbent}, nil },
+		SilentSince: func(string) time.Time { return f.respondedAt },
+		RunOwner: func(ctx context.Context, _ Claim) {
 			f.incumbent = x.String()
 			select {
 			case <-ctx.Done():
@@ -61,11 +104,7 @@
 
 // renew changes the group and renews the membership.
 func (f *memberFixture) renew(next bool, members ...Identity) {
-	f.group.membership = Membership{Generation: f.group.membership.Generation + 1, NextOwner: next}
-	f.group.members = nil
-	for _, m := range members {
-		f.group.members = append(f.group.members, m.String())
-	}
+	f.group.set(next, members)
 	f.member.renew(f.Context())
 }
 
@@ -94,6 +133,99 @@
 	require.True(t, f.member.IsOwner())
 }
 
+// The store named a process that had been killed, whose joins it executed late, and no member took over.
+func TestMemberTakesOverIfTheNextOwnerDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		f.incumbent = testIdentity(2, 0.4).String()
+		f.renew(false, testIdentity(1, 0.4), testIdentity(3, 0.4))
+		require.False(t, f.member.IsOwner(), "the next owner comes first")
+		time.Sleep(takeoverPatience)
+		f.incumbent = testIdentity(3, 0.4).String()
+		f.renew(false, testIdentity(1, 0.4))
+		require.False(t, f.member.IsOwner(), "the patience begins anew with each owner")
+		time.Sleep(memberLease + 2*takeoverPatience)
+		f.renew(false, testIdentity(1, 0.4))
+		require.True(t, f.member.IsOwner())
+	})
+}
+
+// renewFor renews the membership every renewInterval with the given members.
+func (f *memberFixture) renewFor(d time.Duration, members ...Identity) {
+	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(renewInterval) {
+		f.renew(true, members...)
+	}
+}
+
+// The store listed a killed owner for 8 s, because it executed its joins late.
+func TestSilentOwnerIsReplacedWhileJoinsMayBeExecutedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		l := []Identity{testIdentity(1, 0.4), testIdentity(2, 0.4)}
+		f.incumbent, f.respondedAt = l[1].String(), time.Now()
+		f.renewFor(2*maxSilence, l...)
+		require.False(t, f.member.IsOwner(), "the store has answered each call, so that its list is right")
+		f.group.setUnanswered(1)
+		f.respondedAt = time.Now()
+		f.renewFor(maxSilence, l...)
+		require.False(t, f.member.IsOwner())
+		f.renewFor(2*renewInterval, l...)
+		require.True(t, f.member.IsOwner())
+	})
+}
+
+func TestInstanceThatWasCutOffTrustsTheStoreAtFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		l := []Identity{testIdentity(1, 0.4), testIdentity(2, 0.4)}
+		f.incumbent, f.respondedAt = l[1].String(), time.Now()
+		f.renewFor(2*maxSilence, l...)
+		f.respondedAt = time.Now()
+		f.group.setSilent(true)
+		f.renewFor(2*maxSilence, l...)
+		f.group.setSilent(false)
+		f.renewFor(time.Second, l...)
+		require.False(t, f.member.IsOwner(), "its connection to the owner may not be restored yet")
+	})
+}
+
+func TestFormerOwnerDoesNotTakeOverFromASilentOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		l := []Identity{testIdentity(1, 0.4), testIdentity(2, 0.4)}
+		f.renewFor(2*maxSilence, l[0])
+		f.stopOwner <- struct{}{}
+		synctest.Wait()
+		f.incumbent, f.respondedAt = l[1].String(), time.Now()
+		f.group.setUnanswered(1)
+		f.renewFor(maxSilence+time.Second, l...)
+		require.False(t, f.member.IsOwner())
+	})
+}
+
+func TestLaterProcessOnTheOwnersInstanceMeansThatTheOwnerIsGone(t *testing.T) {
+	f := newMemberFixture(t)
+	f.incumbent = testIdentity(2, 0.4).String()
+	restarted := testIdentity(2, 0.4)
+	restarted.Start += "0"
+	f.renew(true, testIdentity(1, 0.4), testIdentity(2, 0.4), restarted)
+	require.True(t, f.member.IsOwner())
+}
+
+// A member that had just joined took over, and was replaced 0.4 s later, because killed members still held its partitions.
+func TestNewOwnerStaysAlthoughTheStoreDoesNotListItYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		f.incumbent = testIdentity(2, 0.4).String()
+		f.renew(false, testIdentity(1, 0.4))
+		f.incumbent = testIdentity(3, 0.4).String()
+		f.renewFor(memberLease, testIdentity(1, 0.4))
+		require.False(t, f.member.IsOwner())
+		f.renewFor(time.Second, testIdentity(1, 0.4))
+		require.True(t, f.member.IsOwner(), "it is gone")
+	})
+}
+
 // A process that restarted on the incumbent's instance has a new identity, so the incumbent is gone.
 func TestRestartedIncumbentIsReplaced(t *testing.T) {
 	f := newMemberFixture(t)
@@ -117,3 +249,36 @@
 	f.renew(false, testIdentity(1, 0.4), testIdentity(2, 0.4))
 	require.False(t, f.member.IsOwner(), "another process has taken over")
 }
+
+// The store executed a join after the member had left: the membership was revived, and nobody renewed it.
+func TestMemberStaysWhileItsJoinMayStillBeExecuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		l := []Identity{testIdentity(1, 0.4), testIdentity(2, 0.8), testIdentity(3, 0.8), testIdentity(4, 0.8)}
+		f.group.setSilent(true)
+		f.renew(false, l...)
+		f.group.setSilent(false)
+		f.renew(false, l...)
+		time.Sleep(longestLateDelay)
+		require.False(t, f.member.isRedundant(t.Context()))
+		time.Sleep(2 * time.Second)
+		require.True(t, f.member.isRedundant(t.Context()))
+	})
+}
+
+// A member waited 0.9 s for each response, so that three that were lost in a row ended its membership.
+func TestLostResponseDelaysARenewalByLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		f.group.setUnanswered(2)
+		startedAt := time.Now()
+		f.renew(false, testIdentity(1, 0.4))
+		require.True(t, f.member.MayBecomeOwner(), "the renewal has succeeded")
+		require.Less(t, time.Since(startedAt), 700*time.Millisecond)
+		f.group.set(false, []Identity{testIdentity(2, 0.8), testIdentity(3, 0.8), testIdentity(4, 0.8)})
+		require.False(t, f.member.isRedundant(t.Context()), "the lost joins may still be executed")
+	})
+}
+
+// longestLateDelay is the longest time from a call without a response to its execution that was seen.
+const longestLateDelay = 6 * time.Second
--- a/internal/jobserve/owner_test.go
+++ b/internal/jobserve/owner_test.go
@@ -43,6 +43,11 @@
 	return int64(len(f.records[p])), nil
 }
 
+func (f *fakeStore) AppendAt(ctx context.Context, p Partition, _ int64, l []Record) error {
+	_, err := f.Append(ctx, p, l, nil)
+	return err
+}
+
 func (f *fakeStore) Read(ctx context.Context, p Partition, from int64, until time.Time) (Page, error) {
 	time.Sleep(storeDelay)
 	for ctx.Err() == nil {
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -17,7 +17,7 @@
 	submissionPrefix = "s/"
 	cancelPrefix     = "c/"
 	statePrefix      = "t/"
-	// ownerKey is the key of the record that names the owner.
+	// ownerKey is the key of the claims in PartitionOwners.
 	ownerKey = "owner"
 )
 
@@ -32,8 +32,8 @@
 	// specs holds the encoded submissions, and cancelled the jobs with a cancellation record, both by job ID.
 	specs     map[string][]byte
 	cancelled map[string]bool
-	// owner is the newest record that names an owner.
-	owner Record
+	// claim is the newest claim, without its EndOffset.
+	claim Claim
 	// progress holds, by key, the newest progress record.
 	progress map[string]Record
 	// states holds the published states of jobs, committed the states that this instance has committed as the owner, and
@@ -42,7 +42,7 @@
 	committed map[string]jobs.State
 	queues    map[string]string
 	// partitions holds the state of the reads of each partition.
-	partitions [2]*partitionState
+	partitions [partitions]*partitionState
 }
 
 // NewReplica returns an empty replica, which loads its records on the first read.
@@ -51,7 +51,7 @@
 		store: s, logger: l, catchUpInterval: replicaRefreshInterval,
 		specs: make(map[string][]byte), cancelled: make(map[string]bool), progress: make(map[string]Record),
 		states: make(map[string]jobs.State), committed: make(map[string]jobs.State), queues: make(map[string]string),
-		partitions: [2]*partitionState{newPartitionState(), newPartitionState()},
+		partitions: [partitions]*partitionState{newPartitionState(), newPartitionState(), newPartitionState()},
 	}
 }
 
@@ -85,11 +85,26 @@
 	return g.Wait()
 }
 
-// Owner returns the identity of the process that last became the owner, empty if there was none.
-func (r *Replica) Owner() string {
+// RefreshClaim reads and returns the newest claim.
+func (r *Replica) RefreshClaim(ctx context.Context) (Claim, error) {
+	if err := r.Follow(ctx, PartitionOwners, time.Now(), time.Time{}); err != nil {
+		return Claim{}, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.claim
+	c.EndOffset = r.partitions[PartitionOwners].nextOffset
+	return c, nil
+}
+
+// requestsEnd reads the requests to their end and returns the offset after them.
+func (r *Replica) requestsEnd(ctx context.Context) (int64, error) {
+	if err := r.Follow(ctx, PartitionRequests, time.Now(), time.Time{}); err != nil {
+		return 0, err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return string(r.owner.Value)
+	return r.partitions[PartitionRequests].nextOffset, nil
 }
 
 // DropProgress drops all progress records, which this instance does not read on while it does not own the jobs.
@@ -103,15 +118,25 @@
 // applyRecords applies records of a partition; r.mu is held.
 func (r *Replica) applyRecords(p Partition, l []Record) {
 	for _, x := range l {
-		if p == PartitionProgress {
+		switch p {
+		case PartitionProgress:
 			r.applyProgress(x)
-			continue
+		case PartitionOwners:
+			r.applyClaim(x)
+		case PartitionRequests:
+			r.applyRequest(x)
 		}
-		r.applyRequest(x)
 	}
 }
 
-// applyRequest applies a submission, a cancellation, a published state or the name of the owner; r.mu is held.
+// applyClaim applies a claim unless a newer one is known; r.mu is held.
+func (r *Replica) applyClaim(x Record) {
+	if c, ok := parseClaim(x.Value); ok && c.Epoch > r.claim.Epoch {
+		r.claim = c
+	}
+}
+
+// applyRequest applies a submission, a cancellation or a published state; r.mu is held.
 func (r *Replica) applyRequest(x Record) {
 	if id, ok := strings.CutPrefix(x.Key, submissionPrefix); ok {
 		r.applySubmission(id, x.Value)
@@ -120,12 +145,6 @@
 	if len(x.Value) == 0 {
 		return
 	}
-	if x.Key == ownerKey {
-		if x.Offset >= r.owner.Offset {
-			r.owner = x
-		}
-		return
-	}
 	if id, ok := strings.CutPrefix(x.Key, cancelPrefix); ok {
 		r.cancelled[id] = true
 		return
--- a/internal/jobserve/replica_test.go
+++ b/internal/jobserve/replica_test.go
@@ -31,9 +31,9 @@
 	// pageDuration is the time that a page of newest records takes, and pageGate, if set, holds each page until it is closed.
 	pageDuration time.Duration
 	pageGate     chan struct{}
-	records      [2][]Record
+	records      [partitions][]Record
 	// first is, by partition, the offset of the first record that can still be read.
-	first [2]int64
+	first [partitions]int64
 	// pages counts, by key after which they begin, the pages that were read to their end.
 	pages map[string]int
 	// lostReads is the number of reads that still get no response.
@@ -168,6 +168,11 @@
 	return int64(len(s.records[p])), nil
 }
 
+func (s *pagedStore) AppendAt(ctx context.Context, p Partition, _ int64, l []Record) error {
+	_, err := s.Append(ctx, p, l, nil)
+	return err
+}
+
 func testJob(i int) string { return fmt.Sprintf("%016x", i+1) }
 
 func testSpec(t *testing.T, i int) []byte {
