A sync call that is sent again after its relay was lost grants no lease

Found by the reviewer by reading: an owner that was suspended between its decision to grant a lease and the second call would grant it later than a new owner assumes, since the lease's end is kept on a clock that stands still meanwhile. The next sync call grants one.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -219,7 +219,7 @@
 }
 
 // Sync implements jobserve.Workers. If the connection to the relay is lost, Sync retries at once, through another relay or
-// directly.
+// directly; the retry grants no lease, since the owner may have been suspended meanwhile.
 func (p *Pool) Sync(ctx context.Context, s jobserve.Sync) (dispatch.Report, error) {
 	for {
 		n, l, err := p.relayFor(ctx, s.Worker, s.FailureDomain)
@@ -238,6 +238,7 @@
 		if ctx.Err() != nil || !errors.As(err, &e) || !e.Lost {
 			return dispatch.Report{}, err
 		}
+		s.LeaseUntil = time.Time{}
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -373,6 +373,7 @@
 	go stop()
 	require.NoError(t, <-done)
 	require.Equal(t, 1, other.syncCount())
+	require.True(t, other.syncs[0].LeaseUntil.IsZero(), "the owner may have been suspended since it decided to grant the lease")
 	close(w.release)
 }
 
