--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -81,7 +81,7 @@
 }
 
 // storeLossGrace is the time after the start of the latest successful commit in which an owner still grants leases.
-const storeLossGrace = memberLease
+const storeLossGrace = 2500 * time.Millisecond
 
 // NewInstance returns an instance that Run starts.
 func NewInstance(c InstanceConfig) *Instance {
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -88,8 +88,8 @@
 	MemberConfig
 	// renewed means that a renewal has succeeded since this instance last left the group.
 	renewed atomic.Bool
-	// unansweredAt is the end of the latest join without a response, which the store may still execute, in nanoseconds since 1970.
-	unansweredAt atomic.Int64
+	// unansweredAt is the end of the latest join without a response, which the store may still execute; nil if there was none.
+	unansweredAt atomic.Pointer[time.Time]
 	// joins are the joins that wait for a response.
 	joins      sync.WaitGroup
 	suspension *suspensionDetector
@@ -185,7 +185,7 @@
 // false between two reads and if a read fails. It also returns false while the store may execute a join late, since that would
 // add this instance to the group again after it has left.
 func (m *Member) isRedundant(ctx context.Context) bool {
-	if m.sinceUnanswered() < lateCallWindow || time.Since(m.redundancyCheckedAt) < redundancyCheckInterval {
+	if m.hasUnansweredSince(lateCallWindow) || time.Since(m.redundancyCheckedAt) < redundancyCheckInterval {
 		return false
 	}
 	m.redundancyCheckedAt = time.Now()
@@ -194,7 +194,7 @@
 		return false
 	}
 	m.joins.Wait()
-	return m.sinceUnanswered() >= lateCallWindow
+	return !m.hasUnansweredSince(lateCallWindow)
 }
 
 // fetchGroup reads the group from the store, passes it to OnGroup, and reports whether the read succeeded.
@@ -223,7 +223,7 @@
 	}
 	start := time.Now()
 	g := m.generation
-	x, err := callRepeatedly(ctx, joinTimeout, func(c context.Context) (Membership, error) { return m.join(c, g) })
+	x, err := callRepeatedly(ctx, joinTimeout, m.joins.Go, func(c context.Context) (Membership, error) { return m.join(c, g) })
 	if err != nil {
 		if ctx.Err() == nil {
 			m.Logger.Warn().Err(err).Int64("Generation", g).Str("Decision", "JoinFailed").Msg("renewal of the membership failed")
@@ -243,18 +243,18 @@
 
 // join makes one call to join the group, and records when it got no response.
 func (m *Member) join(ctx context.Context, generation int64) (Membership, error) {
-	m.joins.Add(1)
-	defer m.joins.Done()
 	x, err := m.Store.Join(ctx, generation, memberLease)
 	if err != nil && !isNotApplied(err) {
-		m.unansweredAt.Store(time.Now().UnixNano())
+		now := time.Now()
+		m.unansweredAt.Store(&now)
 	}
 	return x, err
 }
 
-// sinceUnanswered returns the time since the latest join without a response.
-func (m *Member) sinceUnanswered() time.Duration {
-	return time.Since(time.Unix(0, m.unansweredAt.Load()))
+// hasUnansweredSince reports whether a join got no response within the given time before now.
+func (m *Member) hasUnansweredSince(d time.Duration) bool {
+	t := m.unansweredAt.Load()
+	return t != nil && time.Since(*t) <= d
 }
 
 // recordRenewal records a successful renewal that began at start.
@@ -313,12 +313,19 @@
 	return takeoverPatience + d
 }
 
-// vacantFor returns for how long the incumbent has been seen outside the group, negative if it is in the group. An incumbent that
+// vacantFor returns for how long the incumbent has been seen outside the group, negative if it is in the group or the group
+// cannot be read. An incumbent that
 // has just replaced another has memberLease more, since the store lists a new member only once others have given up partitions.
 func (m *Member) vacantFor(ctx context.Context, incumbent Claim, replaced bool) time.Duration {
-	if incumbent.Identity != "" && m.isMember(ctx, incumbent.Identity) {
-		m.vacantSince = time.Time{}
-		return -1
+	if incumbent.Identity != "" {
+		g, ok := m.fetchGroup(ctx)
+		if !ok {
+			return -1
+		}
+		if m.isRunningMember(g, incumbent.Identity) {
+			m.vacantSince = time.Time{}
+			return -1
+		}
 	}
 	if m.vacantSince.IsZero() || !m.vacantAfter.isSameOwnership(incumbent) {
 		m.vacantAfter, m.vacantSince = incumbent, time.Now()
@@ -329,12 +336,8 @@
 	return time.Since(m.vacantSince)
 }
 
-// isMember reports whether a process is in the group and seems to run; it returns true if the group cannot be read.
-func (m *Member) isMember(ctx context.Context, identity string) bool {
-	g, ok := m.fetchGroup(ctx)
-	if !ok {
-		return true
-	}
+// isRunningMember reports whether a process is in the group and seems to run.
+func (m *Member) isRunningMember(g group, identity string) bool {
 	x := parseIdentity(identity)
 	return slices.Contains(g, x) && !g.hasLaterProcess(x) && !m.isSilent(identity)
 }
@@ -344,7 +347,7 @@
 // each other do not take over from each other in turn.
 func (m *Member) isSilent(identity string) bool {
 	now := time.Now()
-	if m.sinceUnanswered() > lateMembershipWindow || now.Sub(m.ownedAt) <= lateMembershipWindow || now.Sub(m.renewingSince) <= maxSilence {
+	if !m.hasUnansweredSince(lateMembershipWindow) || now.Sub(m.ownedAt) <= lateMembershipWindow || now.Sub(m.renewingSince) <= maxSilence {
 		return false
 	}
 	t := m.SilentSince(identity)
@@ -405,6 +408,8 @@
 // leave stops the owner and gives up the membership.
 func (m *Member) leave() {
 	m.stopOwner("the instance leaves the group")
+	// A join that arrives after the call to leave would add this instance again.
+	m.joins.Wait()
 	c, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	m.joined, m.generation = false, 0
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -97,14 +97,11 @@
 	return c, nil
 }
 
-// requestsEnd reads the requests to their end and returns the offset after them.
-func (r *Replica) requestsEnd(ctx context.Context) (int64, error) {
-	if err := r.Follow(ctx, PartitionRequests, time.Now(), time.Time{}); err != nil {
-		return 0, err
-	}
+// requestsOffset returns the offset up to which the requests have been read.
+func (r *Replica) requestsOffset() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.partitions[PartitionRequests].nextOffset, nil
+	return r.partitions[PartitionRequests].nextOffset
 }
 
 // DropProgress drops all progress records, which this instance does not read on while it does not own the jobs.
--- a/internal/jobserve/retry.go
+++ b/internal/jobserve/retry.go
@@ -19,7 +19,8 @@
 // the timeout has passed since the first. A call without a response thus delays the result by no more than retryDelay.
 //
 // Each call has the whole timeout, also after another has got a response, so that calls to a slow store are not abandoned.
-func callRepeatedly[T any](ctx context.Context, timeout time.Duration, call func(context.Context) (T, error)) (T, error) {
+// spawn runs each call in a goroutine.
+func callRepeatedly[T any](ctx context.Context, timeout time.Duration, spawn func(func()), call func(context.Context) (T, error)) (T, error) {
 	results := make(chan callResult[T])
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -27,7 +28,7 @@
 	defer t.Stop()
 	x := callResult[T]{err: &StoreError{Call: "repeated", Cause: context.DeadlineExceeded}}
 	for again := true; again; {
-		go func() {
+		spawn(func() {
 			c, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 			defer cancel()
 			v, err := call(c)
@@ -35,12 +36,15 @@
 			case results <- callResult[T]{v, err}:
 			case <-ctx.Done():
 			}
-		}()
+		})
 		again = awaitResponse(ctx, results, t.C, &x)
 	}
 	return x.value, x.err
 }
 
+// inBackground runs f in a goroutine that nothing waits for.
+func inBackground(f func()) { go f() }
+
 // awaitResponse reports whether the call should be made again; otherwise the response or the latest error is in x.
 func awaitResponse[T any](ctx context.Context, results chan callResult[T], again <-chan time.Time, x *callResult[T]) bool {
 	for {
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -46,18 +46,17 @@
 // claim appends the claim of this process after that of the predecessor, which gives the epoch. It returns ErrFenced if another
 // process has claimed the jobs first.
 func (o *Owner) claim(ctx context.Context) error {
-	x := Claim{Identity: o.Identity, Epoch: o.Predecessor.Epoch + 1}
 	if o.Predecessor.Epoch == 0 {
-		// The epochs of earlier versions were offsets in the requests.
 		c, cancel := context.WithTimeout(ctx, takeoverTimeout)
-		n, err := o.Replica.requestsEnd(c)
+		err := o.Replica.Refresh(c, time.Now())
 		cancel()
 		if err != nil {
 			return err
 		}
-		x.Epoch += n
 	}
-	_, err := callRepeatedly(ctx, takeoverCallTimeout, func(ctx context.Context) (struct{}, error) {
+	// Owners of earlier versions, which may run during an upgrade, have offsets in the requests as their epochs.
+	x := Claim{Identity: o.Identity, Epoch: max(o.Predecessor.Epoch, o.Replica.requestsOffset()) + 1}
+	_, err := callRepeatedly(ctx, takeoverCallTimeout, inBackground, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, o.Store.AppendAt(ctx, PartitionOwners, o.Predecessor.EndOffset, []Record{x.record()})
 	})
 	if errors.Is(err, ErrConflict) {
@@ -83,7 +82,7 @@
 
 // fence makes the store refuse the commits of former owners, and returns the end of the progress partition.
 func (o *Owner) fence(ctx context.Context) (int64, error) {
-	end, err := callRepeatedly(ctx, takeoverCallTimeout, func(ctx context.Context) (int64, error) {
+	end, err := callRepeatedly(ctx, takeoverCallTimeout, inBackground, func(ctx context.Context) (int64, error) {
 		return o.Store.Append(ctx, PartitionProgress, nil, &Writer{Epoch: o.epoch})
 	})
 	if err != nil {
