--- a/internal/dispatch/overdue_test.go
+++ b/internal/dispatch/overdue_test.go
@@ -65,8 +65,8 @@
 	c.advance(-maxPlanInterval)
 }
 
-// On a long day best-effort jobs had nothing running for 30 s and more, since each worker was either full or had a service with
-// which they interfere, while most of the CPU was free (LOST in owners-lost-in-series, seed 11).
+// Best-effort jobs had nothing running for 30 s and more, since each worker was either full or had a service with which they
+// interfere, while most of the CPU was free.
 func TestBestEffortJobIsNotKeptWaitingForInterferenceWithoutEnd(t *testing.T) {
 	r, longest := runBacklog(t, 5)
 	t.Logf("longest idle %v, over the bound %d of %d, finished %d", longest, r.overBoundSteps, r.serviceSteps, r.finishedTasks)
@@ -75,7 +75,7 @@
 	require.Equal(t, 5*overdueJobs, r.finishedTasks)
 }
 
-// In a trial that placed overdue tasks during the load of the day, too, services met their bounds in a sixth fewer windows.
+// Overdue tasks kept services over their bounds while the pool was loaded.
 func TestOverdueTasksAreNotPlacedWhileMostOfThePoolIsReserved(t *testing.T) {
 	r, _ := runBacklog(t, 8)
 	require.Empty(t, r.p.overdue.jobs)
