A log that had dropped lines went on to write nothing

Cause: the line that counts dropped lines is put into the empty buffer before the line that follows it, which then finds a buffer with content and does not wake the writer. Nothing wakes it afterwards. Change: whether the buffer was empty is looked at before both. TestLogGoesOnAfterDroppedLines failed before (nothing within 5 s) and passes now.

--- a/internal/jobserve/logwriter.go
+++ b/internal/jobserve/logwriter.go
@@ -61,14 +61,14 @@
 		w.droppedTotal++
 		return len(b), nil
 	}
+	wasEmpty := len(w.buffer) == 0
 	if w.dropped > 0 {
 		w.buffer = append(w.buffer, `{"level":"warn","Decision":"LinesDropped","Lines":`+strconv.Itoa(w.dropped)+"}\n"...)
 		w.dropped = 0
 	}
 	w.budget -= float64(len(b))
-	first := len(w.buffer) == 0
 	w.buffer = append(w.buffer, b...)
-	if first {
+	if wasEmpty {
 		select {
 		case w.wake <- struct{}{}:
 		default:
--- a/internal/jobserve/logwriter_test.go
+++ b/internal/jobserve/logwriter_test.go
@@ -52,6 +52,30 @@
 	require.Contains(t, b.text(), `"Decision":"LinesDropped"`)
 }
 
+// The line that counts dropped lines did not wake the writer, so that nothing was written from then on.
+func TestLogGoesOnAfterDroppedLines(t *testing.T) {
+	b := &blockedWriter{release: make(chan struct{})}
+	close(b.release)
+	w := NewLogWriter(b)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	for w.Dropped() == 0 {
+		_, err := w.Write(line)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return len(w.buffered()) == 0 }, 5*time.Second, 10*time.Millisecond)
+	_, err := w.Write([]byte("after\n"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return strings.HasSuffix(b.text(), "after\n") }, 5*time.Second, 10*time.Millisecond)
+	require.Contains(t, b.text(), `"Decision":"LinesDropped"`)
+}
+
+// buffered returns the lines that wait to be written.
+func (w *LogWriter) buffered() []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return bytes.Clone(w.buffer)
+}
+
 func TestCloseFlushesTheLog(t *testing.T) {
 	var b bytes.Buffer
 	w := NewLogWriter(&b)
