Start lines and gauges tell how old the lists are that a start rests on

Nobody could tell from logs by which list of workers a start was decided, nor whether the list had been read to its end. Each mirror of the store now remembers the beginning of its latest read that reached the end, by a clock that counts suspensions; Start, TookOver and ListUnread lines and three gauges give the ages. No decision depends on them yet.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -143,8 +143,9 @@
 	p.orders = append(p.orders, Order{
 		Ref: t.Ref, Kind: OrderStart, Run: t.Run, Worker: w.ID, Address: w.Address, Payload: j.Payload, Checkpoint: t.Checkpoint, Permit: x,
 	})
-	p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Str("Worker", w.ID).Int64("Life", w.Incarnation).Str("Decision", "Start").
-		Int("FreeMilliCPU", w.free().MilliCPU).Int("FreeMemoryMB", w.free().MemoryMB).Dur("ReportAge", now.Sub(w.lastResponseAt)).Dur("JobAge", now.Sub(j.SubmittedAt)).Msg("task placed on worker")
+	e := p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Str("Worker", w.ID).Int64("Life", w.Incarnation).Str("Decision", "Start").
+		Int("FreeMilliCPU", w.free().MilliCPU).Int("FreeMemoryMB", w.free().MemoryMB).Dur("ReportAge", now.Sub(w.lastResponseAt)).Dur("JobAge", now.Sub(j.SubmittedAt))
+	p.views.logAges(e, now).Msg("task placed on worker")
 }
 
 // rating is the score of a worker for the tasks of a step.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -52,6 +52,8 @@
 	// drainedDomains holds the failure domains that operators drained. Workers there get no new tasks, but keep all tasks that
 	// they run. Draining workers, in contrast, lose their long-running tasks, and cordoned workers also those with checkpoints.
 	drainedDomains map[string]bool
+	// views tells as of when the planner knows what starts depend on.
+	views Views
 	dirty          map[string]*jobs.Job
 	// schedulable holds the workers that may get tasks in the current plan. unplaceable holds, by class, the Size of the
 	// smallest best-effort task for which the plan found no worker.
--- a/internal/jobserve/bench_test.go
+++ b/internal/jobserve/bench_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"currantknot.dev/currantknot/internal/bootclock"
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobs"
 )
@@ -50,8 +51,8 @@
 	return f
 }
 
-func (f *benchFleet) ListWorkers(context.Context) ([]dispatch.WorkerInfo, error) {
-	return f.workerInfos, nil
+func (f *benchFleet) ListWorkers(context.Context) (WorkerList, error) {
+	return WorkerList{Workers: f.workerInfos, CurrentAt: bootclock.NowInstant()}, nil
 }
 
 func (f *benchFleet) Forget(string) {}
--- a/internal/jobserve/config.go
+++ b/internal/jobserve/config.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"currantknot.dev/currantknot/internal/bootclock"
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobs"
 )
@@ -39,6 +40,19 @@
 	configuration atomic.Pointer[Configuration]
 	drained       atomic.Pointer[map[string]bool]
 	waves         atomic.Pointer[[]dispatch.Wave]
+	currentAt     atomic.Pointer[bootclock.Instant]
+}
+
+// SetCurrentAt sets the beginning of the latest read that reached the end of what operators had written.
+func (s *OperatorState) SetCurrentAt(t bootclock.Instant) { s.currentAt.Store(&t) }
+
+// CurrentAt returns as of when the state is known, the zero Instant before the first read. Later changes may be missing.
+func (s *OperatorState) CurrentAt() bootclock.Instant {
+	t := s.currentAt.Load()
+	if t == nil {
+		return bootclock.Instant{}
+	}
+	return *t
 }
 
 // Configuration returns the newest configuration, or nil before the first.
--- a/internal/jobserve/follow.go
+++ b/internal/jobserve/follow.go
@@ -53,12 +53,13 @@
 		cancel()
 		if err != nil {
 			if ctx.Err() == nil {
-				o.Logger.Warn().Err(err).Msg("worker list was not read")
+				o.Logger.Warn().Err(err).Dur("ListAge", o.workersAge()).Str("Decision", "ListUnread").Msg("worker list was not read")
 			}
 			continue
 		}
 		o.mu.Lock()
-		o.planner.SetWorkers(l, time.Now())
+		o.workersAt = l.CurrentAt
+		o.planner.SetWorkers(l.Workers, time.Now())
 		o.mu.Unlock()
 		o.requestPlan()
 	}
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -101,6 +101,8 @@
 	i.Metrics.Gauge(metricRelays, func() float64 { return float64(i.Relays.Count()) })
 	i.Metrics.Gauge(metricReady, func() float64 { return boolValue(i.isReady()) })
 	i.Metrics.Gauge(metricStoreAge, func() float64 { return i.storeAge().Seconds() })
+	i.Metrics.Gauge(metricOperatorsAge, func() float64 { return i.State.CurrentAt().Age().Seconds() })
+	i.Metrics.Gauge(metricRequestsAge, func() float64 { return i.Replica.RequestsCurrentAt().Age().Seconds() })
 	i.Metrics.Gauge(metricJobs, func() float64 { return float64(len(i.Replica.IDs())) })
 	i.Metrics.Gauge(metricLinesDropped, func() float64 { return float64(i.Log.Dropped()) })
 	i.Metrics.Gauge(metricVersion, func() float64 {
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -22,6 +22,9 @@
 	{metricJobs, "gauge", "jobs in the replica of this instance"},
 	{metricHeldAttempts, "gauge", "attempts that this owner keeps at workers that do not respond; 0 on other instances"},
 	{metricWaitingTasks, "gauge", "tasks whose turn has come and for which the latest plan of this owner found no worker; 0 on other instances"},
+	{metricWorkersAge, "gauge", "age of the list of workers by which this owner starts tasks, in seconds; 0 on other instances"},
+	{metricOperatorsAge, "gauge", "age of what this instance knows of operators' changes, in seconds"},
+	{metricRequestsAge, "gauge", "age of what this instance knows of submissions and cancellations, in seconds"},
 	{metricLinesDropped, "counter", "log lines dropped because the byte budget was spent or the reader was slow"},
 }
 
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -28,6 +28,9 @@
 	metricJobs             = "currantknot_jobs"
 	metricHeldAttempts     = "currantknot_held_attempts"
 	metricWaitingTasks     = "currantknot_waiting_tasks"
+	metricWorkersAge       = "currantknot_worker_list_age_seconds"
+	metricOperatorsAge     = "currantknot_operators_age_seconds"
+	metricRequestsAge      = "currantknot_requests_age_seconds"
 	metricLinesDropped     = "currantknot_log_lines_dropped_total"
 )
 
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -97,6 +97,8 @@
 
 	mu      sync.Mutex
 	planner *dispatch.Planner
+	// workersAt is as of when the planner knows the list of workers.
+	workersAt bootclock.Instant
 	// grantsUntil is when this owner stops to grant leases, by the boot clock, which counts suspensions.
 	grantsUntil time.Duration
 	// acknowledged holds, by worker ID, up to which number the finished attempts are committed.
@@ -127,6 +129,8 @@
 	}
 	defer o.Replica.DropProgress()
 	defer o.recordIdle(dispatch.Idle{})
+	o.Metrics.Gauge(metricWorkersAge, func() float64 { return o.workersAge().Seconds() })
+	defer o.Metrics.Set(metricWorkersAge, 0)
 	o.publishStates(ctx, o.restoredStates)
 	o.retention.recordFinished(o.restoredStates, time.Now())
 	o.spawn(func() { o.followRequests(ctx) })
@@ -174,6 +178,7 @@
 	now := time.Now()
 	o.planner.SetDrainedDomains(o.State.DrainedDomains())
 	o.planner.SetWaves(o.State.Waves())
+	o.planner.SetViews(o.views(now))
 	o.planner.Plan(now)
 	idle := o.planner.Idle(now)
 	changed, orders := o.planner.TakeChanges()
--- a/internal/jobserve/owner_test.go
+++ b/internal/jobserve/owner_test.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"currantknot.dev/currantknot/internal/dispatch"
+	"currantknot.dev/currantknot/internal/bootclock"
 )
 
 // storeDelay is the time in which a fakeStore responds.
@@ -73,7 +73,9 @@
 // fakeDirectory lists no workers.
 type fakeDirectory struct{}
 
-func (fakeDirectory) ListWorkers(context.Context) ([]dispatch.WorkerInfo, error) { return nil, nil }
+func (fakeDirectory) ListWorkers(context.Context) (WorkerList, error) {
+	return WorkerList{CurrentAt: bootclock.NowInstant()}, nil
+}
 
 // An owner that was cut from the store and had nothing to commit did not learn of the newer owner. Workers rejected its calls,
 // so that there never was anything to commit, and while it ran, its instance did not take over again when the newer owner left.
--- a/internal/jobserve/read.go
+++ b/internal/jobserve/read.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"currantknot.dev/currantknot/internal/bootclock"
 )
 
 const (
@@ -25,8 +27,8 @@
 	nextOffset int64
 	// readAt is the start of the latest read of new records, or of the load.
 	readAt time.Time
-	// freshAt is the start of the latest read that reached the end.
-	freshAt time.Time
+	// currentAt is the start of the latest read that reached the end.
+	currentAt bootclock.Instant
 	// polling means that a long poll waits for the next record, so that the replica is current without another read.
 	polling bool
 	// loadStart is the start of the load's first page, and loadedKeys the number of keys that the load has read.
@@ -88,7 +90,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.partitions[p]
-	if s.loaded && !s.freshAt.Before(since) {
+	if s.loaded && !s.currentAt.Before(since) {
 		return nil
 	}
 	if s.run == nil {
@@ -125,7 +127,7 @@
 // readNew reads and applies a page of new records, waits for one until the given time, and reports whether the page reached the
 // end. If the store has dropped records that were not read, the load begins again.
 func (r *Replica) readNew(ctx context.Context, p Partition, s *partitionState, until time.Time) (bool, error) {
-	start := time.Now()
+	start := bootclock.NowInstant()
 	g, err := r.readPage(ctx, p, s, until)
 	if errors.Is(err, ErrTruncated) {
 		r.logger.Warn().Err(err).Int("Partition", int(p)).Str("Decision", "LoadAgain").Msg("records were truncated in the store; partition is reloaded")
@@ -285,7 +287,7 @@
 }
 
 // applyPage applies a page and reports whether it reached the end of the partition.
-func (r *Replica) applyPage(p Partition, s *partitionState, g Page, start time.Time) (bool, error) {
+func (r *Replica) applyPage(p Partition, s *partitionState, g Page, start bootclock.Instant) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.partitions[p] != s {
@@ -293,10 +295,10 @@
 	}
 	r.applyRecords(p, g.Records)
 	s.noteSubmissions(g.Records)
-	s.nextOffset, s.readAt = max(s.nextOffset, g.NextOffset), start
+	s.nextOffset, s.readAt = max(s.nextOffset, g.NextOffset), start.Time()
 	if s.nextOffset < g.EndOffset {
 		return false, nil
 	}
-	s.freshAt = start
+	s.currentAt = start
 	return true, nil
 }
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -18,7 +18,7 @@
 		err := o.tryTakeOver(ctx)
 		if err == nil {
 			n, u := o.planner.HeldAttempts()
-			o.Logger.Info().Int64("Epoch", o.epoch).Dur("Took", time.Since(start)).Int("Attempts", n).Int("AtUnlisted", u).Str("Decision", "TookOver").Msg("this instance now owns the jobs")
+			o.Logger.Info().Int64("Epoch", o.epoch).Dur("Took", time.Since(start)).Dur("ListAge", o.workersAt.Age()).Int("Attempts", n).Int("AtUnlisted", u).Str("Decision", "TookOver").Msg("this instance now owns the jobs")
 			return nil
 		}
 		if errors.Is(err, ErrFenced) || ctx.Err() != nil {
@@ -121,7 +121,7 @@
 		}
 	}
 	p.SetDrainedDomains(o.State.DrainedDomains())
-	p.SetWorkers(w, now)
+	p.SetWorkers(w.Workers, now)
 	l := o.Replica.Jobs()
 	states := statesOf(l)
 	for _, j := range l {
@@ -130,7 +130,7 @@
 	for _, id := range o.Replica.Cancelled() {
 		p.Cancel(id, now)
 	}
-	o.planner, o.restoredStates = p, states
+	o.planner, o.restoredStates, o.workersAt = p, states, w.CurrentAt
 	return nil
 }
 
--- /dev/null
+++ b/internal/jobserve/views.go
@@ -0,0 +1,31 @@
+package jobserve
+
+import (
+	"time"
+
+	"currantknot.dev/currantknot/internal/bootclock"
+	"currantknot.dev/currantknot/internal/dispatch"
+)
+
+// views returns as of when this owner knows what starts depend on; o.mu is held.
+func (o *Owner) views(now time.Time) dispatch.Views {
+	return dispatch.Views{
+		Workers:   now.Add(-o.workersAt.Age()),
+		Operators: now.Add(-o.State.CurrentAt().Age()),
+		Requests:  now.Add(-o.Replica.RequestsCurrentAt().Age()),
+	}
+}
+
+// workersAge returns the age of the list of workers.
+func (o *Owner) workersAge() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.workersAt.Age()
+}
+
+// RequestsCurrentAt returns the beginning of the latest read of requests that reached the end of what the store held.
+func (r *Replica) RequestsCurrentAt() bootclock.Instant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.partitions[PartitionRequests].currentAt
+}
--- a/internal/jobserve/workers.go
+++ b/internal/jobserve/workers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"currantknot.dev/currantknot/internal/bootclock"
 	"currantknot.dev/currantknot/internal/dispatch"
 )
 
@@ -56,9 +57,16 @@
 	Count() int
 }
 
+// WorkerList is the list of the workers that the platform has registered.
+type WorkerList struct {
+	Workers []dispatch.WorkerInfo
+	// CurrentAt is the beginning of the latest read that reached the end of what the store held. Later changes may be missing.
+	CurrentAt bootclock.Instant
+}
+
 // Directory lists the workers that the platform has registered.
 type Directory interface {
-	ListWorkers(ctx context.Context) ([]dispatch.WorkerInfo, error)
+	ListWorkers(ctx context.Context) (WorkerList, error)
 }
 
 // Advisor decides which workers may run a step of a queue that needs permits.
