Nothing starts by lists that are too old

Callers saw tasks start on workers that had said they drain: an owner whose commits got through went on to start tasks by the list of workers that it had, however old, and so with operators' requests to drain a failure domain and with cancellations. Only its lease was bounded by its commits.

Now each view tells as of when it is known, and a start has a time from which it must not be sent: the earliest of these plus the bound that the platform's settings give for the change (drain_ms, evacuate_ms, cancel_ms), less the time on the network. It is looked at in the plan, after the commit, and at the call, whose deadline it also bounds at a relay. A start whose worker has left, drained or been cordoned between plan and commit is dropped. The list is read each 500 ms from the beginning of the last read, soon again after a failed one, and with a time limit that follows the latency, so that a slow store is waited for.

--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -13,7 +13,8 @@
 // The reasons, in the order in which they are looked for: those of the worker, of the step on the worker, and of one task.
 const (
 	notExcluded exclusion = iota
-	// excludedUnlisted to excludedBackoff exclude a worker from all tasks.
+	// excludedOldView to excludedBackoff exclude a worker from all tasks.
+	excludedOldView
 	excludedUnlisted
 	excludedDraining
 	excludedCordoned
@@ -37,18 +38,20 @@
 
 // exclusionNames holds the fields in which a Wait line counts the workers with each reason.
 var exclusionNames = [exclusionCount]string{
-	"Takers", "NotListed", "DrainingWorker", "Cordoned", "DrainedDomain", "Silent", "Backoff", "OtherPool", "OtherLabel", "Straggler",
+	"Takers", "OldView", "NotListed", "DrainingWorker", "Cordoned", "DrainedDomain", "Silent", "Backoff", "OtherPool", "OtherLabel", "Straggler",
 	"NoCapacity", "NoPermit", "NoSpareCPU", "Interference", "TaskLimit", "Reserve", "FailedThere",
 }
 
 // String returns the field of the Wait lines that counts the workers with the reason.
 func (e exclusion) String() string { return exclusionNames[e] }
 
-// workerExclusion returns the reason for which a worker may not get any task. Three separate conditions concern the end of a
-// worker: Draining (the platform shuts the worker down), cordoned (the instance of the worker is due for maintenance), and
-// drainedDomains (operators drained the failure domain).
-func (p *Planner) workerExclusion(w *worker, now time.Time) exclusion {
+// viewExclusion returns the reason for which a worker may not get any task by what the planner knows from the store. Three
+// separate conditions concern the end of a worker: Draining (the platform shuts the worker down), cordoned (the instance of
+// the worker is due for maintenance), and drainedDomains (operators drained the failure domain).
+func (p *Planner) viewExclusion(w *worker, now time.Time) exclusion {
 	switch {
+	case p.areViewsOutdated(now):
+		return excludedOldView
 	case !w.listed:
 		return excludedUnlisted
 	case w.Draining:
@@ -57,6 +60,16 @@
 		return excludedCordoned
 	case p.drainedDomains[w.FailureDomain]:
 		return excludedDomain
+	}
+	return notExcluded
+}
+
+// workerExclusion returns the reason for which a worker may not get any task now.
+func (p *Planner) workerExclusion(w *worker, now time.Time) exclusion {
+	if e := p.viewExclusion(w, now); e != notExcluded {
+		return e
+	}
+	switch {
 	case !w.isReachable(now):
 		return excludedSilent
 	case now.Before(w.backoffUntil):
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -24,6 +24,9 @@
 	modelStoreLossGrace = 3 * time.Second
 )
 
+// modelStartBounds bounds the ages of the views in the model.
+var modelStartBounds = StartBounds{WorkerDrain: 2 * time.Second, DomainDrain: 5 * time.Second, Cancellation: 3 * time.Second}
+
 // modelWorker simulates a worker with a fencing token, lease, incarnation and finished attempts.
 type modelWorker struct {
 	id          string
@@ -42,6 +45,8 @@
 	partitioned  bool
 	// unlisted means that the platform does not list the worker, which runs on.
 	unlisted bool
+	// drainingSince is when the worker published that it is draining, zero if it is not.
+	drainingSince time.Time
 }
 
 // formerOwner is an owner that does not know yet that another one took over.
@@ -74,9 +79,17 @@
 	// snapshot is the latest committed snapshot, nil if there is none.
 	snapshot []byte
 	specs    map[string]jobs.Spec
-	cancels  map[string]bool
-	workers  []*modelWorker
-	delayed  []call
+	// cancels holds when the cancelled jobs were cancelled, and drains since when the failure domains are drained.
+	cancels map[string]time.Time
+	drains  map[string]time.Time
+	// knownDrains holds the drained failure domains as the instances last read them.
+	knownDrains map[string]bool
+	// views tells as of when the owner knows the store. While one of the others is set, the store refuses to read the list of workers,
+	// the operators' changes or the requests.
+	views                                Views
+	listAway, operatorsAway, cancelsAway bool
+	workers                              []*modelWorker
+	delayed                              []call
 	// done holds the tasks with a successful attempt, acknowledged the tasks whose success the owner has acknowledged, and
 	// failed the number of acknowledged failures of each task.
 	done         map[jobs.Ref]bool
@@ -87,7 +100,7 @@
 func newModel(t *rapid.T) *model {
 	m := &model{
 		t: t, now: time.Unix(1_700_000_000, 0), log: make(map[string][]byte), specs: make(map[string]jobs.Spec),
-		cancels: make(map[string]bool), done: make(map[jobs.Ref]bool), acknowledged: make(map[jobs.Ref]bool), failed: make(map[jobs.Ref]int),
+		cancels: make(map[string]time.Time), drains: make(map[string]time.Time), done: make(map[jobs.Ref]bool), acknowledged: make(map[jobs.Ref]bool), failed: make(map[jobs.Ref]int),
 	}
 	for i := range modelWorkers {
 		w := &modelWorker{id: fmt.Sprintf("i-%02d", i), incarnation: 1}
@@ -121,17 +134,44 @@
 	if rapid.Bool().Draw(m.t, "commits unseen") {
 		c = m.now
 	}
-	m.p = New(Config{Lease: testLease, StoreLossGrace: modelStoreLossGrace, LastCommitAt: c, Logger: zerolog.Nop()}, m.now)
+	m.p = New(Config{Lease: testLease, StoreLossGrace: modelStoreLossGrace, LastCommitAt: c, StartBounds: modelStartBounds, Logger: zerolog.Nop()}, m.now)
 	if m.snapshot != nil {
 		require.NoError(m.t, m.p.RestoreSnapshot(m.snapshot))
 	}
+	// A takeover ends only once the list and the requests are read. What the instance knows of operators may be old.
+	m.listAway, m.cancelsAway = false, false
 	m.setWorkers()
 	for _, id := range slices.Sorted(maps.Keys(m.specs)) {
 		m.p.AddJob(m.restore(id, m.specs[id]), m.now)
 	}
-	for _, id := range slices.Sorted(maps.Keys(m.cancels)) {
-		m.p.Cancel(id, m.now)
+	m.readStore()
+}
+
+// readStore lets the owner read what the store does not refuse to read.
+func (m *model) readStore() {
+	if !m.listAway {
+		m.setWorkers()
+	}
+	if !m.operatorsAway {
+		m.knownDrains = m.drainedDomains()
+		m.views.Operators = m.now
+	}
+	m.p.SetDrainedDomains(m.knownDrains)
+	if !m.cancelsAway {
+		for _, id := range slices.Sorted(maps.Keys(m.cancels)) {
+			m.p.Cancel(id, m.now)
+		}
+		m.views.Requests = m.now
 	}
+	m.p.SetViews(m.views, m.now)
+}
+
+func (m *model) drainedDomains() map[string]bool {
+	l := make(map[string]bool)
+	for d := range m.drains {
+		l[d] = true
+	}
+	return l
 }
 
 func (m *model) restore(id string, s jobs.Spec) *jobs.Job {
@@ -151,11 +191,62 @@
 			continue
 		}
 		l = append(l, WorkerInfo{
-			ID: w.id, Address: w.id, Pool: "pool", FailureDomain: "domain",
+			ID: w.id, Address: w.id, Pool: "pool", FailureDomain: w.domain(), Draining: !w.drainingSince.IsZero(),
 			Capacity: jobs.Resources{MilliCPU: modelMilliCPU, MemoryMB: 64000}, Incarnation: w.incarnation,
 		})
 	}
 	m.p.SetWorkers(l, m.now)
+	m.views.Workers = m.now
+}
+
+// domain returns the worker's failure domain.
+func (w *modelWorker) domain() string { return modelDomains[int(w.id[len(w.id)-1])%len(modelDomains)] }
+
+var modelDomains = []string{"domain-0", "domain-1"}
+
+// toggleDrainOfRandomWorker lets a worker publish that it drains, or that it no longer does.
+func (m *model) toggleDrainOfRandomWorker() {
+	w := m.randomWorker()
+	if w.drainingSince.IsZero() {
+		w.drainingSince = m.now
+		return
+	}
+	w.drainingSince = time.Time{}
+}
+
+// toggleDrainOfRandomDomain lets operators drain a failure domain or take the request back.
+func (m *model) toggleDrainOfRandomDomain() {
+	d := rapid.SampledFrom(modelDomains).Draw(m.t, "domain")
+	if _, ok := m.drains[d]; ok {
+		delete(m.drains, d)
+		return
+	}
+	m.drains[d] = m.now
+}
+
+// changeUnseen changes something that starts depend on while the store refuses to read it, and lets the owner go on for a while.
+func (m *model) changeUnseen() {
+	m.readStore()
+	change := rapid.SampledFrom([]func(){m.toggleDrainOfRandomWorker, m.toggleDrainOfRandomDomain, m.cancelRandomJob}).Draw(m.t, "change")
+	m.listAway, m.operatorsAway, m.cancelsAway = true, true, true
+	change()
+	for range rapid.IntRange(2, 8).Draw(m.t, "cycles") {
+		m.submitRandomJob()
+		for _, w := range m.workers {
+			m.sync(w)
+		}
+		m.finishRandomTask()
+		m.advanceTime()
+		m.planAndCommit()
+	}
+	m.listAway, m.operatorsAway, m.cancelsAway = false, false, false
+	m.readStore()
+}
+
+// toggleRandomView lets the store refuse to read one of the things that starts depend on, or serve it again.
+func (m *model) toggleRandomView() {
+	x := rapid.SampledFrom([]*bool{&m.listAway, &m.operatorsAway, &m.cancelsAway}).Draw(m.t, "view")
+	*x = !*x
 }
 
 func (m *model) submitRandomJob() {
@@ -174,17 +265,24 @@
 
 func (m *model) cancelRandomJob() {
 	id := testID(rapid.IntRange(1, modelJobs).Draw(m.t, "job"))
-	if _, ok := m.specs[id]; ok {
-		m.cancels[id] = true
-		m.p.Cancel(id, m.now)
+	if _, ok := m.specs[id]; !ok {
+		return
+	}
+	if _, ok := m.cancels[id]; !ok {
+		m.cancels[id] = m.now
 	}
 }
 
 // planAndCommit plans and commits, and sends the orders unless the owner is lost first. The owner may be lost before or after
 // the store has the records.
 func (m *model) planAndCommit() {
+	m.p.SetViews(m.views, m.now)
 	m.p.Plan(m.now)
 	changed, orders := m.p.TakeChanges()
+	commitAt := m.now
+	if rapid.IntRange(0, 3).Draw(m.t, "slow commit") == 0 {
+		m.advanceTime()
+	}
 	b := m.prepareRandomSnapshot()
 	if w := m.randomWorker(); m.now.Before(m.grantsUntil) {
 		m.grantLease(m.p, m.fence, w)
@@ -205,7 +303,7 @@
 	if len(changed) > 0 || b != nil || rapid.Bool().Draw(m.t, "keep-alive record") {
 		m.lastCommitAt = m.now
 		if lost != 0 {
-			m.grantsUntil = m.now.Add(modelStoreLossGrace)
+			m.grantsUntil = commitAt.Add(modelStoreLossGrace)
 		}
 	}
 	if lost == 0 {
@@ -215,6 +313,7 @@
 	if b != nil {
 		m.p.SnapshotCommitted()
 	}
+	m.p.SetViews(m.views, m.now)
 	for _, o := range m.p.OrdersCommitted(orders, m.now) {
 		m.send(o)
 	}
@@ -262,6 +361,11 @@
 // send sends an order; the order or its response may be lost, and the order may be delayed.
 func (m *model) send(o Order) {
 	w := m.worker(o.Worker)
+	if o.IsTooLate(m.now) {
+		m.handleResult(o, ResultRefused)
+		return
+	}
+	m.checkViews(w, o)
 	m.p.LeaseGranted(o.Worker, m.now)
 	c := call{Order: o, fence: m.fence, leaseUntil: m.now.Add(testLease), incarnation: w.incarnation}
 	outcome := rapid.IntRange(0, 9).Draw(m.t, "call")
@@ -279,6 +383,24 @@
 	}
 }
 
+// checkViews checks that a start is not sent after the bounds from the drain of its worker or failure domain and from the
+// cancellation of its job.
+func (m *model) checkViews(w *modelWorker, o Order) {
+	if o.Kind != OrderStart {
+		return
+	}
+	check := func(since time.Time, ok bool, bound time.Duration, change string) {
+		if ok {
+			require.Less(m.t, m.now.Sub(since), bound, "%s starts at %s long after %s", o.Ref, w.id, change)
+		}
+	}
+	check(w.drainingSince, !w.drainingSince.IsZero(), modelStartBounds.WorkerDrain, "the worker said that it drains")
+	drainedAt, drained := m.drains[w.domain()]
+	check(drainedAt, drained, modelStartBounds.DomainDrain, "its domain was drained")
+	cancelledAt, cancelled := m.cancels[o.Job]
+	check(cancelledAt, cancelled, modelStartBounds.Cancellation, "its job was cancelled")
+}
+
 func (m *model) handleResult(o Order, r OrderResult) {
 	switch o.Kind {
 	case OrderStart:
@@ -441,6 +563,7 @@
 	w := m.randomWorker()
 	w.reset()
 	w.incarnation++
+	w.drainingSince = time.Time{}
 }
 
 func (m *model) togglePartitionOfRandomWorker() {
@@ -466,7 +589,7 @@
 		m.planAndCommit()
 	}
 	w.partitioned, w.unlisted = false, false
-	m.setWorkers()
+	m.readStore()
 	m.sync(w)
 }
 
@@ -495,7 +618,7 @@
 			m.finishAt(w, r, jobs.OutcomeExpired)
 		}
 	}
-	m.setWorkers()
+	m.readStore()
 }
 
 // Rapid sorts the actions by name and draws them by position. A new action name that changes the order therefore changes the
@@ -510,6 +633,8 @@
 			"let time pass": func(*rapid.T) { m.advanceTime() }, "take over": func(*rapid.T) { m.takeOver() },
 			"call from a former owner": func(*rapid.T) { m.callFromFormerOwner(m.randomWorker()) }, "lose owners in series": func(*rapid.T) { m.loseOwnersInSeries() },
 			"cut off": func(*rapid.T) { m.cutOffRandomWorker() }, "leave or enter the list": func(*rapid.T) { m.toggleListingOfRandomWorker() },
+			"drain a worker or no longer": func(*rapid.T) { m.toggleDrainOfRandomWorker() }, "drain a domain or no longer": func(*rapid.T) { m.toggleDrainOfRandomDomain() },
+			"lose or regain a view": func(*rapid.T) { m.toggleRandomView() }, "change unseen": func(*rapid.T) { m.changeUnseen() },
 		})
 	})
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "currantknot.dev/currantknot/internal/jobs"
+import (
+	"time"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
 
 // OrderKind is the action that an order asks for.
 type OrderKind string
@@ -26,6 +30,8 @@
 	Run     int
 	Worker  string
 	Address string
+	// SendBefore is the time from which a start must not be sent, since what it rests on is too old then; zero is no bound.
+	SendBefore time.Time
 	// Incarnation is the worker's latest known incarnation when the stop of an attempt was ordered, and 0 in other orders.
 	Incarnation int64
 	Payload     string
@@ -43,6 +49,11 @@
 	State    string
 }
 
+// IsTooLate reports whether the order must not be sent any more.
+func (o *Order) IsTooLate(now time.Time) bool {
+	return !o.SendBefore.IsZero() && !now.Before(o.SendBefore)
+}
+
 // OrderResult is the response to an order, or the lack of one.
 type OrderResult uint8
 
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -36,6 +36,7 @@
 	// MaintenanceDelay is the time after a takeover in which no maintenance is ordered, so that orders of two owners do not
 	// overlap.
 	MaintenanceDelay time.Duration
+	StartBounds      StartBounds
 	Logger           zerolog.Logger
 }
 
@@ -54,7 +55,11 @@
 	drainedDomains map[string]bool
 	// views tells as of when the planner knows what starts depend on.
 	views Views
-	dirty          map[string]*jobs.Job
+	// startsUntil is the time by which starts that rest on the views must be sent, zero if there is no bound; startsHeld means that
+	// it had passed when the views were last set.
+	startsUntil time.Time
+	startsHeld  bool
+	dirty       map[string]*jobs.Job
 	// schedulable holds the workers that may get tasks in the current plan. unplaceable holds, by class, the Size of the
 	// smallest best-effort task for which the plan found no worker.
 	schedulable []*worker
@@ -351,13 +356,17 @@
 }
 
 // OrdersCommitted records that orders were committed, and returns those that are still to be executed. It releases the
-// attempts of starts that are out of date.
+// attempts of starts that are out of date by the present views.
 func (p *Planner) OrdersCommitted(l []Order, now time.Time) []Order {
 	r := l[:0]
 	for _, o := range l {
-		if o.Kind != OrderStart || p.confirmStart(o, now) {
-			r = append(r, o)
+		if o.Kind == OrderStart {
+			if !p.confirmStart(o, now) {
+				continue
+			}
+			o.SendBefore = p.startsUntil
 		}
+		r = append(r, o)
 	}
 	return r
 }
@@ -373,7 +382,7 @@
 	if a == nil || a.run != o.Run || a.phase != phasePlanned {
 		return false
 	}
-	if a.stopping || now.Sub(a.plannedAt) > maxPlanAge || a.incarnation != w.Incarnation {
+	if p.isOutdated(w, a, now) {
 		p.release(w, a, "plan is out of date", now)
 		p.stopGang(a, "another member of the gang was not started", now)
 		p.finalizeJob(a.job, now)
@@ -382,3 +391,8 @@
 	a.phase = phaseStarting
 	return true
 }
+
+// isOutdated reports whether a planned start must not be sent, because of its age or of what became known since it was planned.
+func (p *Planner) isOutdated(w *worker, a *attempt, now time.Time) bool {
+	return a.stopping || now.Sub(a.plannedAt) > maxPlanAge || a.incarnation != w.Incarnation || p.viewExclusion(w, now) != notExcluded
+}
--- a/internal/dispatch/views.go
+++ b/internal/dispatch/views.go
@@ -6,6 +6,20 @@
 	"github.com/rs/zerolog"
 )
 
+// startTransit is the maximum time that a start spends on the network.
+const startTransit = leaseMargin
+
+// StartBounds holds the longest times from a change in the store to the last start at a worker that ignores the change; a bound
+// of 0 is none.
+type StartBounds struct {
+	// WorkerDrain counts from an entry of a worker that says that the worker is draining.
+	WorkerDrain time.Duration
+	// DomainDrain counts from an operator's request to drain a failure domain.
+	DomainDrain time.Duration
+	// Cancellation counts from the cancellation of a job.
+	Cancellation time.Duration
+}
+
 // Views holds, for each thing in the store that a start depends on, the time as of which the planner knows it: the beginning of
 // the latest read that reached the end of what the store held.
 type Views struct {
@@ -16,10 +30,41 @@
 	Requests  time.Time
 }
 
-// SetViews sets as of when the planner knows what starts depend on.
-func (p *Planner) SetViews(v Views) { p.views = v }
-
 // logAges adds the ages of the views to a log line.
 func (v Views) logAges(e *zerolog.Event, now time.Time) *zerolog.Event {
 	return e.Dur("ListAge", now.Sub(v.Workers)).Dur("OperatorsAge", now.Sub(v.Operators)).Dur("RequestsAge", now.Sub(v.Requests))
 }
+
+// startsUntil returns the time by which starts that rest on the views must be sent, zero if there is no bound.
+func (v Views) startsUntil(b StartBounds) time.Time {
+	var t time.Time
+	limit := func(at time.Time, bound time.Duration) {
+		if u := at.Add(bound - startTransit); bound > 0 && (t.IsZero() || u.Before(t)) {
+			t = u
+		}
+	}
+	limit(v.Workers, b.WorkerDrain)
+	limit(v.Operators, b.DomainDrain)
+	limit(v.Requests, b.Cancellation)
+	return t
+}
+
+// SetViews sets as of when the planner knows what starts depend on. While that is too long ago, the planner starts nothing.
+func (p *Planner) SetViews(v Views, now time.Time) {
+	p.views, p.startsUntil = v, v.startsUntil(p.StartBounds)
+	outdated := p.areViewsOutdated(now)
+	if outdated == p.startsHeld {
+		return
+	}
+	p.startsHeld = outdated
+	if outdated {
+		v.logAges(p.Logger.Warn(), now).Str("Decision", "StartsHeld").Msg("no task is started by lists that are too old")
+		return
+	}
+	v.logAges(p.Logger.Info(), now).Str("Decision", "StartsResumed").Msg("lists are recent enough to start tasks")
+}
+
+// areViewsOutdated reports whether a start that is sent now would rest on views that are too old.
+func (p *Planner) areViewsOutdated(now time.Time) bool {
+	return !p.startsUntil.IsZero() && !now.Before(p.startsUntil)
+}
--- a/internal/jobserve/follow.go
+++ b/internal/jobserve/follow.go
@@ -44,23 +44,41 @@
 	}
 }
 
-// pollWorkers reads the worker list at intervals, and passes it to the planner, until the context ends.
+// pollWorkers reads the worker list at intervals, and after a failed read soon again, until the context ends.
 func (o *Owner) pollWorkers(ctx context.Context) {
+	var l latencyEstimator
+	wait := workerListInterval
 	for ctx.Err() == nil {
-		sleep(ctx, workerListInterval)
-		c, cancel := context.WithTimeout(ctx, joinTimeout)
-		l, err := o.Directory.ListWorkers(c)
-		cancel()
-		if err != nil {
-			if ctx.Err() == nil {
-				o.Logger.Warn().Err(err).Dur("ListAge", o.workersAge()).Str("Decision", "ListUnread").Msg("worker list was not read")
-			}
-			continue
+		sleep(ctx, wait)
+		start := time.Now()
+		if o.readWorkers(ctx, &l) {
+			wait = workerListInterval - time.Since(start)
+		} else {
+			wait = storeBackoff
 		}
-		o.mu.Lock()
-		o.workersAt = l.CurrentAt
-		o.planner.SetWorkers(l.Workers, time.Now())
-		o.mu.Unlock()
-		o.requestPlan()
 	}
 }
+
+// readWorkers reads the worker list, passes it to the planner, and reports whether it was read. The time limit follows the
+// latency of the reads, so that a slow store is waited for.
+func (o *Owner) readWorkers(ctx context.Context, latency *latencyEstimator) bool {
+	start := time.Now()
+	c, cancel := context.WithTimeout(ctx, latency.timeout())
+	defer cancel()
+	l, err := o.Directory.ListWorkers(c)
+	if !isNotApplied(err) {
+		latency.observe(time.Since(start))
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			o.Logger.Warn().Err(err).Dur("ListAge", o.workersAge()).Str("Decision", "ListUnread").Msg("worker list was not read")
+		}
+		return false
+	}
+	o.mu.Lock()
+	o.workersAt = l.CurrentAt
+	o.planner.SetWorkers(l.Workers, time.Now())
+	o.mu.Unlock()
+	o.requestPlan()
+	return true
+}
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -21,7 +21,7 @@
 	// batchFactor scales the duration of the latest cycle: events are collected for the product if the product is longer than
 	// batchDuration, so that a busy owner runs fewer cycles.
 	batchFactor = 1
-	// workerListInterval is the time between two reads of the worker list.
+	// workerListInterval is the time from the beginning of a read of the worker list to the next read.
 	workerListInterval = 500 * time.Millisecond
 	// takeoverCallTimeout bounds the claim of the jobs and the fencing of the former owner, with repetitions.
 	takeoverCallTimeout = 1500 * time.Millisecond
@@ -68,6 +68,8 @@
 	Lease time.Duration
 	// StoreLossGrace is the time after the start of the latest successful commit in which leases are still granted.
 	StoreLossGrace time.Duration
+	// StartBounds bounds the ages of what starts rest on.
+	StartBounds dispatch.StartBounds
 	// FinishedJobRetention is how long callers may query a finished job; if it is 0, records are kept forever.
 	FinishedJobRetention time.Duration
 	// MaintenanceDelay is the time after a takeover in which no maintenance is ordered.
@@ -176,9 +178,8 @@
 func (o *Owner) runCycle(ctx context.Context) error {
 	o.mu.Lock()
 	now := time.Now()
-	o.planner.SetDrainedDomains(o.State.DrainedDomains())
+	o.refreshViews(now)
 	o.planner.SetWaves(o.State.Waves())
-	o.planner.SetViews(o.views(now))
 	o.planner.Plan(now)
 	idle := o.planner.Idle(now)
 	changed, orders := o.planner.TakeChanges()
@@ -208,7 +209,9 @@
 		o.planner.SnapshotCommitted()
 	}
 	o.acknowledged = acks
-	orders = o.planner.OrdersCommitted(orders, time.Now())
+	committedAt := time.Now()
+	o.refreshViews(committedAt)
+	orders = o.planner.OrdersCommitted(orders, committedAt)
 	o.mu.Unlock()
 	for _, x := range orders {
 		o.spawn(func() { o.execute(ctx, x) })
--- a/internal/jobserve/sync.go
+++ b/internal/jobserve/sync.go
@@ -193,19 +193,19 @@
 }
 
 // executeAtWorker calls the worker that an order names. An order that starts an attempt also grants a lease; it is refused if
-// the owner may grant the worker none.
+// the owner may grant the worker none, or if what the start rests on is too old.
 func (o *Owner) executeAtWorker(ctx context.Context, x dispatch.Order) {
 	f := FencedOrder{Order: x, Fence: o.epoch}
 	now := time.Now()
 	if x.Kind == dispatch.OrderStart {
 		f.LeaseUntil = now.Add(o.Lease)
-		if !o.recordGrant(x.Worker, now) {
-			o.Logger.Warn().Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Str("Decision", "StartWithheld").Msg("start was not sent: the owner may grant the worker no lease now")
+		if x.IsTooLate(now) || !o.recordGrant(x.Worker, now) {
+			o.Logger.Warn().Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Bool("OldView", x.IsTooLate(now)).Str("Decision", "StartWithheld").Msg("start was not sent: the owner may grant the worker no lease now, or knows the store as of too long ago")
 			o.handleOrderResult(x, dispatch.ResultRefused)
 			return
 		}
 	}
-	c, cancel := context.WithTimeout(ctx, orderTimeout)
+	c, cancel := context.WithDeadline(ctx, orderDeadline(x, now))
 	r, err := o.Workers.Execute(c, f)
 	cancel()
 	if ctx.Err() != nil {
@@ -220,6 +220,15 @@
 	o.handleOrderResult(x, r)
 }
 
+// orderDeadline returns the deadline of the call that executes an order.
+func orderDeadline(x dispatch.Order, now time.Time) time.Time {
+	d := now.Add(orderTimeout)
+	if !x.SendBefore.IsZero() && x.SendBefore.Before(d) {
+		return x.SendBefore
+	}
+	return d
+}
+
 // recordGrant records a lease that an order is about to grant, and reports whether the owner may grant it.
 func (o *Owner) recordGrant(worker string, now time.Time) bool {
 	o.mu.Lock()
--- a/internal/jobserve/views.go
+++ b/internal/jobserve/views.go
@@ -7,6 +7,12 @@
 	"currantknot.dev/currantknot/internal/dispatch"
 )
 
+// refreshViews passes the latest requests of operators and the present ages of all views to the planner; o.mu is held.
+func (o *Owner) refreshViews(now time.Time) {
+	o.planner.SetDrainedDomains(o.State.DrainedDomains())
+	o.planner.SetViews(o.views(now), now)
+}
+
 // views returns as of when this owner knows what starts depend on; o.mu is held.
 func (o *Owner) views(now time.Time) dispatch.Views {
 	return dispatch.Views{
