A replica is not current because a poll waits

Callers at that instance were told 410 for a job that another instance had accepted 3 s before, where 3 s is the most, and saw old states. Now the replica is current only for the time that a poll with a response takes at most (1.9 s) after the latest one; then the caller waits for a read, and gets 503 if there is none. TestJobIsNotUnknownWhileAPollGetsNoResponse failed before.

--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -63,12 +63,16 @@
 	return r.Follow(ctx, PartitionRequests, since, time.Time{})
 }
 
+// maxPolledAge is the age from which a replica with a waiting poll is not current, because the poll may never get a response. It
+// is the longest time of a poll that gets one.
+const maxPolledAge = requestsPollTimeout + pollResponseTimeout
+
 // isCurrent reports whether a long poll keeps the requests and states up to date.
 func (r *Replica) isCurrent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.partitions[PartitionRequests]
-	return s.loaded && s.polling
+	return s.loaded && s.polling && s.currentAt.Age() < maxPolledAge
 }
 
 // IsLoaded reports whether the requests and states have been loaded.
--- a/internal/jobserve/views_test.go
+++ b/internal/jobserve/views_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +16,7 @@
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
-// viewStore is a fakeStore that refuses to read the requests while its silence says so.
+// viewStore is a fakeStore that at times refuses to read the requests.
 type viewStore struct {
 	*fakeStore
 	refusesRequests func() bool
@@ -28,7 +29,7 @@
 	return s.fakeStore.Read(ctx, p, from, until)
 }
 
-// viewDirectory lists one worker unless it is to refuse.
+// viewDirectory lists one worker, and at times refuses to.
 type viewDirectory struct{ refuses func() bool }
 
 func (d viewDirectory) ListWorkers(context.Context) (WorkerList, error) {
@@ -119,6 +120,66 @@
 	}
 }
 
+// silentStore is a fakeStore that responds to no read while it is silent.
+type silentStore struct {
+	*fakeStore
+	silent atomic.Bool
+}
+
+func (s *silentStore) Read(ctx context.Context, p Partition, from int64, until time.Time) (Page, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
+	return s.fakeStore.Read(ctx, p, from, until)
+}
+
+// The replica of an owner counted as current for as long as a poll waited, also one whose connection was dead, so that a job that
+// was accepted elsewhere did not exist there.
+func TestJobIsNotUnknownWhileAPollGetsNoResponse(t *testing.T) {
+	const (
+		// visibleAfter is the time after which an accepted job must be known.
+		visibleAfter = 3 * time.Second
+		callTimeout  = 100 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := &silentStore{fakeStore: &fakeStore{records: make(map[Partition][]Record)}}
+		r := NewReplica(s, zerolog.Nop())
+		require.NoError(t, r.Refresh(t.Context(), time.Now()))
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			o := &Owner{OwnerConfig: OwnerConfig{Replica: r, Logger: zerolog.Nop()}, planSignal: make(chan struct{}, 1), planner: dispatch.New(dispatch.Config{Logger: zerolog.Nop()}, time.Now())}
+			o.followRequests(ctx)
+		}()
+		time.Sleep(5 * time.Second)
+		s.silent.Store(true)
+		time.Sleep(2 * requestsPollTimeout)
+		x := scheduledJobRecord(t, time.Now().Add(time.Hour))
+		_, err := s.Append(t.Context(), PartitionRequests, []Record{x}, nil)
+		require.NoError(t, err)
+		time.Sleep(visibleAfter)
+		v := NewService(s, r, zerolog.Nop())
+		for range 20 {
+			c, cancelCall := context.WithTimeout(t.Context(), callTimeout)
+			_, known, err := v.State(c, "0000000000000001")
+			cancelCall()
+			require.True(t, known || err != nil, "an accepted job is unknown")
+			time.Sleep(callTimeout)
+		}
+		s.silent.Store(false)
+		time.Sleep(visibleAfter)
+		_, known, err := v.State(t.Context(), "0000000000000001")
+		require.NoError(t, err)
+		require.True(t, known)
+		cancel()
+		<-stopped
+		// The replica's latest read outlives its callers.
+		time.Sleep(time.Minute)
+	})
+}
+
 // followOperatorsUnless keeps a state current, as reads of operators' changes do, except while they are refused.
 func followOperatorsUnless(ctx context.Context, s *OperatorState, refused func() bool) {
 	for ctx.Err() == nil {
