--- a/internal/jobserve/commitwatch_test.go
+++ b/internal/jobserve/commitwatch_test.go
@@ -46,7 +46,7 @@
 	now := time.Now()
 	s := &commitStore{accept: func() {}}
 	o := &Owner{
-		OwnerConfig:  OwnerConfig{Store: s, Replica: NewReplica(s, zerolog.Nop()), Lease: 6 * time.Second, StoreLossGrace: time.Second, Metrics: NewMetrics(), Logger: zerolog.Nop()},
+		OwnerConfig:  OwnerConfig{Store: s, Replica: NewReplica(s, zerolog.Nop()), State: &OperatorState{}, Lease: 6 * time.Second, StoreLossGrace: time.Second, Metrics: NewMetrics(), Logger: zerolog.Nop()},
 		acknowledged: make(map[string]acknowledgement),
 		planner:      dispatch.New(dispatch.Config{Lease: 6 * time.Second, StoreLossGrace: time.Second, Logger: zerolog.Nop()}, now),
 	}
--- a/internal/jobserve/config.go
+++ b/internal/jobserve/config.go
@@ -41,6 +41,8 @@
 	drained       atomic.Pointer[map[string]bool]
 	waves         atomic.Pointer[[]dispatch.Wave]
 	currentAt     atomic.Pointer[bootclock.Instant]
+	// read is the read of operators' changes in progress.
+	read pendingRead
 }
 
 // SetCurrentAt sets the beginning of the latest read that reached the end of what operators had written.
--- a/internal/jobserve/follow.go
+++ b/internal/jobserve/follow.go
@@ -63,8 +63,8 @@
 // latency of the reads, so that a slow store is waited for.
 func (o *Owner) readWorkers(ctx context.Context, latency *latencyEstimator) bool {
 	start := time.Now()
-	c, cancel := context.WithTimeout(ctx, latency.timeout())
-	defer cancel()
+	c, end := o.listRead.begin(ctx, start, latency.timeout())
+	defer end()
 	l, err := o.Directory.ListWorkers(c)
 	if !isNotApplied(err) {
 		latency.observe(time.Since(start))
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -243,9 +243,9 @@
 func (i *Instance) followOperators(ctx context.Context) {
 	for ctx.Err() == nil {
 		u := time.Now().Add(operatorsPollTimeout)
-		c, cancel := context.WithDeadline(ctx, u.Add(pollResponseTimeout))
+		c, end := i.State.read.begin(ctx, u, pollResponseTimeout)
 		err := i.Operators.Follow(c, i.State, u)
-		cancel()
+		end()
 		switch {
 		case err == nil:
 			i.recordStoreResponse()
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -96,6 +96,8 @@
 	// snapshotAt is the time of the latest snapshot, and committedAt that of the latest successful commit.
 	snapshotAt  time.Time
 	committedAt time.Time
+	// listRead is the read of the worker list in progress.
+	listRead pendingRead
 
 	mu      sync.Mutex
 	planner *dispatch.Planner
@@ -306,6 +308,7 @@
 		case err == nil:
 			o.committedAt = start
 			o.extendGrants(firstAt)
+			o.abandonOverdueReads(time.Since(start))
 			o.Replica.ApplyCommitted(r, end-int64(len(r)))
 			o.Metrics.Add(metricCommits, "", len(r))
 			return nil
--- a/internal/jobserve/read.go
+++ b/internal/jobserve/read.go
@@ -40,8 +40,9 @@
 	timeouts int
 	// latency gives the time for reads that do not wait for new records.
 	latency latencyEstimator
-	// run is the read in progress, nil if there is none.
-	run *readRun
+	// run is the read in progress, nil if there is none, and page its call for new records.
+	run  *readRun
+	page pendingRead
 }
 
 // noOffset means that no offset is known yet.
@@ -219,24 +220,33 @@
 
 // readPage reads records from the next offset on, and waits for one until the given time.
 func (r *Replica) readPage(ctx context.Context, p Partition, s *partitionState, until time.Time) (Page, error) {
-	w := time.Until(until)
+	start := time.Now()
+	dueAt := start
 	r.mu.Lock()
 	next, d := s.nextOffset, s.latency.timeout()
-	if w > 0 {
-		s.polling, d = true, w+pollResponseTimeout<<s.timeouts
+	if until.After(start) {
+		s.polling, dueAt, d = true, until, pollResponseTimeout<<s.timeouts
 	}
 	r.mu.Unlock()
-	c, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	start := time.Now()
+	c, end := s.page.begin(ctx, dueAt, d)
+	defer end()
 	g, err := r.store.Read(c, p, next, until)
 	r.countTimeout(s, c.Err() != nil && err != nil)
-	if w <= 0 {
+	if dueAt.Equal(start) {
 		s.latency.observe(time.Since(start))
 	}
 	return g, err
 }
 
+// AbandonOverdueRead ends the call for new requests if its response is overdue, given the time in which the store responded to
+// another call just now. Whoever waits for the read begins it again.
+func (r *Replica) AbandonOverdueRead(latency time.Duration) {
+	r.mu.Lock()
+	s := r.partitions[PartitionRequests]
+	r.mu.Unlock()
+	s.page.abandonOverdue(latency)
+}
+
 // countTimeout records whether a call timed out, and that no long poll waits any more.
 func (r *Replica) countTimeout(s *partitionState, timedOut bool) {
 	r.mu.Lock()
--- a/internal/jobserve/views.go
+++ b/internal/jobserve/views.go
@@ -22,6 +22,14 @@
 	}
 }
 
+// abandonOverdueReads ends the reads that the views wait for if their responses are overdue, given the time in which the store
+// responded to a commit just now. After an outage, starts wait for these reads.
+func (o *Owner) abandonOverdueReads(latency time.Duration) {
+	o.listRead.abandonOverdue(latency)
+	o.State.read.abandonOverdue(latency)
+	o.Replica.AbandonOverdueRead(latency)
+}
+
 // workersAge returns the age of the list of workers.
 func (o *Owner) workersAge() time.Duration {
 	o.mu.Lock()
