--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -24,31 +23,6 @@
 	modelStoreLossGrace = 3 * time.Second
 )
 
-// modelStartBounds bounds the ages of the views in the model.
-var modelStartBounds = StartBounds{WorkerDrain: 2 * time.Second, DomainDrain: 5 * time.Second, Cancellation: 3 * time.Second}
-
-// modelWorker simulates a worker with a fencing token, lease, incarnation and finished attempts.
-type modelWorker struct {
-	id          string
-	incarnation int64
-	fence       int64
-	leaseUntil  time.Time
-	// runs holds the number of the running attempt of each task, and highestRun the highest number of an attempt of each task
-	// that was stopped or has finished.
-	runs       map[jobs.Ref]int
-	highestRun map[jobs.Ref]int
-	finished   []FinishedAttempt
-	lastNumber int64
-	// lapsedNumber is the highest number of an attempt that finished before the worker's lease last lapsed. To acknowledge such
-	// an attempt later doesn't count, since an owner may have started the task again in between.
-	lapsedNumber int64
-	partitioned  bool
-	// unlisted means that the platform does not list the worker, which runs on.
-	unlisted bool
-	// drainingSince is when the worker published that it is draining, zero if it is not.
-	drainingSince time.Time
-}
-
 // formerOwner is an owner that does not know yet that another one took over.
 type formerOwner struct {
 	p     *Planner
@@ -111,17 +85,6 @@
 	return m
 }
 
-// reset clears the state that a worker loses when a new incarnation starts.
-func (w *modelWorker) reset() {
-	w.runs, w.highestRun = make(map[jobs.Ref]int), make(map[jobs.Ref]int)
-	w.finished, w.lastNumber, w.lapsedNumber, w.fence, w.leaseUntil = nil, 0, 0, 0, time.Time{}
-}
-
-// runningTasks returns the tasks of the running attempts in a fixed order, so that a seed yields the same sequence again.
-func (w *modelWorker) runningTasks() []jobs.Ref {
-	return slices.SortedFunc(maps.Keys(w.runs), func(a, b jobs.Ref) int { return cmp.Compare(a.String(), b.String()) })
-}
-
 // takeOver replaces the owner by a new owner, which restores the snapshot and the jobs from the log. The former owner grants
 // leases for a while.
 func (m *model) takeOver() {
@@ -147,33 +110,6 @@
 	m.readStore()
 }
 
-// readStore lets the owner read what the store does not refuse to read.
-func (m *model) readStore() {
-	if !m.listAway {
-		m.setWorkers()
-	}
-	if !m.operatorsAway {
-		m.knownDrains = m.drainedDomains()
-		m.views.Operators = m.now
-	}
-	m.p.SetDrainedDomains(m.knownDrains)
-	if !m.cancelsAway {
-		for _, id := range slices.Sorted(maps.Keys(m.cancels)) {
-			m.p.Cancel(id, m.now)
-		}
-		m.views.Requests = m.now
-	}
-	m.p.SetViews(m.views, m.now)
-}
-
-func (m *model) drainedDomains() map[string]bool {
-	l := make(map[string]bool)
-	for d := range m.drains {
-		l[d] = true
-	}
-	return l
-}
-
 func (m *model) restore(id string, s jobs.Spec) *jobs.Job {
 	b, ok := m.log[id]
 	if !ok {
@@ -184,71 +120,6 @@
 	return j
 }
 
-func (m *model) setWorkers() {
-	var l []WorkerInfo
-	for _, w := range m.workers {
-		if w.unlisted {
-			continue
-		}
-		l = append(l, WorkerInfo{
-			ID: w.id, Address: w.id, Pool: "pool", FailureDomain: w.domain(), Draining: !w.drainingSince.IsZero(),
-			Capacity: jobs.Resources{MilliCPU: modelMilliCPU, MemoryMB: 64000}, Incarnation: w.incarnation,
-		})
-	}
-	m.p.SetWorkers(l, m.now)
-	m.views.Workers = m.now
-}
-
-// domain returns the worker's failure domain.
-func (w *modelWorker) domain() string { return modelDomains[int(w.id[len(w.id)-1])%len(modelDomains)] }
-
-var modelDomains = []string{"domain-0", "domain-1"}
-
-// toggleDrainOfRandomWorker lets a worker publish that it drains, or that it no longer does.
-func (m *model) toggleDrainOfRandomWorker() {
-	w := m.randomWorker()
-	if w.drainingSince.IsZero() {
-		w.drainingSince = m.now
-		return
-	}
-	w.drainingSince = time.Time{}
-}
-
-// toggleDrainOfRandomDomain lets operators drain a failure domain or take the request back.
-func (m *model) toggleDrainOfRandomDomain() {
-	d := rapid.SampledFrom(modelDomains).Draw(m.t, "domain")
-	if _, ok := m.drains[d]; ok {
-		delete(m.drains, d)
-		return
-	}
-	m.drains[d] = m.now
-}
-
-// changeUnseen changes something that starts depend on while the store refuses to read it, and lets the owner go on for a while.
-func (m *model) changeUnseen() {
-	m.readStore()
-	change := rapid.SampledFrom([]func(){m.toggleDrainOfRandomWorker, m.toggleDrainOfRandomDomain, m.cancelRandomJob}).Draw(m.t, "change")
-	m.listAway, m.operatorsAway, m.cancelsAway = true, true, true
-	change()
-	for range rapid.IntRange(2, 8).Draw(m.t, "cycles") {
-		m.submitRandomJob()
-		for _, w := range m.workers {
-			m.sync(w)
-		}
-		m.finishRandomTask()
-		m.advanceTime()
-		m.planAndCommit()
-	}
-	m.listAway, m.operatorsAway, m.cancelsAway = false, false, false
-	m.readStore()
-}
-
-// toggleRandomView lets the store refuse to read one of the things that starts depend on, or serve it again.
-func (m *model) toggleRandomView() {
-	x := rapid.SampledFrom([]*bool{&m.listAway, &m.operatorsAway, &m.cancelsAway}).Draw(m.t, "view")
-	*x = !*x
-}
-
 func (m *model) submitRandomJob() {
 	id := testID(rapid.IntRange(1, modelJobs).Draw(m.t, "job"))
 	if _, ok := m.specs[id]; ok {
@@ -383,24 +254,6 @@
 	}
 }
 
-// checkViews checks that a start is not sent after the bounds from the drain of its worker or failure domain and from the
-// cancellation of its job.
-func (m *model) checkViews(w *modelWorker, o Order) {
-	if o.Kind != OrderStart {
-		return
-	}
-	check := func(since time.Time, ok bool, bound time.Duration, change string) {
-		if ok {
-			require.Less(m.t, m.now.Sub(since), bound, "%s starts at %s long after %s", o.Ref, w.id, change)
-		}
-	}
-	check(w.drainingSince, !w.drainingSince.IsZero(), modelStartBounds.WorkerDrain, "the worker said that it drains")
-	drainedAt, drained := m.drains[w.domain()]
-	check(drainedAt, drained, modelStartBounds.DomainDrain, "its domain was drained")
-	cancelledAt, cancelled := m.cancels[o.Job]
-	check(cancelledAt, cancelled, modelStartBounds.Cancellation, "its job was cancelled")
-}
-
 func (m *model) handleResult(o Order, r OrderResult) {
 	switch o.Kind {
 	case OrderStart:
@@ -411,43 +264,6 @@
 	}
 }
 
-func (m *model) randomWorker() *modelWorker {
-	return m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "worker")]
-}
-
-func (m *model) worker(id string) *modelWorker {
-	for _, w := range m.workers {
-		if w.id == id {
-			return w
-		}
-	}
-	m.t.Fatalf("no worker %s", id)
-	return nil
-}
-
-// execute executes an order on a worker, unless the fencing token, attempt number or lease of the call is out of date, and
-// checks each start.
-func (m *model) execute(w *modelWorker, c call) OrderResult {
-	if c.fence < w.fence {
-		return ResultRefused
-	}
-	w.fence = c.fence
-	if c.Kind == OrderStop {
-		m.stopAt(w, c)
-		return ResultAccepted
-	}
-	if w.runs[c.Ref] == c.Run {
-		return ResultAccepted
-	}
-	if c.Run <= w.highestRun[c.Ref] || w.runs[c.Ref] != 0 || !m.now.Before(c.leaseUntil) {
-		return ResultRefused
-	}
-	m.checkStart(w, c)
-	w.runs[c.Ref] = c.Run
-	w.leaseUntil = later(w.leaseUntil, c.leaseUntil)
-	return ResultAccepted
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -455,44 +271,6 @@
 	return b
 }
 
-func (m *model) stopAt(w *modelWorker, c call) {
-	w.highestRun[c.Ref] = max(w.highestRun[c.Ref], c.Run)
-	if n := w.runs[c.Ref]; n != 0 && n <= c.Run {
-		m.finishAt(w, c.Ref, jobs.OutcomeStopped)
-	}
-}
-
-// checkStart checks that no other attempt of the task runs, that the task has no acknowledged success and fewer than
-// MaxAttempts acknowledged failures, that the steps that the task depends on are done, and that the worker has capacity.
-func (m *model) checkStart(w *modelWorker, c call) {
-	for _, o := range m.workers {
-		require.Zero(m.t, o.runs[c.Ref], "%s run %d starts at %s while it runs at %s", c.Ref, c.Run, w.id, o.id)
-	}
-	require.False(m.t, m.acknowledged[c.Ref], "%s starts after it was done", c.Ref)
-	s := m.specs[c.Job]
-	if !s.Steps[c.Step].LongRunning {
-		require.Less(m.t, m.failed[c.Ref], s.Queue.MaxAttempts, "%s starts after MaxAttempts failures", c.Ref)
-	}
-	for _, a := range s.Steps[c.Step].After {
-		for i := range s.Steps[a].Tasks {
-			require.True(m.t, m.done[jobs.Ref{Job: c.Job, Step: a, Index: i}], "%s starts out of order", c.Ref)
-		}
-	}
-	reserved := s.Steps[c.Step].Reserved().MilliCPU
-	for r := range w.runs {
-		reserved += m.specs[r.Job].Steps[r.Step].Reserved().MilliCPU
-	}
-	require.LessOrEqual(m.t, reserved, modelMilliCPU, "%s is overcommitted", w.id)
-}
-
-func (m *model) finishAt(w *modelWorker, r jobs.Ref, outcome jobs.AttemptOutcome) {
-	w.lastNumber++
-	m.done[r] = m.done[r] || outcome == jobs.OutcomeDone
-	w.finished = append(w.finished, FinishedAttempt{Ref: r, Number: w.lastNumber, Run: w.runs[r], Outcome: outcome})
-	w.highestRun[r] = max(w.highestRun[r], w.runs[r])
-	delete(w.runs, r)
-}
-
 func (m *model) syncRandomWorker() {
 	m.sync(m.randomWorker())
 }
@@ -543,40 +321,6 @@
 	}
 }
 
-// finishRandomTask finishes a running attempt of a run-to-completion task on a worker, as done or failed.
-func (m *model) finishRandomTask() {
-	w := m.randomWorker()
-	for _, r := range w.runningTasks() {
-		if m.specs[r.Job].Steps[r.Step].LongRunning {
-			continue
-		}
-		outcome := jobs.OutcomeDone
-		if rapid.IntRange(0, 4).Draw(m.t, "fails") == 0 {
-			outcome = jobs.OutcomeFailed
-		}
-		m.finishAt(w, r, outcome)
-		return
-	}
-}
-
-func (m *model) crashRandomWorker() {
-	w := m.randomWorker()
-	w.reset()
-	w.incarnation++
-	w.drainingSince = time.Time{}
-}
-
-func (m *model) togglePartitionOfRandomWorker() {
-	w := m.randomWorker()
-	w.partitioned = !w.partitioned
-}
-
-// toggleListingOfRandomWorker removes a worker from the platform's list or returns it, while its attempts run on.
-func (m *model) toggleListingOfRandomWorker() {
-	w := m.randomWorker()
-	w.unlisted = !w.unlisted
-}
-
 // cutOffRandomWorker lets a worker be away from the list and out of the owner's reach for a while, but not out of that of
 // former owners.
 func (m *model) cutOffRandomWorker() {
--- /dev/null
+++ b/internal/dispatch/modelworker_test.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+// modelWorker simulates a worker with a fencing token, lease, incarnation and finished attempts.
+type modelWorker struct {
+	id          string
+	incarnation int64
+	fence       int64
+	leaseUntil  time.Time
+	// runs holds the number of the running attempt of each task, and highestRun the highest number of an attempt of each task
+	// that was stopped or has finished.
+	runs       map[jobs.Ref]int
+	highestRun map[jobs.Ref]int
+	finished   []FinishedAttempt
+	lastNumber int64
+	// lapsedNumber is the highest number of an attempt that finished before the worker's lease last lapsed. To acknowledge such
+	// an attempt later doesn't count, since an owner may have started the task again in between.
+	lapsedNumber int64
+	partitioned  bool
+	// unlisted means that the platform does not list the worker, which runs on.
+	unlisted bool
+	// drainingSince is when the worker published that it is draining, zero if it is not.
+	drainingSince time.Time
+}
+
+// reset clears the state that a worker loses when a new incarnation starts.
+func (w *modelWorker) reset() {
+	w.runs, w.highestRun = make(map[jobs.Ref]int), make(map[jobs.Ref]int)
+	w.finished, w.lastNumber, w.lapsedNumber, w.fence, w.leaseUntil = nil, 0, 0, 0, time.Time{}
+}
+
+// runningTasks returns the tasks of the running attempts in a fixed order, so that a seed yields the same sequence again.
+func (w *modelWorker) runningTasks() []jobs.Ref {
+	return slices.SortedFunc(maps.Keys(w.runs), func(a, b jobs.Ref) int { return cmp.Compare(a.String(), b.String()) })
+}
+
+// domain returns the worker's failure domain.
+func (w *modelWorker) domain() string { return modelDomains[int(w.id[len(w.id)-1])%len(modelDomains)] }
+
+// execute executes an order on a worker, unless the fencing token, attempt number or lease of the call is out of date, and
+// checks each start.
+func (m *model) execute(w *modelWorker, c call) OrderResult {
+	if c.fence < w.fence {
+		return ResultRefused
+	}
+	w.fence = c.fence
+	if c.Kind == OrderStop {
+		m.stopAt(w, c)
+		return ResultAccepted
+	}
+	if w.runs[c.Ref] == c.Run {
+		return ResultAccepted
+	}
+	if c.Run <= w.highestRun[c.Ref] || w.runs[c.Ref] != 0 || !m.now.Before(c.leaseUntil) {
+		return ResultRefused
+	}
+	m.checkStart(w, c)
+	w.runs[c.Ref] = c.Run
+	w.leaseUntil = later(w.leaseUntil, c.leaseUntil)
+	return ResultAccepted
+}
+
+// checkStart checks that no other attempt of the task runs, that the task has no acknowledged success and fewer than
+// MaxAttempts acknowledged failures, that the steps that the task depends on are done, and that the worker has capacity.
+func (m *model) checkStart(w *modelWorker, c call) {
+	for _, o := range m.workers {
+		require.Zero(m.t, o.runs[c.Ref], "%s run %d starts at %s while it runs at %s", c.Ref, c.Run, w.id, o.id)
+	}
+	require.False(m.t, m.acknowledged[c.Ref], "%s starts after it was done", c.Ref)
+	s := m.specs[c.Job]
+	if !s.Steps[c.Step].LongRunning {
+		require.Less(m.t, m.failed[c.Ref], s.Queue.MaxAttempts, "%s starts after MaxAttempts failures", c.Ref)
+	}
+	for _, a := range s.Steps[c.Step].After {
+		for i := range s.Steps[a].Tasks {
+			require.True(m.t, m.done[jobs.Ref{Job: c.Job, Step: a, Index: i}], "%s starts out of order", c.Ref)
+		}
+	}
+	reserved := s.Steps[c.Step].Reserved().MilliCPU
+	for r := range w.runs {
+		reserved += m.specs[r.Job].Steps[r.Step].Reserved().MilliCPU
+	}
+	require.LessOrEqual(m.t, reserved, modelMilliCPU, "%s is overcommitted", w.id)
+}
+
+func (m *model) stopAt(w *modelWorker, c call) {
+	w.highestRun[c.Ref] = max(w.highestRun[c.Ref], c.Run)
+	if n := w.runs[c.Ref]; n != 0 && n <= c.Run {
+		m.finishAt(w, c.Ref, jobs.OutcomeStopped)
+	}
+}
+
+func (m *model) finishAt(w *modelWorker, r jobs.Ref, outcome jobs.AttemptOutcome) {
+	w.lastNumber++
+	m.done[r] = m.done[r] || outcome == jobs.OutcomeDone
+	w.finished = append(w.finished, FinishedAttempt{Ref: r, Number: w.lastNumber, Run: w.runs[r], Outcome: outcome})
+	w.highestRun[r] = max(w.highestRun[r], w.runs[r])
+	delete(w.runs, r)
+}
+
+// finishRandomTask finishes a running attempt of a run-to-completion task on a worker, as done or failed.
+func (m *model) finishRandomTask() {
+	w := m.randomWorker()
+	for _, r := range w.runningTasks() {
+		if m.specs[r.Job].Steps[r.Step].LongRunning {
+			continue
+		}
+		outcome := jobs.OutcomeDone
+		if rapid.IntRange(0, 4).Draw(m.t, "fails") == 0 {
+			outcome = jobs.OutcomeFailed
+		}
+		m.finishAt(w, r, outcome)
+		return
+	}
+}
+
+func (m *model) crashRandomWorker() {
+	w := m.randomWorker()
+	w.reset()
+	w.incarnation++
+	w.drainingSince = time.Time{}
+}
+
+func (m *model) togglePartitionOfRandomWorker() {
+	w := m.randomWorker()
+	w.partitioned = !w.partitioned
+}
+
+// toggleListingOfRandomWorker removes a worker from the platform's list or returns it, while its attempts run on.
+func (m *model) toggleListingOfRandomWorker() {
+	w := m.randomWorker()
+	w.unlisted = !w.unlisted
+}
+
+func (m *model) randomWorker() *modelWorker {
+	return m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "worker")]
+}
+
+func (m *model) worker(id string) *modelWorker {
+	for _, w := range m.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	m.t.Fatalf("no worker %s", id)
+	return nil
+}
