--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"currantknot.dev/currantknot/internal/bootclock"
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
@@ -75,6 +76,13 @@
 	return s.loaded && s.polling && s.currentAt.Age() < maxPolledAge
 }
 
+// RequestsCurrentAt returns the beginning of the latest read of requests that reached the end of what the store held.
+func (r *Replica) RequestsCurrentAt() bootclock.Instant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.partitions[PartitionRequests].currentAt
+}
+
 // IsLoaded reports whether the requests and states have been loaded.
 func (r *Replica) IsLoaded() bool { return r.isLoaded(r.partitions[PartitionRequests]) }
 
--- a/internal/jobserve/sync.go
+++ b/internal/jobserve/sync.go
@@ -199,8 +199,8 @@
 	now := time.Now()
 	if x.Kind == dispatch.OrderStart {
 		f.LeaseUntil = now.Add(o.Lease)
-		if x.IsTooLate(now) || !o.recordGrant(x.Worker, now) {
-			o.Logger.Warn().Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Bool("OldView", x.IsTooLate(now)).Str("Decision", "StartWithheld").Msg("start was not sent: the owner may grant the worker no lease now, or knows the store as of too long ago")
+		if reason := o.prepareStart(x, now); reason != "" {
+			o.Logger.Warn().Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Str("Reason", reason).Str("Decision", "StartWithheld").Msg("start was not sent")
 			o.handleOrderResult(x, dispatch.ResultRefused)
 			return
 		}
@@ -229,15 +229,20 @@
 	return d
 }
 
-// recordGrant records a lease that an order is about to grant, and reports whether the owner may grant it.
-func (o *Owner) recordGrant(worker string, now time.Time) bool {
+// prepareStart records the lease that a start is about to grant. It returns why the start must not be sent, empty if it may be.
+func (o *Owner) prepareStart(x dispatch.Order, now time.Time) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.mayGrantLeases() || o.planner.IsLeaseWithheld(worker) {
-		return false
+	switch {
+	case x.IsTooLate(now):
+		return "lists are too old"
+	case !o.mayGrantLeases():
+		return "latest commit is too long ago"
+	case o.planner.IsLeaseWithheld(x.Worker):
+		return "lease is withheld"
 	}
-	o.planner.LeaseGranted(worker, now)
-	return true
+	o.planner.LeaseGranted(x.Worker, now)
+	return ""
 }
 
 // handleOrderResult passes a worker's result for an order to the planner.
--- a/internal/jobserve/views.go
+++ b/internal/jobserve/views.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"currantknot.dev/currantknot/internal/bootclock"
 	"currantknot.dev/currantknot/internal/dispatch"
 )
 
@@ -36,10 +35,3 @@
 	defer o.mu.Unlock()
 	return o.workersAt.Age()
 }
-
-// RequestsCurrentAt returns the beginning of the latest read of requests that reached the end of what the store held.
-func (r *Replica) RequestsCurrentAt() bootclock.Instant {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.partitions[PartitionRequests].currentAt
-}
