A start that the owner withholds does not count against its worker

Such orders have a result of their own, which releases the task at once. TestStartThatWasNotSentDoesNotCountAgainstItsWorker shows both results; before, the first was not told apart.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -70,6 +70,8 @@
 	ResultUnhealthy
 	// ResultUnknown means that the order may have been executed, or may still be executed.
 	ResultUnknown
+	// ResultNotSent means that this instance did not send the order.
+	ResultNotSent
 )
 
 // String returns the result in lower case, for logs and metrics.
@@ -83,6 +85,8 @@
 		return "no-room"
 	case ResultUnhealthy:
 		return "unhealthy"
+	case ResultNotSent:
+		return "not-sent"
 	case ResultUnknown:
 	}
 	return "unknown"
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -383,9 +383,7 @@
 		return false
 	}
 	if p.isOutdated(w, a, now) {
-		p.release(w, a, "plan is out of date", now)
-		p.stopGang(a, "another member of the gang was not started", now)
-		p.finalizeJob(a.job, now)
+		p.dropStart(w, a, "plan is out of date", now)
 		return false
 	}
 	a.phase = phaseStarting
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -231,6 +231,18 @@
 	require.Len(t, s.plan()[OrderStart], 1)
 }
 
+// Starts that the owner itself withheld kept healthy workers from getting tasks for a while.
+func TestStartThatWasNotSentDoesNotCountAgainstItsWorker(t *testing.T) {
+	for r, starts := range map[OrderResult]int{ResultNotSent: 1, ResultRefused: 0} {
+		s := newSimulation(t, 1)
+		s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+		l := s.plan()[OrderStart]
+		require.Len(t, l, 1)
+		s.p.HandleStartResult(l[0], r, s.now)
+		require.Len(t, s.plan()[OrderStart], starts, r.String())
+	}
+}
+
 func TestJobFailsAfterMaxAttempts(t *testing.T) {
 	s := newSimulation(t, 4)
 	j := testJob(testID(1), s.now, plainStep(1))
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -218,10 +218,10 @@
 			a.confirmedAt = now
 		}
 	case ResultRefused, ResultNoCapacity, ResultUnhealthy:
-		p.release(w, a, "start refused", now)
 		w.backoffUntil = now.Add(refusalBackoff(x))
-		p.stopGang(a, "start of another member of the gang was refused", now)
-		p.finalizeJob(a.job, now)
+		p.dropStart(w, a, "start refused", now)
+	case ResultNotSent:
+		p.dropStart(w, a, "start not sent", now)
 	case ResultUnknown:
 		if a.phase == phaseStarting {
 			a.phase = phaseUncertain
@@ -232,6 +232,13 @@
 	}
 }
 
+// dropStart releases the attempt of a start that was not and will not be executed, and stops the other members of its gang.
+func (p *Planner) dropStart(w *worker, a *attempt, reason string, now time.Time) {
+	p.release(w, a, reason, now)
+	p.stopGang(a, "another member of the gang was not started", now)
+	p.finalizeJob(a.job, now)
+}
+
 // stopGang stops all assigned members of the gang of an attempt, if any, since no member can run without the others.
 func (p *Planner) stopGang(a *attempt, reason string, now time.Time) {
 	if !a.task.Spec.Gang {
--- a/internal/jobserve/sync.go
+++ b/internal/jobserve/sync.go
@@ -201,7 +201,7 @@
 		f.LeaseUntil = now.Add(o.Lease)
 		if reason := o.prepareStart(x, now); reason != "" {
 			o.Logger.Warn().Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Str("Reason", reason).Str("Decision", "StartWithheld").Msg("start was not sent")
-			o.handleOrderResult(x, dispatch.ResultRefused)
+			o.handleOrderResult(x, dispatch.ResultNotSent)
 			return
 		}
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -247,8 +247,7 @@
 	n, l, err := p.relayFor(ctx, s.Worker, "")
 	switch {
 	case err != nil:
-		// The order was not sent.
-		return dispatch.ResultRefused, nil //nolint:nilerr // the result already says that the order was not executed
+		return dispatch.ResultNotSent, nil //nolint:nilerr // the result already says that the order was not executed
 	case l == nil:
 		return p.local.Execute(ctx, s)
 	}
