A long-running task gets an avoided worker rather than wait for a full fleet

The tasks were released with the lease in time, 9.5 s after the loss, and then waited for 8 to 11 s: Wait lines count no worker with capacity but one or two in Backoff, which Avoid lines of the same time name: three attempts in a row had failed there, of jobs that fail by themselves, and the workers stood empty for 6 s.

Change: workers avoided for failures are told apart from those that refused a start, and a long-running task, whose attempts are not limited, gets one after 1 s if no other worker can take it. Run-to-completion tasks still wait. TestLongRunningTaskGetsAnAvoidedWorkerBeforeItWaitsLong failed before.

--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -13,7 +13,7 @@
 // The reasons, in the order in which they are looked for: those of the worker, of the step on the worker, and of one task.
 const (
 	notExcluded exclusion = iota
-	// excludedOldView to excludedBackoff exclude a worker from all tasks.
+	// excludedOldView to excludedAvoided exclude a worker from all tasks.
 	excludedOldView
 	excludedUnlisted
 	excludedDraining
@@ -21,6 +21,7 @@
 	excludedDomain
 	excludedSilent
 	excludedBackoff
+	excludedAvoided
 	// excludedPool to excludedInterference exclude a worker from all tasks of a step.
 	excludedPool
 	excludedLabel
@@ -38,7 +39,7 @@
 
 // exclusionNames holds the fields in which a Wait line counts the workers with each reason.
 var exclusionNames = [exclusionCount]string{
-	"Takers", "OldView", "NotListed", "DrainingWorker", "Cordoned", "DrainedDomain", "Silent", "Backoff", "OtherPool", "OtherLabel", "Straggler",
+	"Takers", "OldView", "NotListed", "DrainingWorker", "Cordoned", "DrainedDomain", "Silent", "Backoff", "Avoided", "OtherPool", "OtherLabel", "Straggler",
 	"NoCapacity", "NoPermit", "NoSpareCPU", "Interference", "TaskLimit", "Reserve", "FailedThere",
 }
 
@@ -74,6 +75,8 @@
 		return excludedSilent
 	case now.Before(w.backoffUntil):
 		return excludedBackoff
+	case now.Before(w.avoidUntil):
+		return excludedAvoided
 	}
 	return notExcluded
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -88,7 +88,9 @@
 // findWorker returns the best of the rated workers for a task, or nil if none can take the task.
 //
 // Workers on which the task failed, and workers on which a long-running task
-// would use the reserve, are considered only if no other worker has capacity. A
+// would use the reserve, are considered only if no other worker has capacity. So
+// are avoided workers, for a long-running task, which may fail any number of
+// times, after avoidedWorkerDelay. A
 // run-to-completion task then waits for failedWorkerRetryDelay before it may
 // return to a worker on which it failed, and a long-running task may use the
 // reserve only if mayUseReserve allows it.
@@ -102,7 +104,24 @@
 		avoidFailed: !c.step.LongRunning && waited < failedWorkerRetryDelay,
 	}
 	p.logWait(wait{c, t, x, waited, false}, now)
-	return p.selectWorker(c, t, l, x)
+	if r := p.selectWorker(c, t, l, x); r != nil || !c.step.LongRunning || waited < avoidedWorkerDelay {
+		return r
+	}
+	return p.selectWorker(c, t, p.rateAvoidedWorkers(c, now), x)
+}
+
+// rateAvoidedWorkers rates the workers that may run a step but for the failed attempts there.
+func (p *Planner) rateAvoidedWorkers(c *candidateStep, now time.Time) []rating {
+	var l []rating
+	for _, w := range p.workerList {
+		if p.workerExclusion(w, now) != excludedAvoided {
+			continue
+		}
+		if s, e := p.rate(w, c, now); e == notExcluded {
+			l = append(l, rating{w, s, true})
+		}
+	}
+	return l
 }
 
 // mayUseReserve reports whether a long-running task that would use the reserve on every worker with capacity may do so:
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -243,6 +243,41 @@
 	}
 }
 
+// maxTestPlanInterval is the time between two plans of a simulation.
+const maxTestPlanInterval = 100 * time.Millisecond
+
+// A long-running task waited for a full fleet while a worker with capacity was avoided, since three attempts there had failed.
+func TestLongRunningTaskGetsAnAvoidedWorkerBeforeItWaitsLong(t *testing.T) {
+	s := newSimulation(t, 2)
+	failing, full := testWorker(1).ID, testWorker(0).ID
+	for n := range maxFailedAttempts {
+		j := testJob(testID(n+1), s.now, plainStep(1))
+		task := j.Tasks[0][0][0]
+		require.True(t, j.Assign(task, failing, testIncarnation, s.now))
+		s.p.AddJob(j, s.now)
+		s.report(failing, nil, FinishedAttempt{Ref: task.Ref, Number: int64(n + 1), Run: 1, Outcome: jobs.OutcomeFailed})
+		s.p.Cancel(j.ID, s.now)
+	}
+	filling := plainStep(1)
+	filling.Size.MilliCPU = testWorker(0).Capacity.MilliCPU
+	s.p.AddJob(testJob(testID(8), s.now, filling), s.now)
+	require.Equal(t, full, s.plan()[OrderStart][0].Worker)
+	lasting, batch := plainStep(1), plainStep(1)
+	lasting.LongRunning = true
+	s.p.AddJob(testJob(testID(9), s.now, lasting), s.now)
+	s.p.AddJob(testJob(testID(10), s.now, batch), s.now)
+	placed := make(map[string]string)
+	for range 2 * avoidedWorkerDelay / maxTestPlanInterval {
+		s.advance(maxTestPlanInterval)
+		s.report(failing, nil)
+		s.p.workers[full].lastResponseAt = s.now
+		for _, o := range s.plan()[OrderStart] {
+			placed[o.Job] = o.Worker
+		}
+	}
+	require.Equal(t, map[string]string{testID(9): failing}, placed)
+}
+
 func TestJobFailsAfterMaxAttempts(t *testing.T) {
 	s := newSimulation(t, 4)
 	j := testJob(testID(1), s.now, plainStep(1))
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// maxFailedAttempts is the number of consecutive failed attempts after which a worker gets no new tasks for
-	// failureBackoff.
+	// maxFailedAttempts is the number of consecutive failed attempts after which a worker is avoided for failureBackoff.
 	maxFailedAttempts = 3
-	// failureBackoff is the time for which a worker with too many failed attempts gets no new tasks.
+	// failureBackoff is the time for which a worker with too many failed attempts is avoided.
 	failureBackoff = 6 * time.Second
 	// unhealthyBackoff is the time for which a worker that refused a start as unhealthy gets no new tasks.
 	unhealthyBackoff = 1500 * time.Millisecond
@@ -112,9 +111,9 @@
 	case jobs.OutcomeFailed:
 		w.failedAttempts++
 		if w.failedAttempts >= maxFailedAttempts {
-			w.backoffUntil = now.Add(failureBackoff)
+			w.avoidUntil = now.Add(failureBackoff)
 			w.failedAttempts = maxFailedAttempts - 1
-			p.Logger.Warn().Str("Worker", w.ID).Str("Decision", "Avoid").Int("Failures", maxFailedAttempts).Time("Until", w.backoffUntil).Msg("too many consecutive failed attempts, worker gets no new tasks until its backoff ends")
+			p.Logger.Warn().Str("Worker", w.ID).Str("Decision", "Avoid").Int("Failures", maxFailedAttempts).Time("Until", w.avoidUntil).Msg("too many consecutive failed attempts, worker gets no new tasks for which there is another worker")
 		}
 	case jobs.OutcomeStopped, jobs.OutcomeExpired, jobs.OutcomePeerLost, jobs.OutcomeIncomplete:
 	}
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -10,6 +10,8 @@
 	// failedWorkerRetryDelay is the waiting time after which a run-to-completion task may return to a worker on
 	// which the task failed.
 	failedWorkerRetryDelay = 1500 * time.Millisecond
+	// avoidedWorkerDelay is the waiting time after which a long-running task gets a worker on which other attempts failed.
+	avoidedWorkerDelay = time.Second
 	// waitLogInterval is the least time between two log messages about a waiting job, and the waiting time before the first.
 	waitLogInterval = 2 * time.Second
 	// skippedWaitLogInterval is the least time between two log messages about a waiting job whose step was skipped, since a
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -147,8 +147,10 @@
 	lastRequestedAt time.Time
 	// failedCalls counts the calls without a response since the latest report.
 	failedCalls int
-	// backoffUntil is the time before which the worker gets no new tasks.
+	// backoffUntil is the time before which the worker gets no new tasks, since it refused a start. avoidUntil is the time before
+	// which it gets none for which there is another worker, since too many attempts in a row failed there.
 	backoffUntil time.Time
+	avoidUntil   time.Time
 	// ackNumber is the highest sequence number of a finished attempt of this incarnation that was handled.
 	ackNumber int64
 	// orphanStopAt is when the stop of an orphan was last ordered. An orphan is an attempt that the worker reports as running
