A load of the claims no longer removes all jobs from a replica

Cause: a load that follows another one removes the jobs whose submissions it did not find, whichever partition it loads; the claims hold no submissions. On the users' store this happens where an instance reads the claims first 20 s after a change of owner, and as the next owner it would run none of the jobs. Change: only a load of the requests notes and removes jobs. TestJobsStayKnownWhileAnotherPartitionIsLoadedAgain failed before.

--- a/internal/jobserve/read.go
+++ b/internal/jobserve/read.go
@@ -34,7 +34,8 @@
 	// loadStart is the start of the load's first page, and loadedKeys the number of keys that the load has read.
 	loadStart  time.Time
 	loadedKeys int
-	// seen holds the IDs of the jobs whose submissions exist, during a load that follows another one; it is nil otherwise.
+	// seen holds the IDs of the jobs whose submissions exist, during a load of the requests that follows another one; it is nil
+	// otherwise.
 	seen map[string]bool
 	// timeouts is the number of calls that timed out since the latest one that did not, up to maxTimeoutDoublings.
 	timeouts int
@@ -265,8 +266,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.loaded, s.afterKey, s.nextOffset = false, "", noOffset
-	s.seen = make(map[string]bool)
-	if p == PartitionProgress && r.partitions[p] == s {
+	switch {
+	case p == PartitionRequests:
+		s.seen = make(map[string]bool)
+	case p == PartitionProgress && r.partitions[p] == s:
 		clear(r.progress)
 	}
 }
--- a/internal/jobserve/replica_test.go
+++ b/internal/jobserve/replica_test.go
@@ -393,6 +393,22 @@
 	}
 }
 
+// A load of another partition after a truncation found no submissions, and all jobs were removed from the replica.
+func TestJobsStayKnownWhileAnotherPartitionIsLoadedAgain(t *testing.T) {
+	for _, p := range []Partition{PartitionOwners, PartitionProgress} {
+		s := newPagedStore(0)
+		s.putJobs(t, 3)
+		s.put(p, "key", []byte("1 owner"))
+		r := NewReplica(s, zerolog.Nop())
+		require.NoError(t, r.Follow(t.Context(), PartitionRequests, time.Now(), time.Time{}))
+		require.NoError(t, r.Follow(t.Context(), p, time.Now(), time.Time{}))
+		s.put(p, "key", []byte("2 owner"))
+		s.truncate(p)
+		require.NoError(t, r.Follow(t.Context(), p, time.Now(), time.Time{}))
+		require.Len(t, r.IDs(), 3)
+	}
+}
+
 // A job whose removal was truncated before this instance had read it stayed known here.
 func TestJobRemovedInATruncatedRangeIsForgotten(t *testing.T) {
 	s := newPagedStore(0)
