A slow read of the store is not abandoned each time

An owner of 3,000 workers on a small share of a core (trial: 300 instances, processor time counted) never read the list of workers again: commits that took milliseconds abandoned each read after 0.3 s, while its pages needed longer, so that the list was 21 s old and nothing started. The fault came with the repetition of overdue reads. The patience with a read now grows with each abandoned one and follows the duration of the latest that succeeded.

--- a/internal/jobserve/follow.go
+++ b/internal/jobserve/follow.go
@@ -64,8 +64,8 @@
 func (o *Owner) readWorkers(ctx context.Context, latency *latencyEstimator) bool {
 	start := time.Now()
 	c, end := o.listRead.begin(ctx, start, latency.timeout())
-	defer end()
 	l, err := o.Directory.ListWorkers(c)
+	end(err)
 	if !isNotApplied(err) {
 		latency.observe(time.Since(start))
 	}
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -245,7 +245,7 @@
 		u := time.Now().Add(operatorsPollTimeout)
 		c, end := i.State.read.begin(ctx, u, pollResponseTimeout)
 		err := i.Operators.Follow(c, i.State, u)
-		end()
+		end(err)
 		switch {
 		case err == nil:
 			i.recordStoreResponse()
--- a/internal/jobserve/read.go
+++ b/internal/jobserve/read.go
@@ -230,9 +230,10 @@
 	}
 	r.mu.Unlock()
 	c, end := s.page.begin(ctx, dueAt, d)
-	defer end()
 	g, err := r.store.Read(c, p, next, until)
-	r.countTimeout(s, c.Err() != nil && err != nil)
+	timedOut := c.Err() != nil && err != nil
+	end(err)
+	r.countTimeout(s, timedOut)
 	if dueAt.Equal(start) {
 		s.latency.observe(time.Since(start))
 	}
