After a failed read, operators' changes are read without waiting for one

The first read and those after a failed one don't wait now. TestReadAfterAFailedOneDoesNotWaitForAChange failed before.

--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -239,10 +239,13 @@
 	return !i.stopping.Load() && i.State.Configuration() != nil && i.storeAge() < maxReadyStoreAge && i.Replica.IsLoaded()
 }
 
-// followOperators applies changes by operators until the context ends.
+// followOperators applies changes by operators until the context ends. The first read and the one after a failed read don't wait
+// for a change, so that it is soon known again that there is none.
 func (i *Instance) followOperators(ctx context.Context) {
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		u := time.Now().Add(operatorsPollTimeout)
+		u := time.Now().Add(wait)
+		wait = operatorsPollTimeout
 		c, end := i.State.read.begin(ctx, u, pollResponseTimeout)
 		err := i.Operators.Follow(c, i.State, u)
 		end(err)
@@ -250,6 +253,7 @@
 		case err == nil:
 			i.recordStoreResponse()
 		case ctx.Err() == nil:
+			wait = 0
 			i.Logger.Warn().Err(err).Dur("StoreAge", i.storeAge()).Str("Decision", "StoreSilent").Msg("changes by operators were not read")
 			sleep(ctx, storeBackoff)
 		}
--- a/internal/jobserve/views_test.go
+++ b/internal/jobserve/views_test.go
@@ -189,3 +189,29 @@
 		sleep(ctx, operatorsPollTimeout)
 	}
 }
+
+// failingOperators fails each second read, and records for how long each read may wait for a change.
+type failingOperators struct{ waits []time.Duration }
+
+func (f *failingOperators) Follow(ctx context.Context, s *OperatorState, until time.Time) error {
+	f.waits = append(f.waits, time.Until(until))
+	sleep(ctx, time.Until(until))
+	if len(f.waits)%2 == 0 {
+		return &StoreError{Call: "read", Status: 503, NotApplied: true}
+	}
+	s.SetCurrentAt(bootclock.NowInstant())
+	return nil
+}
+
+// After an outage, starts waited for a poll of operators' changes that had nothing to wait for.
+func TestReadAfterAFailedOneDoesNotWaitForAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &failingOperators{}
+		i := &Instance{InstanceConfig: InstanceConfig{Operators: f, State: &OperatorState{}, Logger: zerolog.Nop()}}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*operatorsPollTimeout)
+		defer cancel()
+		i.followOperators(ctx)
+		require.GreaterOrEqual(t, len(f.waits), 3)
+		require.Equal(t, []time.Duration{0, operatorsPollTimeout, 0}, f.waits[:3])
+	})
+}
