Lines of starts are shorter

An owner of 490 workers writes several hundred Start lines a second, and with three ages in each more lines were dropped for the log's budget of 256 KiB a second. Ages are whole milliseconds now, and those of operators' changes and requests are left out up to 2 s, which is their usual range.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -164,7 +164,7 @@
 	})
 	e := p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Str("Worker", w.ID).Int64("Life", w.Incarnation).Str("Decision", "Start").
 		Int("FreeMilliCPU", w.free().MilliCPU).Int("FreeMemoryMB", w.free().MemoryMB).Dur("ReportAge", now.Sub(w.lastResponseAt)).Dur("JobAge", now.Sub(j.SubmittedAt))
-	p.views.logAges(e, now).Msg("task placed on worker")
+	p.views.logStart(e, now).Msg("task placed on worker")
 }
 
 // rating is the score of a worker for the tasks of a step.
--- a/internal/dispatch/views.go
+++ b/internal/dispatch/views.go
@@ -32,7 +32,23 @@
 
 // logAges adds the ages of the views to a log line.
 func (v Views) logAges(e *zerolog.Event, now time.Time) *zerolog.Event {
-	return e.Dur("ListAge", now.Sub(v.Workers)).Dur("OperatorsAge", now.Sub(v.Operators)).Dur("RequestsAge", now.Sub(v.Requests))
+	return e.Int64("ListAge", now.Sub(v.Workers).Milliseconds()).Int64("OperatorsAge", now.Sub(v.Operators).Milliseconds()).Int64("RequestsAge", now.Sub(v.Requests).Milliseconds())
+}
+
+// usualViewAge is the age up to which a view of operators or requests is usual, since both are read by polls of up to a second.
+const usualViewAge = 2 * time.Second
+
+// logStart adds the age of the list of workers to the line of a start, and the ages of the other views if they are unusual, since
+// an owner writes several hundred such lines a second.
+func (v Views) logStart(e *zerolog.Event, now time.Time) *zerolog.Event {
+	e.Int64("ListAge", now.Sub(v.Workers).Milliseconds())
+	if d := now.Sub(v.Operators); d > usualViewAge {
+		e.Int64("OperatorsAge", d.Milliseconds())
+	}
+	if d := now.Sub(v.Requests); d > usualViewAge {
+		e.Int64("RequestsAge", d.Milliseconds())
+	}
+	return e
 }
 
 // startsUntil returns the time by which starts that rest on the views must be sent, zero if there is no bound.
