A log counts the lines that it dropped last

Operators: lines dropped at the end of a burst were counted only before the next accepted line; if that one was dropped as well, or none came, the log showed no gap. The count is now added when the buffer is taken. TestLogCountsTheLinesDroppedLast failed before.

--- a/internal/jobserve/logwriter.go
+++ b/internal/jobserve/logwriter.go
@@ -24,8 +24,8 @@
 // LogWriter writes log lines in the background, within a budget of bytes.
 //
 // It never blocks: a line that arrives while the buffer is full or the budget is
-// spent is dropped and counted. The count is written before the next accepted
-// line.
+// spent is dropped and counted. The count is written after the lines that were
+// accepted before.
 type LogWriter struct {
 	out  io.Writer
 	wake chan struct{}
@@ -62,10 +62,7 @@
 		return len(b), nil
 	}
 	wasEmpty := len(w.buffer) == 0
-	if w.dropped > 0 {
-		w.buffer = append(w.buffer, `{"level":"warn","Decision":"LinesDropped","Lines":`+strconv.Itoa(w.dropped)+"}\n"...)
-		w.dropped = 0
-	}
+	w.appendDropped()
 	w.budget -= float64(len(b))
 	w.buffer = append(w.buffer, b...)
 	if wasEmpty {
@@ -77,6 +74,15 @@
 	return len(b), nil
 }
 
+// appendDropped adds the line that counts dropped lines, if any; w.mu is held.
+func (w *LogWriter) appendDropped() {
+	if w.dropped == 0 {
+		return
+	}
+	w.buffer = append(w.buffer, `{"level":"warn","Decision":"LinesDropped","Lines":`+strconv.Itoa(w.dropped)+"}\n"...)
+	w.dropped = 0
+}
+
 // Dropped returns the number of dropped lines since the start.
 func (w *LogWriter) Dropped() int64 {
 	w.mu.Lock()
@@ -139,10 +145,12 @@
 	return w.closed
 }
 
-// takeBuffer returns and clears the buffer, and reports whether the writer is closed.
+// takeBuffer returns and clears the buffer, with a count of the lines dropped since a count was last written, and reports
+// whether the writer is closed.
 func (w *LogWriter) takeBuffer() ([]byte, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.appendDropped()
 	b := w.buffer
 	w.buffer = make([]byte, 0, len(b))
 	return b, w.closed
--- a/internal/jobserve/logwriter_test.go
+++ b/internal/jobserve/logwriter_test.go
@@ -52,6 +52,20 @@
 	require.Contains(t, b.text(), `"Decision":"LinesDropped"`)
 }
 
+// The count waited for the next accepted line, so that lines dropped at the end were never counted.
+func TestLogCountsTheLinesDroppedLast(t *testing.T) {
+	b := &blockedWriter{release: make(chan struct{})}
+	close(b.release)
+	w := NewLogWriter(b)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	for w.Dropped() == 0 {
+		_, err := w.Write(line)
+		require.NoError(t, err)
+	}
+	w.Close(time.Now().Add(5 * time.Second))
+	require.Contains(t, b.text(), `"Decision":"LinesDropped"`)
+}
+
 // The line that counts dropped lines did not wake the writer, so that nothing was written from then on.
 func TestLogGoesOnAfterDroppedLines(t *testing.T) {
 	b := &blockedWriter{release: make(chan struct{})}
