The owner is an instance with much CPU whenever one is a member

Two of three members were cut off from the store. All 25 weak instances (0.11 of a core) joined at once, since the first check of an instance that was never needed skipped the delay that lets strong ones join first; the store named one of them as the next owner, and it kept the jobs of 350 workers from 4.8 to 17.5 s although two strong members were there, since an owner left only for three stronger ones. Its links to the relays ended every 0.8 s.

Now only the check right after the start skips the delay; among members of mixed CPU the first by identity of the strongest takes over, whomever the store names; and an owner leaves for one member with more CPU. The claim's conditional append still lets only one of them win. TestStrongMemberSucceedsWhenOthersAreCutOff and the new case of TestOwnerYieldsOnlyToMembersWithMoreCPU failed before.

--- a/internal/jobserve/group.go
+++ b/internal/jobserve/group.go
@@ -90,9 +90,31 @@
 	return n < targetMembers
 }
 
-// isRedundant reports whether the group has targetMembers members that are preferred to x: those with more CPU and, unless x
-// is the owner, those of similar CPU whose encoded identities precede that of x. The owner leaves only for members with more
-// CPU, because each change of owner costs time.
+// isNextOwner reports whether x takes the jobs over first when the incumbent is gone. Among members of similar CPU that is the
+// one that the store names. Otherwise it is the first by identity of those with the most CPU: the store names any member, also
+// one that has too little CPU for the work of an owner and joined because others were lost.
+func (g group) isNextOwner(x Identity, incumbent string, named bool) bool {
+	mixed := false
+	for _, m := range g {
+		switch {
+		case m == x || m.String() == incumbent:
+		case m.hasMoreCPU(x):
+			return false
+		case x.hasMoreCPU(m):
+			mixed = true
+		}
+	}
+	if !mixed {
+		return named
+	}
+	return !slices.ContainsFunc(g, func(m Identity) bool {
+		return !x.hasMoreCPU(m) && m.String() != incumbent && m.String() < x.String()
+	})
+}
+
+// isRedundant reports whether the group has enough members that are preferred to x: targetMembers, those with more CPU and those
+// of similar CPU whose encoded identities precede that of x. An owner leaves only for a member with more CPU, because each
+// change of owner costs time, but one such member is enough.
 func (g group) isRedundant(x Identity, owner bool) bool {
 	moreCPU, preferred := 0, 0
 	for _, m := range g {
@@ -105,5 +127,8 @@
 			preferred++
 		}
 	}
-	return moreCPU >= targetMembers || !owner && preferred >= targetMembers
+	if owner {
+		return moreCPU > 0
+	}
+	return preferred >= targetMembers
 }
--- a/internal/jobserve/group_test.go
+++ b/internal/jobserve/group_test.go
@@ -61,4 +61,17 @@
 	require.False(t, g.isRedundant(g[3], true))
 	small := testIdentity(9, 0.1)
 	require.True(t, append(g, small).isRedundant(small, true))
+	require.True(t, group{g[0], small}.isRedundant(small, true), "one member with more CPU is enough")
+}
+
+func TestNextOwnerIsAMemberWithMostCPU(t *testing.T) {
+	a, b, small := testIdentity(1, 0.8), testIdentity(2, 0.8), testIdentity(3, 0.11)
+	require.True(t, group{a, b}.isNextOwner(b, "", true), "members of similar CPU leave it to the store")
+	require.False(t, group{a, b}.isNextOwner(a, "", false))
+	mixed := group{a, b, small}
+	require.False(t, mixed.isNextOwner(small, "", true))
+	require.True(t, mixed.isNextOwner(a, "", false))
+	require.False(t, mixed.isNextOwner(b, "", true))
+	require.True(t, mixed.isNextOwner(b, a.String(), false), "the incumbent that is still listed does not count")
+	require.True(t, group{small}.isNextOwner(small, "", true))
 }
--- a/internal/jobserve/manymembers_test.go
+++ b/internal/jobserve/manymembers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -25,8 +26,21 @@
 	targets [simulatedPartitions]string
 	holders [simulatedPartitions]string
 	claim   Claim
-	// takeovers is the number of claims.
+	// takeovers is the number of claims, and claimants holds who made them.
 	takeovers int
+	claimants []string
+	// cut holds the members whose calls fail.
+	cut map[string]bool
+}
+
+// errCut is the error of a call by a member that is cut off from the store.
+var errCut = errors.New("cut off")
+
+// isCut reports whether the calls of a member fail.
+func (g *simulatedGroup) isCut(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cut[name]
 }
 
 const simulatedPartitions = 12
@@ -62,6 +76,9 @@
 
 func (m *simulatedMember) Join(_ context.Context, generation int64, lease time.Duration) (Membership, error) {
 	time.Sleep(m.latency)
+	if m.isCut(m.name) {
+		return Membership{}, errCut
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
@@ -91,6 +108,9 @@
 
 func (m *simulatedMember) Members(context.Context) ([]string, error) {
 	time.Sleep(m.latency)
+	if m.isCut(m.name) {
+		return nil, errCut
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
@@ -117,6 +137,7 @@
 	c := Claim{Identity: m.name, Epoch: predecessor.Epoch + 1}
 	m.claim = c
 	m.takeovers++
+	m.claimants = append(m.claimants, m.name)
 	m.mu.Unlock()
 	for ctx.Err() == nil {
 		if x, _ := m.newest(ctx); x != c {
@@ -126,12 +147,12 @@
 	}
 }
 
-// startMembers runs n members that start together, and stops them when the test ends.
-func startMembers(t *testing.T, g *simulatedGroup, n int) {
+// startMembers runs a member for each number of processors, all started together, and stops them when the test ends.
+func startMembers(t *testing.T, g *simulatedGroup, processors []float64) {
 	ctx, cancel := context.WithCancel(t.Context())
 	var w sync.WaitGroup
-	for i := range n {
-		x := testIdentity(i, 0.4)
+	for i, n := range processors {
+		x := testIdentity(i, n)
 		s := &simulatedMember{simulatedGroup: g, name: x.String()}
 		m := NewMember(MemberConfig{
 			Store: s, Identity: x, Logger: zerolog.Nop(), OnGroup: func(group) {}, RunOwner: s.own, Incumbent: g.newest,
@@ -152,7 +173,7 @@
 		t.Run(latency.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := &simulatedGroup{latency: latency, members: make(map[string]time.Time)}
-				startMembers(t, g, 40)
+				startMembers(t, g, slices.Repeat([]float64{0.4}, 40))
 				time.Sleep(10 * time.Second)
 				g.mu.Lock()
 				n := g.takeovers
@@ -167,3 +188,32 @@
 		})
 	}
 }
+
+// The owner and another strong member were cut off from the store. All weak instances joined at once, the store named one of them
+// as the next owner, and it kept the jobs of 350 workers for 13 s although two strong members were left.
+func TestStrongMemberSucceedsWhenOthersAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const strong = 0.8
+		g := &simulatedGroup{latency: 10 * time.Millisecond, members: make(map[string]time.Time), cut: make(map[string]bool)}
+		// The store deals the first partition to the first member by name, which is a weak one if there is any.
+		startMembers(t, g, append(slices.Repeat([]float64{0.11}, 34), slices.Repeat([]float64{strong}, 6)...))
+		time.Sleep(10 * time.Second)
+		g.mu.Lock()
+		first := g.claim.Identity
+		g.cut[first] = true
+		for m := range g.members {
+			if m != first {
+				g.cut[m] = true
+				break
+			}
+		}
+		g.mu.Unlock()
+		time.Sleep(6 * time.Second)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		require.NotEqual(t, first, g.claim.Identity)
+		for _, c := range g.claimants {
+			require.InDelta(t, strong, parseIdentity(c).Processors, 1e-9, c)
+		}
+	})
+}
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -98,11 +98,11 @@
 	// redundancyCheckedAt and ownershipCheckedAt are the times of the latest checks.
 	redundancyCheckedAt time.Time
 	ownershipCheckedAt  time.Time
-	// neededBefore means that isNeeded has returned true before. The first time, the delay at the start of Run suffices; each
-	// later time the instance waits for joinDelay and checks again.
-	neededBefore bool
-	joinDelay    time.Duration
-	generation   int64
+	// checkedBefore means that Run has checked before whether the group needs this instance. The first time, the delay at the
+	// start of Run suffices; each later time the instance waits for joinDelay and checks again.
+	checkedBefore bool
+	joinDelay     time.Duration
+	generation    int64
 	// vacantAfter is the claim whose owner is outside the group, and vacantSince the time at which that was first seen, zero if
 	// the newest owner is a member.
 	vacantAfter Claim
@@ -156,14 +156,14 @@
 
 // isNeededAfterDelay reports whether the group needs this instance even after instances with more CPU had time to join.
 func (m *Member) isNeededAfterDelay(ctx context.Context) bool {
-	if !m.isNeeded(ctx) {
-		return false
-	}
-	if !m.neededBefore {
-		m.neededBefore = true
-		return true
+	first := !m.checkedBefore
+	m.checkedBefore = true
+	if !first {
+		if !m.isNeeded(ctx) {
+			return false
+		}
+		sleep(ctx, m.joinDelay)
 	}
-	sleep(ctx, m.joinDelay)
 	return m.isNeeded(ctx)
 }
 
--- a/internal/jobserve/ownership.go
+++ b/internal/jobserve/ownership.go
@@ -21,16 +21,23 @@
 	}
 	replaced := m.knowsIncumbent && !m.incumbent.isSameOwnership(incumbent)
 	m.incumbent, m.knowsIncumbent = incumbent, true
-	if incumbent.Identity != m.Identity.String() {
-		vacant := m.vacantFor(ctx, incumbent, replaced)
-		if vacant < 0 || !next && vacant < m.patience(incumbent.Identity) {
-			return
-		}
+	if incumbent.Identity != m.Identity.String() && !m.maySucceed(ctx, incumbent, replaced, next) {
+		return
 	}
 	m.Logger.Info().Str("Incumbent", incumbent.Identity).Int64("Generation", m.generation).Str("Decision", "Own").Msg("this instance is elected to own the jobs")
 	m.startOwner(ctx, incumbent)
 }
 
+// maySucceed reports whether the jobs are vacant and this instance is the next owner or the next owner had time to take over.
+func (m *Member) maySucceed(ctx context.Context, incumbent Claim, replaced, next bool) bool {
+	g, ok := m.fetchGroup(ctx)
+	if !ok {
+		return false
+	}
+	vacant := m.vacantFor(g, incumbent, replaced)
+	return vacant >= 0 && (g.isNextOwner(m.Identity, incumbent.Identity, next) || vacant >= m.patience(incumbent.Identity))
+}
+
 // patience returns the time that the next owner has to take over before this instance does, if it is not the next owner. Nobody
 // waits for the next owner if the incumbent is silent, because the store may name the incumbent itself.
 func (m *Member) patience(incumbent string) time.Duration {
@@ -41,19 +48,12 @@
 	return takeoverPatience + d
 }
 
-// vacantFor returns for how long the incumbent has been seen outside the group, negative if it is in the group or the group
-// cannot be read. An incumbent that has just replaced another has memberLease more, since the store lists a new member only once
-// others have given up partitions.
-func (m *Member) vacantFor(ctx context.Context, incumbent Claim, replaced bool) time.Duration {
-	if incumbent.Identity != "" {
-		g, ok := m.fetchGroup(ctx)
-		if !ok {
-			return -1
-		}
-		if m.isRunningMember(g, incumbent.Identity) {
-			m.vacantSince = time.Time{}
-			return -1
-		}
+// vacantFor returns for how long the incumbent has been seen outside the group, negative if it is in the group. An incumbent that
+// has just replaced another has memberLease more, since the store lists a new member only once others have given up partitions.
+func (m *Member) vacantFor(g group, incumbent Claim, replaced bool) time.Duration {
+	if incumbent.Identity != "" && m.isRunningMember(g, incumbent.Identity) {
+		m.vacantSince = time.Time{}
+		return -1
 	}
 	if m.vacantSince.IsZero() || !m.vacantAfter.isSameOwnership(incumbent) {
 		m.vacantAfter, m.vacantSince = incumbent, time.Now()
