A worker is reserved for a large long-running task that was interrupted

Now the worker where the size becomes free soonest is reserved, from 3 s before the lost lease expires, or once the task has waited; it takes other tasks only beside the reserved size, or if they end before.

--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -29,7 +29,7 @@
 func (p *Planner) hasCapacityElsewhere(w *worker, a *attempt, now time.Time) bool {
 	c := &candidateStep{job: a.job, step: a.task.Spec}
 	for _, o := range p.workerList {
-		if o != w && !o.cordoned && p.isEligible(o, a.job, a.task.Spec, now) && p.hasRoom(o, c, a.task) {
+		if o != w && !o.cordoned && p.isEligible(o, a.job, a.task.Spec, now) && p.hasRoom(o, c, a.task, now) {
 			return true
 		}
 	}
--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -32,6 +32,7 @@
 	excludedInterference
 	// excludedTaskLimit to excludedFailed exclude a worker from the next task of a step.
 	excludedTaskLimit
+	excludedReservation
 	excludedReserve
 	excludedFailed
 	exclusionCount
@@ -40,7 +41,7 @@
 // exclusionNames holds the fields in which a Wait line counts the workers with each reason.
 var exclusionNames = [exclusionCount]string{
 	"Takers", "OldView", "NotListed", "DrainingWorker", "Cordoned", "DrainedDomain", "Silent", "Backoff", "Avoided", "OtherPool", "OtherLabel", "Straggler",
-	"NoCapacity", "NoPermit", "NoSpareCPU", "Interference", "TaskLimit", "Reserve", "FailedThere",
+	"NoCapacity", "NoPermit", "NoSpareCPU", "Interference", "TaskLimit", "Reservation", "Reserve", "FailedThere",
 }
 
 // String returns the field of the Wait lines that counts the workers with the reason.
@@ -118,13 +119,15 @@
 }
 
 // taskExclusion returns the reason within the constraints for which a rated worker may not get one more task of the step.
-func (p *Planner) taskExclusion(w *worker, c *candidateStep, t *jobs.Task, x constraints) exclusion {
+func (p *Planner) taskExclusion(w *worker, c *candidateStep, t *jobs.Task, x constraints, now time.Time) exclusion {
 	switch {
 	case !w.free().CanFit(c.step.Reserved()):
 		return excludedCapacity
 	case p.isAtTaskLimit(w, c, t):
 		return excludedTaskLimit
-	case x.keepReserve && !p.reserve.leavesReserve(w, c.step):
+	case !p.leavesReservation(w, c, t, now):
+		return excludedReservation
+	case x.keepReserve && !p.isReservedFor(w, t) && !p.reserve.leavesReserve(w, c.step):
 		return excludedReserve
 	case x.avoidFailed && slices.Contains(t.FailedAt, w.ID):
 		return excludedFailed
@@ -133,8 +136,8 @@
 }
 
 // hasRoom reports whether an eligible worker has capacity for one more task of the step, the reserve included.
-func (p *Planner) hasRoom(w *worker, c *candidateStep, t *jobs.Task) bool {
-	return p.taskExclusion(w, c, t, constraints{}) == notExcluded
+func (p *Planner) hasRoom(w *worker, c *candidateStep, t *jobs.Task, now time.Time) bool {
+	return p.taskExclusion(w, c, t, constraints{}, now) == notExcluded
 }
 
 // explain returns the first reason for which a worker may not get a task within the constraints. For a gang, which is placed
@@ -149,5 +152,5 @@
 	if _, e := p.rate(w, c, now); e != notExcluded {
 		return e
 	}
-	return p.taskExclusion(w, c, t, x)
+	return p.taskExclusion(w, c, t, x, now)
 }
--- a/internal/dispatch/overdue.go
+++ b/internal/dispatch/overdue.go
@@ -93,7 +93,7 @@
 	var score float64
 	for _, w := range p.schedulable {
 		s, e := p.rate(w, c, now)
-		if e != excludedInterference || p.taskExclusion(w, c, t, constraints{avoidFailed: true}) != notExcluded || best != nil && s <= score {
+		if e != excludedInterference || p.taskExclusion(w, c, t, constraints{avoidFailed: true}, now) != notExcluded || best != nil && s <= score {
 			continue
 		}
 		best, score = w, s
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -76,7 +76,7 @@
 	}
 	var l []*worker
 	for _, w := range p.workerList {
-		if p.isEligible(w, c.job, c.step, now) && p.hasRoom(w, c, t) && a.mayBePermitted(w) {
+		if p.isEligible(w, c.job, c.step, now) && p.hasRoom(w, c, t, now) && a.mayBePermitted(w) {
 			l = append(l, w)
 		}
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -18,6 +18,7 @@
 	p.unplaceable = make(map[placementClass]jobs.Resources)
 	p.waits.begin(now)
 	p.overdue.begin(p.schedulable, now)
+	p.updateReservations(l, now)
 	for _, c := range l {
 		if c.step.Gang {
 			p.placeGang(&c, now)
@@ -95,7 +96,7 @@
 // return to a worker on which it failed, and a long-running task may use the
 // reserve only if mayUseReserve allows it.
 func (p *Planner) findWorker(c *candidateStep, t *jobs.Task, l []rating, now time.Time) *rating {
-	if r := p.selectWorker(c, t, l, constraints{keepReserve: c.step.LongRunning, avoidFailed: true}); r != nil {
+	if r := p.selectWorker(c, t, l, constraints{keepReserve: c.step.LongRunning, avoidFailed: true}, now); r != nil {
 		return r
 	}
 	waited := p.waits.record(t, now)
@@ -104,10 +105,10 @@
 		avoidFailed: !c.step.LongRunning && waited < failedWorkerRetryDelay,
 	}
 	p.logWait(wait{c, t, x, waited, false}, now)
-	if r := p.selectWorker(c, t, l, x); r != nil || !c.step.LongRunning || waited < avoidedWorkerDelay {
+	if r := p.selectWorker(c, t, l, x, now); r != nil || !c.step.LongRunning || waited < avoidedWorkerDelay {
 		return r
 	}
-	return p.selectWorker(c, t, p.rateAvoidedWorkers(c, now), x)
+	return p.selectWorker(c, t, p.rateAvoidedWorkers(c, now), x, now)
 }
 
 // rateAvoidedWorkers rates the workers that may run a step but for the failed attempts there.
@@ -139,7 +140,7 @@
 func (p *Planner) taskCapacity(c *candidateStep, t *jobs.Task, now time.Time) int {
 	n := 0
 	for _, w := range p.workerList {
-		if p.isEligible(w, c.job, c.step, now) && p.hasRoom(w, c, t) {
+		if p.isEligible(w, c.job, c.step, now) && p.hasRoom(w, c, t, now) {
 			n += w.free().MilliCPU / max(c.step.Size.MilliCPU, 1)
 		}
 	}
@@ -196,14 +197,14 @@
 
 // selectWorker returns the best of the rated workers within the constraints. If no worker can take the task, it records
 // this for later steps of the plan and returns nil.
-func (p *Planner) selectWorker(c *candidateStep, t *jobs.Task, l []rating, x constraints) *rating {
+func (p *Planner) selectWorker(c *candidateStep, t *jobs.Task, l []rating, x constraints, now time.Time) *rating {
 	var best *rating
 	for i := range l {
 		r := &l[i]
 		if !r.eligible || best != nil && (r.score < best.score || r.score == best.score && r.worker.ID > best.worker.ID) {
 			continue
 		}
-		if p.taskExclusion(r.worker, c, t, x) == notExcluded {
+		if p.taskExclusion(r.worker, c, t, x, now) == notExcluded {
 			best = r
 		}
 	}
@@ -350,7 +351,8 @@
 	free := make(map[*worker]jobs.Resources)
 	count := make(map[*worker]int)
 	for _, w := range p.workerList {
-		if p.isSchedulable(w, now) && p.offerExclusion(w, c, now) == notExcluded && w.hasLabel(label) {
+		_, reserved := p.reservations[w.ID]
+		if p.isSchedulable(w, now) && p.offerExclusion(w, c, now) == notExcluded && w.hasLabel(label) && !reserved {
 			free[w] = w.free()
 		}
 	}
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -69,7 +69,7 @@
 func (p *Planner) hasFasterWorker(w *worker, a *attempt, now time.Time) bool {
 	c := &candidateStep{job: a.job, step: a.task.Spec}
 	for _, o := range p.workerList {
-		if o == w || !p.isEligible(o, a.job, a.task.Spec, now) || !p.hasRoom(o, c, a.task) {
+		if o == w || !p.isEligible(o, a.job, a.task.Spec, now) || !p.hasRoom(o, c, a.task, now) {
 			continue
 		}
 		if _, e := p.bestEffortScore(o, c, now); e == notExcluded {
