Several services share a worker's reservations, and interrupted services come first

Now a worker may be reserved for several tasks, from the loss on, and interrupted services are placed before all other work.

--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -125,7 +125,7 @@
 		return excludedCapacity
 	case p.isAtTaskLimit(w, c, t):
 		return excludedTaskLimit
-	case !p.leavesReservation(w, c, t, now):
+	case !p.leavesReservations(w, c, t, now):
 		return excludedReservation
 	case x.keepReserve && !p.isReservedFor(w, t) && !p.reserve.leavesReserve(w, c.step):
 		return excludedReserve
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -351,8 +351,7 @@
 	free := make(map[*worker]jobs.Resources)
 	count := make(map[*worker]int)
 	for _, w := range p.workerList {
-		_, reserved := p.reservations[w.ID]
-		if p.isSchedulable(w, now) && p.offerExclusion(w, c, now) == notExcluded && w.hasLabel(label) && !reserved {
+		if p.isSchedulable(w, now) && p.offerExclusion(w, c, now) == notExcluded && w.hasLabel(label) && len(p.reservations.byWorker[w.ID]) == 0 {
 			free[w] = w.free()
 		}
 	}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -105,7 +105,7 @@
 		workers: make(map[string]*worker), jobs: make(map[string]*jobs.Job), active: make(map[string]*jobs.Job),
 		drainedDomains: make(map[string]bool), dirty: make(map[string]*jobs.Job),
 		waits: newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
-		reservations: make(reservations), waves: make(map[int]*waveState), maintained: make(map[int][]string),
+		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
 	}
 }
 
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -9,16 +9,15 @@
 )
 
 const (
-	// reservationLead is how long before its lease expires a lost long-running task gets a reservation, so that a worker is
-	// free when the task may start again.
-	reservationLead = 3 * time.Second
 	// reservationDelay is the waiting time after which a long-running task without an earlier attempt gets a reservation. Until
 	// then run-to-completion tasks, which release their capacity soon, come first.
 	reservationDelay = 6 * time.Second
-	// maxReservedWorkers is the fraction of the workers that may have a reservation at a time.
-	maxReservedWorkers = 0.2
+	// maxReservations is the maximum number of reservations as a multiple of the number of workers, and maxReservationsForNew the
+	// multiple from which on only interrupted tasks get one.
+	maxReservations       = 1.0
+	maxReservationsForNew = 0.05
 	// maxNewReservationsPerPlan bounds the search for workers in one plan.
-	maxNewReservationsPerPlan = 32
+	maxNewReservationsPerPlan = 64
 	// unknownRemaining is the time that a task is assumed to run on once it has exceeded its estimate, or without an estimate.
 	unknownRemaining = 500 * time.Millisecond
 )
@@ -33,12 +32,63 @@
 
 // reservations holds the reservations of a planner by worker ID; a task has at most one.
 //
-// They answer a full fleet of short tasks: without a reservation the capacity
-// that a task frees goes to the next small task each time, so that a large task
-// which was lost with its worker waits until the load falls. The task is placed
-// where its size becomes free soonest. Until then a worker takes other tasks only
-// beside the reserved size, or if they are expected to end before it is free.
-type reservations map[string]reservation
+// They answer a full fleet of short tasks, of which a part is lost with the
+// services that run there. Without a reservation the capacity that a task frees
+// goes to the next small task each time, and new services take the rest before
+// the leases of the lost workers expire, so that a large service waits until the
+// load falls. It is placed where its size becomes free soonest. Until then a
+// worker takes other tasks only beside the reserved sizes, or if they are
+// expected to end before one of them is needed.
+type reservations struct {
+	byWorker map[string][]reservation
+	// count is the number of reservations.
+	count int
+}
+
+// of returns the reservation that a task has on a worker, if any.
+func (r *reservations) of(worker string, t jobs.Ref) (reservation, bool) {
+	for _, x := range r.byWorker[worker] {
+		if x.ref == t {
+			return x, true
+		}
+	}
+	return reservation{}, false
+}
+
+// others returns the total size that is reserved on a worker for other tasks than t, and when the first of it is needed.
+func (r *reservations) others(worker string, t jobs.Ref) (jobs.Resources, time.Time) {
+	var size jobs.Resources
+	var first time.Time
+	for _, x := range r.byWorker[worker] {
+		if x.ref == t {
+			continue
+		}
+		size = size.Plus(x.size)
+		if first.IsZero() || x.freeAt.Before(first) {
+			first = x.freeAt
+		}
+	}
+	return size, first
+}
+
+// add adds a reservation.
+func (r *reservations) add(worker string, x reservation) {
+	r.byWorker[worker] = append(r.byWorker[worker], x)
+	r.count++
+}
+
+// retain drops the reservations for which keep returns false.
+func (r *reservations) retain(keep func(worker string, x reservation) bool) {
+	r.count = 0
+	for id, l := range r.byWorker {
+		l = slices.DeleteFunc(l, func(x reservation) bool { return !keep(id, x) })
+		r.byWorker[id] = l
+		r.count += len(l)
+		if len(l) == 0 {
+			delete(r.byWorker, id)
+		}
+	}
+}
 
 // reservationRequest is a long-running task that needs a reservation, and the time before which it can't start.
 type reservationRequest struct {
@@ -47,20 +97,31 @@
 	after time.Time
 }
 
+// isInterrupted reports whether the task had an earlier attempt.
+func (q *reservationRequest) isInterrupted() bool { return q.task.Run > 0 }
+
+// limit returns the number of reservations, as a multiple of the number of workers, from which on the task gets none.
+func (q *reservationRequest) limit() float64 {
+	if q.isInterrupted() {
+		return maxReservations
+	}
+	return maxReservationsForNew
+}
+
 // updateReservations drops the reservations that no longer apply, and makes new ones for the long-running tasks that wait or
 // are about to be released.
 func (p *Planner) updateReservations(l []candidateStep, now time.Time) {
 	wanted := make(map[jobs.Ref]reservationRequest)
 	p.requestForWaiting(wanted, l, now)
 	p.requestForLost(wanted, now)
-	for id, r := range p.reservations {
-		q, ok := wanted[r.ref]
+	p.reservations.retain(func(id string, x reservation) bool {
+		q, ok := wanted[x.ref]
 		if !ok || !p.canKeepReservation(id, q, now) {
-			delete(p.reservations, id)
-			continue
+			return false
 		}
-		delete(wanted, r.ref)
-	}
+		delete(wanted, x.ref)
+		return true
+	})
 	p.reserveWorkers(wanted, now)
 }
 
@@ -80,10 +141,10 @@
 	}
 }
 
-// requestForLost adds the long-running tasks of unreachable workers whose leases expire within reservationLead.
+// requestForLost adds the long-running tasks of workers that do not respond. They may start again once the leases have expired.
 func (p *Planner) requestForLost(m map[jobs.Ref]reservationRequest, now time.Time) {
 	for _, w := range p.workerList {
-		if len(w.attempts) == 0 || w.isReachable(now) || w.leaseUntil.Sub(now) > reservationLead {
+		if len(w.attempts) == 0 || w.isReachable(now) || now.Sub(laterOf(w.lastResponseAt, p.takeoverAt)) < maxResponseAge {
 			continue
 		}
 		for _, a := range w.attemptList {
@@ -100,7 +161,7 @@
 	return w != nil && p.isEligible(w, q.job, q.task.Spec, now)
 }
 
-// reserveWorkers reserves a worker for each request, the largest tasks first, within the bounds of one plan.
+// reserveWorkers reserves a worker for each request, interrupted tasks first and then the largest, within the bounds of one plan.
 func (p *Planner) reserveWorkers(m map[jobs.Ref]reservationRequest, now time.Time) {
 	if len(m) == 0 {
 		return
@@ -110,11 +171,10 @@
 		l = append(l, q)
 	}
 	slices.SortFunc(l, func(a, b reservationRequest) int {
-		return cmp.Or(cmp.Compare(b.task.Spec.Size.MilliCPU, a.task.Spec.Size.MilliCPU), cmp.Compare(a.task.String(), b.task.String()))
+		return cmp.Or(boolOrder(a.isInterrupted(), b.isInterrupted()), cmp.Compare(b.task.Spec.Size.MilliCPU, a.task.Spec.Size.MilliCPU), cmp.Compare(a.task.String(), b.task.String()))
 	})
-	limit := int(maxReservedWorkers * float64(len(p.workerList)))
 	for _, q := range l[:min(len(l), maxNewReservationsPerPlan)] {
-		if len(p.reservations) >= limit {
+		if float64(p.reservations.count) >= q.limit()*float64(len(p.workerList)) {
 			return
 		}
 		p.reserveWorker(q, now)
@@ -127,10 +187,11 @@
 	var best *worker
 	var freeAt time.Time
 	for _, w := range p.workerList {
-		if _, taken := p.reservations[w.ID]; taken || !p.isEligible(w, q.job, q.task.Spec, now) || p.isAtTaskLimit(w, c, q.task) {
+		if !p.isEligible(w, q.job, q.task.Spec, now) || p.isAtTaskLimit(w, c, q.task) {
 			continue
 		}
-		at, ok := p.fitsAt(w, q.task.Spec.Reserved(), now)
+		others, _ := p.reservations.others(w.ID, q.task.Ref)
+		at, ok := p.fitsAt(w, others.Plus(q.task.Spec.Reserved()), now)
 		if ok && (best == nil || at.Before(freeAt)) {
 			best, freeAt = w, at
 		}
@@ -139,7 +200,7 @@
 		return
 	}
 	freeAt = laterOf(freeAt, q.after)
-	p.reservations[best.ID] = reservation{ref: q.task.Ref, size: q.task.Spec.Reserved(), freeAt: freeAt}
+	p.reservations.add(best.ID, reservation{ref: q.task.Ref, size: q.task.Spec.Reserved(), freeAt: freeAt})
 	p.Logger.Info().Str("Task", q.task.String()).Int("Run", q.task.Run).Str("Worker", best.ID).Int("NeedsMilliCPU", q.task.Spec.Size.MilliCPU).
 		Int("FreeMilliCPU", best.free().MilliCPU).Dur("FreeIn", freeAt.Sub(now)).Dur("ReleasedIn", q.after.Sub(now)).Str("Decision", "ReserveWorker").
 		Msg("worker reserved for a long-running task that fits on none now")
@@ -184,21 +245,32 @@
 
 // isReservedFor reports whether a worker is reserved for a task.
 func (p *Planner) isReservedFor(w *worker, t *jobs.Task) bool {
-	r, ok := p.reservations[w.ID]
-	return ok && r.ref == t.Ref
+	_, ok := p.reservations.of(w.ID, t.Ref)
+	return ok
 }
 
-// leavesReservation reports whether a worker may get a task beside its reservation, if it has one for another task.
-func (p *Planner) leavesReservation(w *worker, c *candidateStep, t *jobs.Task, now time.Time) bool {
-	r, ok := p.reservations[w.ID]
-	if !ok || r.ref == t.Ref {
+// leavesReservations reports whether a worker may get a task beside its reservations for other tasks.
+func (p *Planner) leavesReservations(w *worker, c *candidateStep, t *jobs.Task, now time.Time) bool {
+	reserved, first := p.reservations.others(w.ID, t.Ref)
+	if first.IsZero() {
 		return true
 	}
 	free, size := w.free().Minus(c.step.Reserved()), c.step.Reserved()
-	if free.CanFit(r.size) || size.MilliCPU == 0 && size.Accelerators == 0 && free.MemoryMB >= r.size.MemoryMB {
+	if free.CanFit(reserved) || size.MilliCPU == 0 && size.Accelerators == 0 && free.MemoryMB >= reserved.MemoryMB {
 		return true
 	}
-	return !c.step.LongRunning && !now.Add(p.runTimes.estimate(c.job.Queue.Name, c.step)).After(r.freeAt)
+	return !c.step.LongRunning && !now.Add(p.runTimes.estimate(c.job.Queue.Name, c.step)).After(first)
+}
+
+// boolOrder compares two booleans so that true comes first.
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
 }
 
 // laterOf returns the later of two times.
--- a/internal/dispatch/reservation_test.go
+++ b/internal/dispatch/reservation_test.go
@@ -93,7 +93,7 @@
 	j := f.addLarge()
 	f.run(batchRunTime + time.Second)
 	require.Equal(t, 1, j.Assigned(), "a worker is kept free until the task fits")
-	require.Empty(t, f.p.reservations, "a reservation ends when the task is placed")
+	require.Zero(t, f.p.reservations.count, "a reservation ends when the task is placed")
 }
 
 // A worker is free for a lost task when its lease expires, not a run time later.
@@ -113,13 +113,13 @@
 	s := newSimulation(t, 1)
 	w := s.p.workers["i-00"]
 	long := testJob(testID(1), s.now, jobs.Step{Tasks: 1, Size: jobs.Resources{MilliCPU: 32000}, LongRunning: true})
-	s.p.reservations[w.ID] = reservation{ref: long.Tasks[0][0][0].Ref, size: long.Steps[0].Size, freeAt: s.now.Add(time.Second)}
+	s.p.reservations.add(w.ID, reservation{ref: long.Tasks[0][0][0].Ref, size: long.Steps[0].Size, freeAt: s.now.Add(time.Second)})
 	for _, x := range []struct {
 		estimate time.Duration
 		allowed  bool
 	}{{500 * time.Millisecond, true}, {1500 * time.Millisecond, false}} {
 		j := testJob(testID(2), s.now, jobs.Step{Tasks: 1, Size: jobs.Resources{MilliCPU: 1000}, Estimate: x.estimate})
 		c := &candidateStep{job: j, step: &j.Steps[0], tasks: j.Tasks[0][0]}
-		require.Equal(t, x.allowed, s.p.leavesReservation(w, c, c.tasks[0], s.now), x.estimate)
+		require.Equal(t, x.allowed, s.p.leavesReservations(w, c, c.tasks[0], s.now), x.estimate)
 	}
 }
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -36,14 +36,16 @@
 //
 // The order is designed for bursts and lasting overload. Steps are sorted by the
 // priority of their queue, and steps of the same priority as follows:
-//  1. Steps whose jobs can meet their objective. Jobs with the smallest
+//  1. Long-running steps with a task that was interrupted, since users notice
+//     at once that a service is gone.
+//  2. Steps whose jobs can meet their objective. Jobs with the smallest
 //     remaining fraction come first, so that few jobs are in progress at a time.
-//  2. Steps of stale jobs, which have used up much of their initial slack
+//  3. Steps of stale jobs, which have used up much of their initial slack
 //     without progress. They would mostly miss their objective and delay others.
-//  3. Long-running steps, whatever their slack. Users value a core more when the
-//     run-to-completion tasks of 1 and 2 use it, and those tasks release the core
-//     when they are done.
-//  4. Steps whose jobs can no longer meet their objective.
+//  4. Other long-running steps, whatever their slack. Users value a core more
+//     when the run-to-completion tasks of 2 and 3 use it, and those tasks release
+//     the core when they are done.
+//  5. Steps whose jobs can no longer meet their objective.
 func (p *Planner) candidateSteps(now time.Time) []candidateStep {
 	var l []candidateStep
 	for _, j := range p.active {
@@ -107,19 +109,31 @@
 	return u.remainingFraction == 1 && float64(u.slack) < minFreshSlack*float64(u.initialSlack)
 }
 
-// ranksPerPriority is the number of ranks within a priority.
-const ranksPerPriority = 4
+// The ranks of candidate steps within a priority, in their order.
+const (
+	rankInterrupted = iota
+	rankInTime
+	rankStale
+	rankLongRunning
+	rankLate
+	ranksPerPriority
+)
 
 // rank returns the primary sort key of a candidate step; lower comes first.
 func (c *candidateStep) rank() int {
-	r := c.job.Queue.Priority * ranksPerPriority
+	return c.job.Queue.Priority*ranksPerPriority + c.rankInPriority()
+}
+
+func (c *candidateStep) rankInPriority() int {
 	switch {
+	case c.step.LongRunning && slices.ContainsFunc(c.tasks, func(t *jobs.Task) bool { return t.Run > 0 }):
+		return rankInterrupted
 	case c.step.LongRunning:
-		return r + 2
+		return rankLongRunning
 	case c.slack < 0:
-		return r + 3
+		return rankLate
 	case c.isStale():
-		return r + 1
+		return rankStale
 	}
-	return r
+	return rankInTime
 }
