The reserve for run-to-completion tasks is whole workers, not a part of each

Now the long-running tasks of a pool together leave the reserve free, and since they are packed, it is whole workers.

--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -127,7 +127,7 @@
 		return excludedTaskLimit
 	case !p.leavesReservations(w, c, t, now):
 		return excludedReservation
-	case x.keepReserve && !p.isReservedFor(w, t) && !p.reserve.leavesReserve(w, c.step):
+	case x.keepReserve && !p.isReservedFor(w, t) && !p.reserve.leavesReserve(w.Pool, c.step):
 		return excludedReserve
 	case x.avoidFailed && slices.Contains(t.FailedAt, w.ID):
 		return excludedFailed
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -15,6 +15,7 @@
 	p.reserve.observe(p.workerList, l, now)
 	p.detectStragglers(now)
 	p.schedulable = p.schedulableWorkers(now)
+	p.reserve.begin(p.workerList, p.schedulable)
 	p.unplaceable = make(map[placementClass]jobs.Resources)
 	p.waits.begin(now)
 	p.overdue.begin(p.schedulable, now)
@@ -88,8 +89,8 @@
 
 // findWorker returns the best of the rated workers for a task, or nil if none can take the task.
 //
-// Workers on which the task failed, and workers on which a long-running task
-// would use the reserve, are considered only if no other worker has capacity. So
+// Workers on which the task failed, and workers for a long-running task that
+// would use the reserve of their pool, are considered only if no other has capacity. So
 // are avoided workers, for a long-running task, which may fail any number of
 // times, after avoidedWorkerDelay. A
 // run-to-completion task then waits for failedWorkerRetryDelay before it may
@@ -133,7 +134,7 @@
 }
 
 // minTaskCapacity is the number of tasks of a step that must fit on the workers before a long-running task of the step may
-// use the reserve, which is the CPU that each worker keeps free for run-to-completion tasks.
+// use the reserve, which is the CPU that a pool keeps free for run-to-completion tasks.
 const minTaskCapacity = 2
 
 // taskCapacity returns the number of tasks of the step that fit into the free CPU of eligible workers, the reserve included.
@@ -158,6 +159,9 @@
 func (p *Planner) orderStart(j *jobs.Job, t *jobs.Task, w *worker, now time.Time) {
 	a := &attempt{job: j, task: t, run: t.Run, incarnation: w.Incarnation, plannedAt: now, speedPercent: fullSpeed}
 	w.add(a)
+	if t.Spec.LongRunning {
+		p.reserve.add(w.Pool, t.Spec)
+	}
 	p.dirty[j.ID] = j
 	x, _ := p.permitFor(w, j, stepRef(t), now)
 	p.orders = append(p.orders, Order{
@@ -190,7 +194,7 @@
 
 // constraints exclude workers from a selection.
 type constraints struct {
-	// keepReserve excludes workers on which the task would use the reserve, and avoidFailed those on which it failed.
+	// keepReserve excludes workers of pools in which the task would use the reserve, and avoidFailed those on which it failed.
 	keepReserve bool
 	avoidFailed bool
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -135,8 +135,10 @@
 	// expectedMilliCPU is the expected CPU use of all attempts. bestEffortDemand is the CPU use of the best-effort attempts
 	// at full speed, by image. services holds the attempts of services, which are tasks with a tail latency bound.
 	expectedMilliCPU int
-	bestEffortDemand []imageCPU
-	services         []*attempt
+	// longRunningMilliCPU is the CPU that the long-running attempts reserve, in thousandths of a core.
+	longRunningMilliCPU int
+	bestEffortDemand    []imageCPU
+	services            []*attempt
 	// headroom caches, by best-effort image, the result of interferenceHeadroom for the plan made at headroomAt.
 	headroom   map[string]float64
 	headroomAt time.Time
@@ -179,6 +181,9 @@
 	w.attemptList = append(w.attemptList, a)
 	w.reserved = w.reserved.Plus(a.task.Spec.Reserved())
 	w.expectedMilliCPU += expectedMilliCPU(a.task.Spec)
+	if a.task.Spec.LongRunning {
+		w.longRunningMilliCPU += a.task.Spec.Size.MilliCPU
+	}
 	if a.task.Spec.BestEffort {
 		w.bestEffortDemand = addCPU(w.bestEffortDemand, a.task.Spec.Image, float64(a.task.Spec.Size.MilliCPU))
 	}
@@ -195,6 +200,9 @@
 	delete(w.attempts, a.task.Ref)
 	w.reserved = w.reserved.Minus(a.task.Spec.Reserved())
 	w.expectedMilliCPU -= expectedMilliCPU(a.task.Spec)
+	if a.task.Spec.LongRunning {
+		w.longRunningMilliCPU -= a.task.Spec.Size.MilliCPU
+	}
 	w.attemptList = slices.DeleteFunc(w.attemptList, func(o *attempt) bool { return o == a })
 	if a.task.Spec.BestEffort {
 		w.bestEffortDemand = addCPU(w.bestEffortDemand, a.task.Spec.Image, -float64(a.task.Spec.Size.MilliCPU))
