A restarted instance goes on as the owner without waiting for its former membership to end

Now a process whose instance owned the jobs with an earlier process succeeds it at once, and joins although that one is still listed; a process that started within a membership's duration is given that time to be listed before it is held for gone. The claim still decides. TestRestartedOwnerTakesOverAtOnce, TestOwnerThatJustStartedIsNotReplaced and the new case of TestEqualInstancesDoNotReplaceMembers failed before.

--- a/internal/jobserve/group.go
+++ b/internal/jobserve/group.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// startBase is the base of the encoded start time of a process, in nanoseconds since 1970.
+	startBase = 36
 	// identitySeparator separates the fields of an encoded identity.
 	identitySeparator = "|"
 	// identityFields is the number of fields of an encoded identity.
@@ -28,7 +30,7 @@
 
 // NewIdentity returns the identity of a process that starts now, distinct from those of earlier processes of the instance.
 func NewIdentity(name string, processors float64, address string, now time.Time) Identity {
-	return Identity{name, processors, strconv.FormatInt(now.UnixNano(), 36), address}
+	return Identity{name, processors, strconv.FormatInt(now.UnixNano(), startBase), address}
 }
 
 // String returns the encoded identity, which is the member name of the process in the store.
@@ -49,6 +51,15 @@
 	return Identity{p[0], n, p[2], p[3]}
 }
 
+// startedAt returns the start of the process by its instance's time of day, and whether it is known.
+func (x Identity) startedAt() (time.Time, bool) {
+	n, err := strconv.ParseInt(x.Start, startBase, 64)
+	return time.Unix(0, n), err == nil && x.Start != ""
+}
+
+// isLaterProcessOf reports whether x is a process that started on the instance of y after y, so that y no longer runs.
+func (x Identity) isLaterProcessOf(y Identity) bool { return x.Name == y.Name && x.Start > y.Start }
+
 // hasMoreCPU reports whether x has more than minProcessorRatio times the processors of y.
 func (x Identity) hasMoreCPU(y Identity) bool { return x.Processors > minProcessorRatio*y.Processors }
 
@@ -65,7 +76,7 @@
 
 // hasLaterProcess reports whether a process that started later on the instance of x is a member.
 func (g group) hasLaterProcess(x Identity) bool {
-	return slices.ContainsFunc(g, func(m Identity) bool { return m.Name == x.Name && m.Start > x.Start })
+	return slices.ContainsFunc(g, func(m Identity) bool { return m.isLaterProcessOf(x) })
 }
 
 // peerAddresses returns the addresses at which relays reach the members other than self.
@@ -79,11 +90,12 @@
 	return l
 }
 
-// needsMember reports whether the group should gain x: fewer than targetMembers members have about as much CPU as x or more.
+// needsMember reports whether the group should gain x: fewer than targetMembers members have about as much CPU as x or more. An
+// earlier process of the same instance does not count, since it no longer runs.
 func (g group) needsMember(x Identity) bool {
 	n := 0
 	for _, m := range g {
-		if !x.hasMoreCPU(m) {
+		if !x.hasMoreCPU(m) && !x.isLaterProcessOf(m) {
 			n++
 		}
 	}
--- a/internal/jobserve/group_test.go
+++ b/internal/jobserve/group_test.go
@@ -51,6 +51,9 @@
 	for _, x := range g {
 		require.False(t, g.isRedundant(x, false))
 	}
+	restarted := testIdentity(5, 0.4)
+	restarted.Start += "0"
+	require.True(t, g.needsMember(restarted), "its earlier process no longer runs")
 	require.True(t, g.needsMember(testIdentity(1, 0.8)), "an instance with more CPU joins")
 	require.True(t, g[:2].needsMember(testIdentity(1, 0.1)), "an instance with less CPU joins a group that is too small")
 }
--- a/internal/jobserve/member_test.go
+++ b/internal/jobserve/member_test.go
@@ -236,6 +236,28 @@
 	require.True(t, f.member.IsOwner())
 }
 
+// After all instances had been restarted together, the jobs had no owner until the memberships of their former processes ended.
+func TestRestartedOwnerTakesOverAtOnce(t *testing.T) {
+	f := newMemberFixture(t)
+	former := testIdentity(1, 0.4)
+	former.Start = ""
+	f.incumbent = former.String()
+	f.renew(false, former, testIdentity(2, 0.4))
+	require.True(t, f.member.IsOwner())
+}
+
+// A member that had just started replaced an owner that had just taken over, since killed members still held its partitions.
+func TestOwnerThatJustStartedIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		f.incumbent = NewIdentity("node-02", 0.4, "10.0.0.2:7720", time.Now()).String()
+		f.renewFor(memberLease, testIdentity(1, 0.4))
+		require.False(t, f.member.IsOwner())
+		f.renewFor(time.Second, testIdentity(1, 0.4))
+		require.True(t, f.member.IsOwner(), "it is gone")
+	})
+}
+
 func TestIncumbentRestartsItsOwner(t *testing.T) {
 	f := newMemberFixture(t)
 	f.renew(true, testIdentity(1, 0.4))
--- a/internal/jobserve/ownership.go
+++ b/internal/jobserve/ownership.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// checkOwnership starts the owner if this instance is elected. The instance is elected if its process is the incumbent, or if
-// the jobs are vacant and the store names this instance as the next owner or the next owner had time to take over.
+// checkOwnership starts the owner if this instance is elected. The instance is elected if its process or an earlier one of the
+// instance is the incumbent, or if the jobs are vacant and this instance is the next owner or the next owner had time to take over.
 func (m *Member) checkOwnership(ctx context.Context, next bool) {
 	m.ownershipCheckedAt = time.Now()
 	c, cancel := context.WithTimeout(ctx, joinTimeout)
@@ -19,15 +19,23 @@
 		}
 		return
 	}
-	replaced := m.knowsIncumbent && !m.incumbent.isSameOwnership(incumbent)
+	replaced := m.knowsIncumbent && !m.incumbent.isSameOwnership(incumbent) || startedRecently(incumbent, m.ownershipCheckedAt)
 	m.incumbent, m.knowsIncumbent = incumbent, true
-	if incumbent.Identity != m.Identity.String() && !m.maySucceed(ctx, incumbent, replaced, next) {
+	x := parseIdentity(incumbent.Identity)
+	if x != m.Identity && !m.Identity.isLaterProcessOf(x) && !m.maySucceed(ctx, incumbent, replaced, next) {
 		return
 	}
 	m.Logger.Info().Str("Incumbent", incumbent.Identity).Int64("Generation", m.generation).Str("Decision", "Own").Msg("this instance is elected to own the jobs")
 	m.startOwner(ctx, incumbent)
 }
 
+// startedRecently reports whether the process of a claim has started so recently that the store may not list it as a member yet:
+// lost members keep their partitions for as long as their membership lasts.
+func startedRecently(c Claim, now time.Time) bool {
+	t, ok := parseIdentity(c.Identity).startedAt()
+	return ok && now.Sub(t).Abs() < memberLease
+}
+
 // maySucceed reports whether the jobs are vacant and this instance is the next owner or the next owner had time to take over.
 func (m *Member) maySucceed(ctx context.Context, incumbent Claim, replaced, next bool) bool {
 	g, ok := m.fetchGroup(ctx)
