--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -65,13 +65,15 @@
 		Agent: relay.NewAgent(relay.Hello{Name: s.Name, FailureDomain: s.FailureDomain}, jobserve.InstrumentWorkers(workers, m), l),
 	}
 	node.Identity = id.String()
+	service := jobserve.NewService(store, replica, node, l)
+	node.Append = service.AppendFor
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, ShutdownTimeout: s.ShutdownTimeout,
 		Lease: min(s.MaxLease, maxLease), FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, StartBounds: s.StartBounds, Identity: id,
 		Store: store, Replica: replica, State: state,
 		Workers: jobserve.InstrumentWorkers(node, m), Relays: node, Directory: platform.NewDirectory(platformStore, l),
 		Advisor: platform.NewPlacementAdvisor(s.PlacementAdvisorAddress), Maintenance: platform.NewMaintenanceClient(s.MaintenanceAddress, s.Name, platformStore),
-		Operators: platform.NewOperatorWatcher(platformStore, l), CallerHandler: platform.NewCallerHandler(state, jobserve.NewService(store, replica, l), l),
+		Operators: platform.NewOperatorWatcher(platformStore, l), CallerHandler: platform.NewCallerHandler(state, service, l),
 		MetricsListen: metricsListen, Metrics: m, Log: w, Logger: l,
 	})
 }
--- a/internal/jobserve/batcher.go
+++ b/internal/jobserve/batcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -16,17 +17,38 @@
 	maxRejections = 2
 	// maxBatchRecords is the maximum number of records in one append.
 	maxBatchRecords = 500
+	// congestedLatency is the duration of an append from which the store counts as congested.
+	congestedLatency = 150 * time.Millisecond
+	// congestionPeriod is the time after a slow or failed append in which records go through another instance.
+	congestionPeriod = 3 * time.Second
+	// forwardTimeout bounds an append through another instance, which is longer than the store lets appends wait.
+	forwardTimeout = 2600 * time.Millisecond
 )
 
+// Forwarder appends records through the instance that appends for many others.
+type Forwarder interface {
+	// Forward appends records to PartitionRequests. It returns false if they were not sent, because this instance is the one that
+	// appends for others, or is not connected to it. The error is as that of Store.Append.
+	Forward(ctx context.Context, l []Record) (bool, error)
+}
+
 // batcher appends the records of concurrent callers in batches, one append at a time.
 //
 // It bounds the load on a store that is slow or serializes appends: records that
 // arrive during an append go into the next batch. Appending a record again has
 // no further effect, so an append without a response is retried.
+//
+// The store serializes the appends of all instances, so that many instances with
+// few records each wait for each other once an append takes long. While it does,
+// the records go to one instance, which appends those of all others together.
 type batcher struct {
-	store   Store
-	logger  zerolog.Logger
-	latency latencyEstimator
+	store  Store
+	logger zerolog.Logger
+	// forwarder is nil if records are always appended directly.
+	forwarder Forwarder
+	latency   latencyEstimator
+	// congestedUntil is the time until which records are forwarded; only the goroutine of run uses it.
+	congestedUntil time.Time
 
 	mu      sync.Mutex
 	waiting []*pendingRecord
@@ -46,14 +68,47 @@
 
 // append adds a record and waits until it is stored, is known not to be stored, or the context ends.
 func (b *batcher) append(ctx context.Context, r Record) error {
+	return b.await(ctx, b.enqueue(ctx, r))
+}
+
+// appendAll adds records and waits as append does. It returns ErrNotAccepted only if none of the records is stored.
+func (b *batcher) appendAll(ctx context.Context, l []Record) error {
+	p := make([]*pendingRecord, len(l))
+	for i, r := range l {
+		p[i] = b.enqueue(ctx, r)
+	}
+	rejected := 0
+	var err error
+	for _, x := range p {
+		e := b.await(ctx, x)
+		if errors.Is(e, ErrNotAccepted) {
+			rejected++
+		}
+		if e != nil {
+			err = e
+		}
+	}
+	if err != nil && rejected < len(l) {
+		return ErrOutcomeUnknown
+	}
+	return err
+}
+
+// enqueue adds a record to the next batch.
+func (b *batcher) enqueue(ctx context.Context, r Record) *pendingRecord {
 	p := &pendingRecord{record: r, ctx: ctx, result: make(chan error, 1)}
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.waiting = append(b.waiting, p)
 	if !b.running {
 		b.running = true
 		go b.run()
 	}
-	b.mu.Unlock()
+	return p
+}
+
+// await waits for the outcome of a record.
+func (b *batcher) await(ctx context.Context, p *pendingRecord) error {
 	select {
 	case err := <-p.result:
 		return err
@@ -94,16 +149,38 @@
 	return l
 }
 
-// appendBatch appends a batch to the store.
+// appendBatch appends a batch to the store, through another instance while the store is congested.
 func (b *batcher) appendBatch(l []*pendingRecord) error {
 	r := make([]Record, len(l))
 	for i, p := range l {
 		r[i] = p.record
 	}
 	start := time.Now()
+	sent, err := b.forward(r)
+	if !sent {
+		err = b.appendDirectly(r)
+	}
+	if err != nil || time.Since(start) >= congestedLatency {
+		b.congestedUntil = time.Now().Add(congestionPeriod)
+	}
+	return err
+}
+
+// forward sends records to the instance that appends for others, if the store is congested.
+func (b *batcher) forward(l []Record) (bool, error) {
+	if b.forwarder == nil || time.Now().After(b.congestedUntil) {
+		return false, nil
+	}
+	c, cancel := context.WithTimeout(context.Background(), forwardTimeout)
+	defer cancel()
+	return b.forwarder.Forward(c, l)
+}
+
+func (b *batcher) appendDirectly(l []Record) error {
 	c, cancel := context.WithTimeout(context.Background(), b.latency.timeout())
 	defer cancel()
-	_, err := b.store.Append(c, PartitionRequests, r, nil)
+	start := time.Now()
+	_, err := b.store.Append(c, PartitionRequests, l, nil)
 	if !isNotApplied(err) {
 		b.latency.observe(time.Since(start))
 	}
--- a/internal/jobserve/group.go
+++ b/internal/jobserve/group.go
@@ -90,6 +90,21 @@
 	return l
 }
 
+// appender returns the address of the member that appends for the other instances while the store is congested: the first by
+// identity of those with the most CPU. It is empty if that is self or there is none.
+func (g group) appender(self Identity) string {
+	var best Identity
+	for _, m := range g {
+		if best.Name == "" || m.hasMoreCPU(best) || !best.hasMoreCPU(m) && m.String() < best.String() {
+			best = m
+		}
+	}
+	if best == self {
+		return ""
+	}
+	return best.Address
+}
+
 // needsMember reports whether the group should gain x: fewer than targetMembers members have about as much CPU as x or more. An
 // earlier process of the same instance does not count, since it no longer runs.
 func (g group) needsMember(x Identity) bool {
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -97,7 +97,10 @@
 }
 
 // updateRelayOwners makes this instance call workers on behalf of the other members of the group, since any may own the jobs.
-func (i *Instance) updateRelayOwners(g group) { i.Relays.SetOwners(g.peerAddresses(i.Identity)) }
+func (i *Instance) updateRelayOwners(g group) {
+	i.Relays.SetOwners(g.peerAddresses(i.Identity))
+	i.Relays.SetAppender(g.appender(i.Identity))
+}
 
 // registerGauges registers the metrics of the instance's state.
 func (i *Instance) registerGauges() {
--- a/internal/jobserve/service.go
+++ b/internal/jobserve/service.go
@@ -29,9 +29,16 @@
 	logger  zerolog.Logger
 }
 
-// NewService returns a service that writes to a store and reads from its replica.
-func NewService(s Store, r *Replica, l zerolog.Logger) *Service {
-	return &Service{batcher: &batcher{store: s, logger: l}, replica: r, logger: l}
+// NewService returns a service that writes to a store, through the forwarder while the store is congested, and reads from its
+// replica.
+func NewService(s Store, r *Replica, f Forwarder, l zerolog.Logger) *Service {
+	return &Service{batcher: &batcher{store: s, forwarder: f, logger: l}, replica: r, logger: l}
+}
+
+// AppendFor stores records of requests that another instance has accepted, together with those of this instance. It returns
+// ErrNotAccepted if none of them is stored, and ErrOutcomeUnknown if some may be.
+func (s *Service) AppendFor(ctx context.Context, l []Record) error {
+	return s.batcher.appendAll(ctx, l)
 }
 
 // Submit stores a job; a further submission with the same ID has no effect. If the store fails, Submit returns ErrNotAccepted
--- a/internal/jobserve/views_test.go
+++ b/internal/jobserve/views_test.go
@@ -160,7 +160,7 @@
 		_, err := s.Append(t.Context(), PartitionRequests, []Record{x}, nil)
 		require.NoError(t, err)
 		time.Sleep(visibleAfter)
-		v := NewService(s, r, zerolog.Nop())
+		v := NewService(s, r, nil, zerolog.Nop())
 		for range 20 {
 			c, cancelCall := context.WithTimeout(t.Context(), callTimeout)
 			_, known, err := v.State(c, "0000000000000001")
--- a/internal/jobserve/workers.go
+++ b/internal/jobserve/workers.go
@@ -48,6 +48,9 @@
 	Run(ctx context.Context) error
 	// SetOwners sets the addresses of the other instances that may own the jobs.
 	SetOwners(addresses []string)
+	// SetAppender sets the address of the instance that appends for others while the store is congested; it is empty if that is
+	// this instance or none.
+	SetAppender(address string)
 	// SilentSince returns from when on a process that may own the jobs has not responded although this instance tried to reach
 	// it, zero if it never responded.
 	SilentSince(identity string) time.Time
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -37,7 +37,11 @@
 	cancelByOwner map[string]context.CancelFunc
 	// heard holds, by the owner's identity, when this instance has heard from it last.
 	heard map[string]heardOwner
-	ctx   context.Context //nolint:containedctx // SetOwners opens connections while Run serves
+	// sessions holds the connections on which the owner's clock is known, by owner address, and appender the address of the
+	// instance that appends for others.
+	sessions map[string]*session
+	appender string
+	ctx      context.Context //nolint:containedctx // SetOwners opens connections while Run serves
 	// leaving is closed by Leave.
 	leaving    chan struct{}
 	goroutines sync.WaitGroup
@@ -52,7 +56,7 @@
 
 // NewAgent returns an agent; Run starts it.
 func NewAgent(h Hello, w jobserve.Workers, l zerolog.Logger) *Agent {
-	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), heard: make(map[string]heardOwner), leaving: make(chan struct{})}
+	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), heard: make(map[string]heardOwner), sessions: make(map[string]*session), leaving: make(chan struct{})}
 }
 
 // Run maintains the connections to owners until the context is cancelled, and waits until they are closed.
@@ -159,6 +163,14 @@
 	// clockKnown receives a value after the first reading of the owner's clock; only then does writeLoop send the
 	// Hello, after which the owner sends calls.
 	clockKnown chan struct{}
+	// appends holds the forwarded appends to be sent; closed is closed when the connection has ended.
+	appends chan appendRequest
+	closed  chan struct{}
+
+	appendsMu  sync.Mutex
+	lastAppend uint64
+	// pendingAppends holds, by ID, the channel that gets the result.
+	pendingAppends map[uint64]chan appendResult
 }
 
 func (a *Agent) connect(ctx context.Context, address string) error {
@@ -170,7 +182,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	context.AfterFunc(ctx, func() { _ = c.Close() })
-	s := &session{Agent: a, conn: c, address: address, responses: make(chan response, maxQueuedCalls), clockKnown: make(chan struct{}, 1)}
+	s := &session{
+		Agent: a, conn: c, address: address, responses: make(chan response, maxQueuedCalls), clockKnown: make(chan struct{}, 1),
+		appends: make(chan appendRequest, maxQueuedAppends), closed: make(chan struct{}), pendingAppends: make(map[uint64]chan appendResult),
+	}
+	defer s.end()
 	a.goroutines.Go(func() {
 		if err := s.writeLoop(ctx); err != nil {
 			a.logger.Debug().Err(err).Msg("writing a frame to an owner failed")
@@ -180,6 +196,16 @@
 	return s.readLoop(ctx)
 }
 
+// end ends the use of the connection for forwarded appends.
+func (s *session) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[s.address] == s {
+		delete(s.sessions, s.address)
+	}
+	close(s.closed)
+}
+
 // readLoop reads the owner's frames until the connection is lost, and executes each call in a goroutine.
 func (s *session) readLoop(ctx context.Context) error {
 	for {
@@ -197,6 +223,7 @@
 			s.recordResponse()
 			s.handlePong(m.Echo, m.OwnerTime)
 		}
+		s.deliverAppended(m.Appended)
 		for i := range m.Calls {
 			go s.serveCall(ctx, &m.Calls[i])
 		}
@@ -207,9 +234,13 @@
 func (s *session) handlePong(sentAt, ownerAt time.Duration) {
 	first := !s.clock.isKnown()
 	s.clock.observe(sentAt, ownerAt)
-	if first {
-		s.clockKnown <- struct{}{}
+	if !first {
+		return
 	}
+	s.clockKnown <- struct{}{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sessions[s.address] = s
 }
 
 // writeLoop sends pings and responses, batching queued responses, until the context is cancelled or a write fails.
@@ -235,6 +266,8 @@
 			m.Leaving = true
 		case x := <-s.responses:
 			m.Responses = collectBatch(s.responses, x)
+		case x := <-s.appends:
+			m.Appends = collectBatch(s.appends, x)
 		}
 	}
 }
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -29,6 +29,7 @@
 	// identity is the owner's identity.
 	identity string
 	calls    chan call
+	appended chan appendResult
 	pongs    chan time.Duration
 	closed   chan struct{}
 
@@ -40,7 +41,7 @@
 
 func newLink(c net.Conn, identity string) *link {
 	return &link{
-		conn: c, identity: identity, calls: make(chan call, maxQueuedCalls), pongs: make(chan time.Duration, 1), closed: make(chan struct{}),
+		conn: c, identity: identity, calls: make(chan call, maxQueuedCalls), appended: make(chan appendResult, maxQueuedAppends), pongs: make(chan time.Duration, 1), closed: make(chan struct{}),
 		pending: make(map[uint64]chan response),
 	}
 }
@@ -133,6 +134,8 @@
 			m.Owner, identity = identity, ""
 		case c := <-l.calls:
 			m.Calls = collectBatch(l.calls, c)
+		case r := <-l.appended:
+			m.Appended = collectBatch(l.appended, r)
 		}
 		if err := writeFrame(l.conn, &m); err != nil {
 			return err
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -22,8 +22,9 @@
 	Echo      time.Duration `msgpack:",omitempty"`
 	OwnerTime time.Duration `msgpack:"At,omitempty"`
 	// Owner is the owner's identity in the first response of a connection, and empty later.
-	Owner string `msgpack:",omitempty"`
-	Calls []call `msgpack:",omitempty"`
+	Owner    string         `msgpack:",omitempty"`
+	Calls    []call         `msgpack:",omitempty"`
+	Appended []appendResult `msgpack:",omitempty"`
 }
 
 // toOwner is a frame from a relay to an owner.
@@ -32,8 +33,9 @@
 	Ping  time.Duration `msgpack:",omitempty"`
 	Hello *Hello        `msgpack:",omitempty"`
 	// Leaving means that the relay is shutting down and accepts no more calls.
-	Leaving   bool       `msgpack:",omitempty"`
-	Responses []response `msgpack:"Answers,omitempty"`
+	Leaving   bool            `msgpack:",omitempty"`
+	Responses []response      `msgpack:"Answers,omitempty"`
+	Appends   []appendRequest `msgpack:",omitempty"`
 }
 
 // call is one call to a worker; its instants are on the owner's boot clock, 0 for none.
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -34,8 +34,10 @@
 type Pool struct {
 	// Identity is the identity of this process, which relays learn; it is set before Run.
 	Identity string
-	local    jobserve.Workers
-	logger   zerolog.Logger
+	// Append stores records that another instance forwards; it is set before Run, and nil if none may be forwarded.
+	Append func(ctx context.Context, l []jobserve.Record) error
+	local  jobserve.Workers
+	logger zerolog.Logger
 	// directLimit is the number of workers up to which this instance calls all of them directly.
 	directLimit int
 
@@ -91,7 +93,7 @@
 			_ = c.Close()
 		}
 	})
-	err := l.readLoop(func(m *toOwner) { p.handle(l, m) })
+	err := l.readLoop(func(m *toOwner) { p.handle(ctx, l, m) })
 	// Unregister the link before its calls fail, so that retries of the calls do not choose the same link again.
 	p.connectionClosed(l, err)
 	close(l.closed)
@@ -99,8 +101,11 @@
 	w.Wait()
 }
 
-// handle registers the relay that a frame introduces, or removes a relay that is leaving; it ignores other frames.
-func (p *Pool) handle(l *link, m *toOwner) {
+// handle serves the appends of a frame, and registers the relay that it introduces or removes a relay that is leaving.
+func (p *Pool) handle(ctx context.Context, l *link, m *toOwner) {
+	for i := range m.Appends {
+		go p.serveAppend(ctx, l, &m.Appends[i])
+	}
 	if m.Hello == nil && !m.Leaving {
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -352,7 +352,7 @@
 		done <- n
 	}()
 	time.Sleep(10 * time.Millisecond)
-	p.handle(newLink(nil, ""), &toOwner{Hello: &Hello{"r", "north"}})
+	p.handle(t.Context(), newLink(nil, ""), &toOwner{Hello: &Hello{"r", "north"}})
 	require.Equal(t, "r", <-done)
 	require.Equal(t, workers, direct(now))
 	require.Empty(t, p.directWorkers, "with a relay no worker is called directly")
