The member that appends for others is seldom the owner

Now the last of the strongest members by identity appends; the first succeeds an owner. TestAppenderIsAStrongMemberThatSeldomOwnsTheJobs fails with the order before.

--- a/internal/jobserve/group.go
+++ b/internal/jobserve/group.go
@@ -90,12 +90,12 @@
 	return l
 }
 
-// appender returns the address of the member that appends for the other instances while the store is congested: the first by
-// identity of those with the most CPU. It is empty if that is self or there is none.
+// appender returns the address of the member that appends for the other instances while the store is congested: the last by
+// identity of those with the most CPU, since the first often owns the jobs. It is empty if that is self or there is none.
 func (g group) appender(self Identity) string {
 	var best Identity
 	for _, m := range g {
-		if best.Name == "" || m.hasMoreCPU(best) || !best.hasMoreCPU(m) && m.String() < best.String() {
+		if best.Name == "" || m.hasMoreCPU(best) || !best.hasMoreCPU(m) && m.String() > best.String() {
 			best = m
 		}
 	}
--- a/internal/jobserve/group_test.go
+++ b/internal/jobserve/group_test.go
@@ -78,3 +78,12 @@
 	require.True(t, mixed.isNextOwner(b, a.String(), false), "the incumbent that is still listed does not count")
 	require.True(t, group{small}.isNextOwner(small, "", true))
 }
+
+func TestAppenderIsAStrongMemberThatSeldomOwnsTheJobs(t *testing.T) {
+	a, b, small := testIdentity(1, 0.8), testIdentity(2, 0.8), testIdentity(3, 0.11)
+	g := group{a, small, b}
+	require.Equal(t, b.Address, g.appender(small))
+	require.Equal(t, b.Address, g.appender(a))
+	require.Empty(t, g.appender(b), "it appends by itself")
+	require.Empty(t, group{}.appender(a))
+}
