--- a/internal/jobserve/batcher.go
+++ b/internal/jobserve/batcher.go
@@ -160,12 +160,22 @@
 	if !sent {
 		err = b.appendDirectly(r)
 	}
-	if err != nil || time.Since(start) >= congestedLatency {
-		b.congestedUntil = time.Now().Add(congestionPeriod)
-	}
+	b.observeCongestion(time.Since(start), err)
 	return err
 }
 
+// observeCongestion records that the store is congested if an append was slow or failed.
+func (b *batcher) observeCongestion(took time.Duration, err error) {
+	if err == nil && took < congestedLatency {
+		return
+	}
+	now := time.Now()
+	if b.forwarder != nil && now.After(b.congestedUntil) {
+		b.logger.Info().Err(err).Dur("Took", took).Str("Decision", "AppendThroughOther").Msg("the store is congested; another instance appends the records of this one")
+	}
+	b.congestedUntil = now.Add(congestionPeriod)
+}
+
 // forward sends records to the instance that appends for others, if the store is congested.
 func (b *batcher) forward(l []Record) (bool, error) {
 	if b.forwarder == nil || time.Now().After(b.congestedUntil) {
