Forwarded submissions are always appended directly

Callers: two instances that took each other for the one that appends, as may be just after a restart, each waited for the other until the time-out, again and again, and so did all that forwarded to them. Records of other instances now have a batcher of their own, which never forwards. TestInstancesThatForwardToEachOtherStoreTheirRecords did not end before.

--- a/internal/jobserve/batcher_test.go
+++ b/internal/jobserve/batcher_test.go
@@ -103,6 +103,37 @@
 	})
 }
 
+// forwardToService forwards records to another instance's service.
+type forwardToService struct{ service **Service }
+
+func (f forwardToService) Forward(ctx context.Context, l []Record) (bool, error) {
+	return true, (*f.service).AppendFor(ctx, l)
+}
+
+// Just after a restart two instances took each other for the one that appends: each waited for the other until the time-out, again
+// and again, and so did all that forwarded to them.
+func TestInstancesThatForwardToEachOtherStoreTheirRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &serialStore{latency: 2 * congestedLatency, stored: make(map[string]bool)}
+		var a, b *Service
+		a = NewService(s, nil, forwardToService{&b}, zerolog.Nop())
+		b = NewService(s, nil, forwardToService{&a}, zerolog.Nop())
+		var w sync.WaitGroup
+		for n := range 20 {
+			for name, x := range map[string]*Service{"a": a, "b": b} {
+				w.Go(func() {
+					time.Sleep(time.Duration(n) * 200 * time.Millisecond)
+					start := time.Now()
+					require.NoError(t, x.batcher.append(t.Context(), Record{Key: name + strconv.Itoa(n)}))
+					require.Less(t, time.Since(start), 2*time.Second)
+				})
+			}
+		}
+		w.Wait()
+		time.Sleep(time.Minute)
+	})
+}
+
 func TestRejectionOfSeveralRecordsIsReportedOnlyIfNoneIsStored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &serialStore{latency: time.Second, stored: make(map[string]bool), freeAt: time.Now().Add(time.Hour)}
--- a/internal/jobserve/service.go
+++ b/internal/jobserve/service.go
@@ -25,20 +25,23 @@
 // Service accepts, cancels and queries jobs; every instance has one.
 type Service struct {
 	batcher *batcher
-	replica *Replica
-	logger  zerolog.Logger
+	// forwarded appends the records of other instances, always directly: two instances that each take the other for the one that
+	// appends would wait for each other.
+	forwarded *batcher
+	replica   *Replica
+	logger    zerolog.Logger
 }
 
 // NewService returns a service that writes to a store, through the forwarder while the store is congested, and reads from its
 // replica.
 func NewService(s Store, r *Replica, f Forwarder, l zerolog.Logger) *Service {
-	return &Service{batcher: &batcher{store: s, forwarder: f, logger: l}, replica: r, logger: l}
+	return &Service{batcher: &batcher{store: s, forwarder: f, logger: l}, forwarded: &batcher{store: s, logger: l}, replica: r, logger: l}
 }
 
-// AppendFor stores records of requests that another instance has accepted, together with those of this instance. It returns
-// ErrNotAccepted if none of them is stored, and ErrOutcomeUnknown if some may be.
+// AppendFor stores records of requests that other instances have forwarded, those of all of them together. It returns
+// ErrNotAccepted if none of the given records is stored, and ErrOutcomeUnknown if some may be.
 func (s *Service) AppendFor(ctx context.Context, l []Record) error {
-	return s.batcher.appendAll(ctx, l)
+	return s.forwarded.appendAll(ctx, l)
 }
 
 // Submit stores a job; a further submission with the same ID has no effect. If the store fails, Submit returns ErrNotAccepted
