Lines and counters of lost workers and of the attempts lost with them

The log couldn't tell a task that crashes its workers from its neighbours: nothing said that a worker was lost, by what this is known, how many others fell silent at the same moment, or for how long an attempt had run there. No logic is changed.

--- /dev/null
+++ b/internal/dispatch/loss.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import "time"
+
+// lossCause is how the planner knows that what ran on a worker is gone.
+type lossCause string
+
+const (
+	// lossNewIncarnation means that the worker responded as a later incarnation.
+	lossNewIncarnation lossCause = "NewIncarnation"
+	// lossLeaseExpired means that the worker did not respond until its lease had certainly expired. It may have crashed, or may
+	// be cut off.
+	lossLeaseExpired lossCause = "LeaseExpired"
+)
+
+const (
+	// lossWindow is the time between two losses up to which one cause may have led to both, such as a failed rack.
+	lossWindow = time.Second
+	// lossRetention is the time for which the loss of a worker is remembered.
+	lossRetention = 30 * time.Second
+)
+
+// Counts are numbers of events since the counts were last taken.
+type Counts struct {
+	// LostWorkers counts, by cause, the workers that were lost with attempts, and LostAttempts these attempts.
+	LostWorkers  map[string]int
+	LostAttempts int
+}
+
+// TakeCounts returns the counts and resets them.
+func (p *Planner) TakeCounts() Counts {
+	c := p.counts
+	p.counts = Counts{}
+	return c
+}
+
+// recordFailedCall records that a call to the worker got no response.
+func (w *worker) recordFailedCall(now time.Time) {
+	if w.failedCalls == 0 {
+		w.silentSince = now
+	}
+	w.failedCalls++
+}
+
+// recordLoss records and logs that all attempts of a worker are gone.
+func (p *Planner) recordLoss(w *worker, c lossCause, now time.Time) {
+	if len(w.attempts) == 0 {
+		return
+	}
+	at := w.lostAt(now)
+	for id, t := range p.lostAt {
+		if now.Sub(t) > lossRetention {
+			delete(p.lostAt, id)
+		}
+	}
+	p.lostAt[w.ID] = at
+	if p.counts.LostWorkers == nil {
+		p.counts.LostWorkers = make(map[string]int)
+	}
+	p.counts.LostWorkers[string(c)]++
+	p.counts.LostAttempts += len(w.attempts)
+	p.Logger.Warn().Str("Worker", w.ID).Str("Address", w.Address).Int64("Life", w.Incarnation).Str("Cause", string(c)).Int("Attempts", len(w.attempts)).Bool("Draining", w.Draining).
+		Dur("SilentFor", now.Sub(at)).Int("LostTogether", p.lostTogether(w, at)).Str("Decision", "WorkerLost").Msg("the attempts of a worker are gone")
+}
+
+// lostAt returns when the worker was first found not to respond, or now if it responds.
+func (w *worker) lostAt(now time.Time) time.Time {
+	if w.failedCalls == 0 || w.silentSince.IsZero() {
+		return now
+	}
+	return w.silentSince
+}
+
+// lostTogether returns the number of workers, the given one included, that were lost or fell silent within lossWindow of a loss.
+func (p *Planner) lostTogether(w *worker, at time.Time) int {
+	n := 1
+	for id, t := range p.lostAt {
+		if id != w.ID && t.Sub(at).Abs() <= lossWindow {
+			n++
+		}
+	}
+	for _, o := range p.workerList {
+		if _, known := p.lostAt[o.ID]; o != w && !known && o.failedCalls > 0 && o.silentSince.Sub(at).Abs() <= lossWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// provenRun returns for how long an attempt certainly ran: from its confirmation to the latest response of its worker.
+func (w *worker) provenRun(a *attempt) time.Duration {
+	if a.confirmedAt.IsZero() {
+		return 0
+	}
+	return max(0, w.lastResponseAt.Sub(a.confirmedAt))
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -84,6 +84,10 @@
 	// snapshot. unresponsiveChanged means that these workers have changed, so that a new snapshot is due.
 	unresponsive        map[string]int64
 	unresponsiveChanged bool
+	// lostAt holds, by worker ID, when workers were lost with their attempts, for lossRetention, and counts the events since
+	// TakeCounts.
+	lostAt map[string]time.Time
+	counts Counts
 	// relocatedAt is when a plan last looked for tasks to relocate.
 	relocatedAt time.Time
 	// progressRates holds the progress rate of the tasks of each step.
@@ -106,6 +110,7 @@
 		drainedDomains: make(map[string]bool), dirty: make(map[string]*jobs.Job),
 		waits: newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
 		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
+		lostAt: make(map[string]time.Time),
 	}
 }
 
@@ -243,6 +248,7 @@
 // incarnation, which has the same worker ID.
 func (p *Planner) startIncarnation(w *worker, incarnation int64, now time.Time) {
 	p.Logger.Info().Str("Worker", w.ID).Int64("Life", incarnation).Str("Decision", "WorkerReborn").Int("Attempts", len(w.attempts)).Msg("worker started a new incarnation")
+	p.recordLoss(w, lossNewIncarnation, now)
 	w.Incarnation = incarnation
 	w.synced, w.fenced = false, false
 	w.ackNumber = 0
@@ -265,7 +271,7 @@
 	w.remove(a)
 	a.job.Release(a.task)
 	p.dirty[a.job.ID] = a.job
-	p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", w.ID).Str("Decision", "Release").Str("Reason", reason).Dur("HeldFor", p.heldFor(w, now)).Msg("attempt released")
+	p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", w.ID).Str("Decision", "Release").Str("Reason", reason).Dur("HeldFor", p.heldFor(w, now)).Dur("RanFor", w.provenRun(a)).Msg("attempt released")
 }
 
 // LeaseGranted records that a lease was sent to a worker.
@@ -285,9 +291,9 @@
 }
 
 // SyncFailed records that a worker did not respond to a sync call.
-func (p *Planner) SyncFailed(id string) {
+func (p *Planner) SyncFailed(id string, now time.Time) {
 	if w := p.workers[id]; w != nil {
-		w.failedCalls++
+		w.recordFailedCall(now)
 	}
 }
 
@@ -298,6 +304,9 @@
 		if w.isReachable(now) || now.Before(w.leaseUntil) {
 			continue
 		}
+		if slices.ContainsFunc(w.attemptList, func(a *attempt) bool { return a.phase != phasePlanned }) {
+			p.recordLoss(w, lossLeaseExpired, now)
+		}
 		for _, a := range slices.Clone(w.attemptList) {
 			if a.phase != phasePlanned {
 				p.release(w, a, "worker lease expired", now)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -225,7 +225,7 @@
 		if a.phase == phaseStarting {
 			a.phase = phaseUncertain
 		}
-		w.failedCalls++
+		w.recordFailedCall(now)
 		p.stop(w, a, "no response to start", now)
 		p.stopGang(a, "state of another member of the gang is unknown", now)
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -147,8 +147,9 @@
 	lastResponseAt time.Time
 	// lastRequestedAt is the RequestedAt of the latest applied report.
 	lastRequestedAt time.Time
-	// failedCalls counts the calls without a response since the latest report.
+	// failedCalls counts the calls without a response since the latest report, the first of them at silentSince.
 	failedCalls int
+	silentSince time.Time
 	// backoffUntil is the time before which the worker gets no new tasks, since it refused a start. avoidUntil is the time before
 	// which it gets none for which there is another worker, since too many attempts in a row failed there.
 	backoffUntil time.Time
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -22,6 +22,8 @@
 	{metricJobs, "gauge", "jobs in the replica of this instance"},
 	{metricHeldAttempts, "gauge", "attempts that this owner keeps at workers that do not respond; 0 on other instances"},
 	{metricWaitingTasks, "gauge", "tasks whose turn has come and for which the latest plan of this owner found no worker; 0 on other instances"},
+	{metricLostWorkers, "counter", "workers that were lost with attempts, by how this owner knows it (label `cause`)"},
+	{metricLostAttempts, "counter", "attempts that were lost with their workers"},
 	{metricWorkersAge, "gauge", "age of the list of workers by which this owner starts tasks, in seconds; 0 on other instances"},
 	{metricOperatorsAge, "gauge", "age of what this instance knows of operators' changes, in seconds"},
 	{metricRequestsAge, "gauge", "age of what this instance knows of submissions and cancellations, in seconds"},
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -27,6 +27,8 @@
 	metricStoreAge         = "currantknot_store_age_seconds"
 	metricJobs             = "currantknot_jobs"
 	metricHeldAttempts     = "currantknot_held_attempts"
+	metricLostWorkers      = "currantknot_lost_workers_total"
+	metricLostAttempts     = "currantknot_lost_attempts_total"
 	metricWaitingTasks     = "currantknot_waiting_tasks"
 	metricWorkersAge       = "currantknot_worker_list_age_seconds"
 	metricOperatorsAge     = "currantknot_operators_age_seconds"
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -183,7 +183,7 @@
 	o.refreshViews(now)
 	o.planner.SetWaves(o.State.Waves())
 	o.planner.Plan(now)
-	idle := o.planner.Idle(now)
+	idle, counts := o.planner.Idle(now), o.planner.TakeCounts()
 	changed, orders := o.planner.TakeChanges()
 	committedStates := statesOf(changed)
 	r, err := o.encodeRecords(changed, now)
@@ -195,6 +195,7 @@
 	}
 	o.mu.Unlock()
 	o.recordIdle(idle)
+	o.addCounts(counts)
 	if err != nil {
 		return err
 	}
@@ -228,6 +229,16 @@
 	o.Metrics.Set(metricWaitingTasks, x.Waiting)
 }
 
+// addCounts adds what happened since the latest cycle to the counters.
+func (o *Owner) addCounts(c dispatch.Counts) {
+	for cause, n := range c.LostWorkers {
+		o.Metrics.Add(metricLostWorkers, label("cause", cause), n)
+	}
+	if c.LostAttempts > 0 {
+		o.Metrics.Add(metricLostAttempts, "", c.LostAttempts)
+	}
+}
+
 // publishStates publishes new job states to the other instances.
 func (o *Owner) publishStates(ctx context.Context, l []jobState) {
 	for _, x := range l {
--- a/internal/jobserve/sync.go
+++ b/internal/jobserve/sync.go
@@ -144,7 +144,7 @@
 // recordSyncFailure reports a failed sync call to the planner, and logs at most maxSyncFailures consecutive failures.
 func (o *Owner) recordSyncFailure(w dispatch.WorkerInfo, failures int, err error) {
 	o.mu.Lock()
-	o.planner.SyncFailed(w.ID)
+	o.planner.SyncFailed(w.ID, time.Now())
 	o.mu.Unlock()
 	if failures <= maxSyncFailures {
 		o.Logger.Warn().Err(err).Str("Worker", w.ID).Int("Failures", failures).Str("Decision", "WorkerSilent").Msg("sync call to the worker failed")
