Tasks of a worker are released once a later worker responds at its address

Callers saw jobs wait for 6.7 s after a crash, although the worker was back after 3 to 4 s as another one at the same address. Cause: only the lease's end or a later incarnation under the same ID counted as the end of a worker. Two processes can't listen at one address, so that a response of a later one proves that the earlier one has ended; silence alone still proves nothing (TestTasksOfASilentWorkerAreNotReleasedBeforeItsLeaseEnds). TestTasksOfAReplacedWorkerAreReleased failed before.

--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // lossCause is how the planner knows that what ran on a worker is gone.
 type lossCause string
@@ -8,6 +11,8 @@
 const (
 	// lossNewIncarnation means that the worker responded as a later incarnation.
 	lossNewIncarnation lossCause = "NewIncarnation"
+	// lossReplaced means that the worker did not respond, and that a later worker responded at its address.
+	lossReplaced lossCause = "Replaced"
 	// lossLeaseExpired means that the worker did not respond until its lease had certainly expired. It may have crashed, or may
 	// be cut off.
 	lossLeaseExpired lossCause = "LeaseExpired"
@@ -87,6 +92,25 @@
 	return n
 }
 
+// isReplaced reports whether a later worker responds at the address of a worker that does not: both can't run there, so that the
+// earlier one has ended.
+func (p *Planner) isReplaced(w *worker, now time.Time) bool {
+	return w.Address != "" && slices.ContainsFunc(p.workerList, func(o *worker) bool {
+		return o != w && o.Address == w.Address && o.Incarnation > w.Incarnation && o.isResponding(now)
+	})
+}
+
+// releaseLost releases the attempts of a worker on which nothing runs any more, except planned attempts, whose starts are not
+// sent yet.
+func (p *Planner) releaseLost(w *worker, reason string, now time.Time) {
+	for _, a := range slices.Clone(w.attemptList) {
+		if a.phase != phasePlanned {
+			p.release(w, a, reason, now)
+			p.finalizeJob(a.job, now)
+		}
+	}
+}
+
 // provenRun returns for how long an attempt certainly ran: from its confirmation to the latest response of its worker.
 func (w *worker) provenRun(a *attempt) time.Duration {
 	if a.confirmedAt.IsZero() {
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -290,10 +290,16 @@
 	return now.Add(time.Duration(float64(p.Lease)*clockDriftFactor) + leaseMargin)
 }
 
-// SyncFailed records that a worker did not respond to a sync call.
+// SyncFailed records that a worker did not respond to a sync call, and releases its attempts if it was replaced.
 func (p *Planner) SyncFailed(id string, now time.Time) {
-	if w := p.workers[id]; w != nil {
-		w.recordFailedCall(now)
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	w.recordFailedCall(now)
+	if len(w.attempts) > 0 && p.isReplaced(w, now) {
+		p.recordLoss(w, lossReplaced, now)
+		p.releaseLost(w, "a later worker responds at its address", now)
 	}
 }
 
@@ -307,11 +313,7 @@
 		if slices.ContainsFunc(w.attemptList, func(a *attempt) bool { return a.phase != phasePlanned }) {
 			p.recordLoss(w, lossLeaseExpired, now)
 		}
-		for _, a := range slices.Clone(w.attemptList) {
-			if a.phase != phasePlanned {
-				p.release(w, a, "worker lease expired", now)
-			}
-		}
+		p.releaseLost(w, "worker lease expired", now)
 		w.synced = w.isResponding(now)
 		if w.isRemovable() {
 			delete(p.workers, w.ID)
