--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -9,19 +9,238 @@
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
+// restore returns what a new owner knows of a job.
+func restore(t *testing.T, j *jobs.Job) *jobs.Job {
+	t.Helper()
+	b, err := j.EncodeProgress()
+	require.NoError(t, err)
+	s, _, err := j.EncodeSuspicions()
+	require.NoError(t, err)
+	r, err := jobs.Restore(j.Spec, b)
+	require.NoError(t, err)
+	if s != nil {
+		require.NoError(t, r.RestoreSuspicions(s))
+	}
+	return r
+}
+
+// requireCompleted checks that sound jobs complete although workers crash beside them.
+func (f *crashFleet) requireCompleted(l []*jobs.Job) {
+	f.Helper()
+	for _, j := range l {
+		require.Equal(f, jobs.StateCompleted, f.log[j.ID].State(), j.ID)
+	}
+}
+
 // A task that crashed each worker that started it was started again and again, by the ordinary rules.
 func TestCrashingTaskIsGivenUp(t *testing.T) {
-	for name, after := range map[string]time.Duration{"at once": 0, "after a moment": 200 * time.Millisecond, "late": 1500 * time.Millisecond} {
+	for name, after := range map[string]time.Duration{"at once": 0, "after a moment": 200 * time.Millisecond, "late": 1500 * time.Millisecond, "very late": 8 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			f := newCrashFleet(t, 12)
 			sound := f.addSound(100, 40)
 			j := f.addDeadly(1, after)
-			f.run(90 * time.Second)
+			f.run(120 * time.Second)
 			require.Equal(t, jobs.StateFailed, j.State())
-			require.LessOrEqual(t, f.crashes[jobs.Ref{Job: j.ID}], 5)
-			for _, s := range sound {
-				require.Equal(t, jobs.StateCompleted, s.State(), s.ID)
-			}
+			require.Contains(t, j.FailureReason, "task 0.0.0")
+			require.LessOrEqual(t, f.crashes[jobs.Ref{Job: j.ID}], jobs.MaxLosses)
+			f.requireCompleted(sound)
 		})
 	}
 }
+
+// What ran beside a task that crashes its workers was lost each time; from the second time on such a task runs where least is lost.
+func TestWorkBesideACrashingTaskLosesLittle(t *testing.T) {
+	f := newCrashFleet(t, 12)
+	var sound []*jobs.Job
+	for n := range 4 {
+		f.addDeadly(n+1, 0)
+	}
+	for n := range 40 {
+		sound = append(sound, f.addSound(100+8*n, 8)...)
+		f.run(500 * time.Millisecond)
+	}
+	f.run(60 * time.Second)
+	f.requireCompleted(sound)
+	crashes, lost := 0, 0
+	for r, n := range f.crashes {
+		crashes += n
+		require.LessOrEqual(t, n, jobs.MaxCrashes, r.String())
+	}
+	for r, n := range f.lost {
+		lost += n
+		require.LessOrEqual(t, n, 2, r.String())
+	}
+	t.Logf("%d workers crashed, %d other attempts lost", crashes, lost)
+	require.LessOrEqual(t, lost, 3*crashes)
+}
+
+// All tasks of a step crash their workers: they took a worker each, again and again.
+func TestCrashingStepRunsOneTaskAtATime(t *testing.T) {
+	f := newCrashFleet(t, 20)
+	f.crashAfter[testID(1)] = 0
+	j := f.add(testJob(testID(1), f.now, plainStep(6)))
+	f.run(60 * time.Second)
+	require.Equal(t, jobs.StateFailed, j.State())
+	total := 0
+	for _, n := range f.crashes {
+		total += n
+	}
+	require.LessOrEqual(t, total, 6+jobs.MaxCrashes-1)
+}
+
+// A gang took as many workers as it has members at one blow, again and again.
+func TestCrashingGangTakesFewWorkers(t *testing.T) {
+	f := newCrashFleet(t, 20)
+	step := plainStep(8)
+	step.Gang = true
+	step.Size.MilliCPU = 8000
+	f.crashAfter[testID(1)] = 0
+	j := f.add(testJob(testID(1), f.now, step))
+	f.run(60 * time.Second)
+	require.Equal(t, jobs.StateFailed, j.State())
+	total := 0
+	for _, n := range f.crashes {
+		total += n
+	}
+	require.LessOrEqual(t, total, 8+2*2)
+}
+
+// Long-running tasks have no limit of attempts, so that one that crashes its workers did so for as long as its job lasted.
+func TestCrashingLongRunningTaskIsGivenUp(t *testing.T) {
+	f := newCrashFleet(t, 12)
+	step := plainStep(1)
+	step.LongRunning = true
+	f.crashAfter[testID(1)] = 700 * time.Millisecond
+	j := f.add(testJob(testID(1), f.now, step))
+	f.run(90 * time.Second)
+	require.Equal(t, jobs.StateFailed, j.State())
+	require.LessOrEqual(t, f.crashes[jobs.Ref{Job: j.ID}], jobs.MaxLosses)
+}
+
+// A task whose workers never return could take one machine after another, since nothing proves that they crashed.
+func TestTaskWhoseWorkersNeverReturnIsGivenUp(t *testing.T) {
+	f := newCrashFleet(t, 12)
+	f.noReturn = true
+	j := f.addDeadly(1, 0)
+	f.run(120 * time.Second)
+	require.Equal(t, jobs.StateFailed, j.State())
+	require.LessOrEqual(t, f.crashes[jobs.Ref{Job: j.ID}], jobs.MaxLosses)
+}
+
+// The owner is lost after each crash; what counts against the task is not lost with it.
+func TestCrashingTaskIsGivenUpByLaterOwners(t *testing.T) {
+	f := newCrashFleet(t, 12)
+	sound := f.addSound(100, 20)
+	j := f.addDeadly(1, 0)
+	r := jobs.Ref{Job: j.ID}
+	for n := range jobs.MaxLosses {
+		for i := 0; f.crashes[r] <= n && f.log[j.ID].State() != jobs.StateFailed; i++ {
+			require.Less(t, i, 1200)
+			f.step()
+		}
+		// The new owner sees that the worker is lost, as the former one had.
+		f.run(5 * time.Second)
+		f.takeOver(func(j *jobs.Job) *jobs.Job { return restore(t, j) })
+	}
+	f.run(20 * time.Second)
+	require.Equal(t, jobs.StateFailed, f.log[j.ID].State())
+	require.Contains(t, f.log[j.ID].FailureReason, "task 0.0.0")
+	require.LessOrEqual(t, f.crashes[r], jobs.MaxLosses)
+	f.requireCompleted(sound)
+}
+
+// Several workers crash together, as those of a rack do, again and again: no task is at fault.
+func TestWorkersLostTogetherMakeNoTaskGivenUp(t *testing.T) {
+	f := newCrashFleet(t, 16)
+	step := plainStep(24)
+	step.LongRunning = true
+	lasting := f.add(testJob(testID(1), f.now, step))
+	var sound []*jobs.Job
+	for n := range 8 {
+		sound = append(sound, f.addSound(100+10*n, 10)...)
+		f.run(2500 * time.Millisecond)
+		down := 0
+		for _, w := range f.workers {
+			if !w.isDown() && len(w.runs) > 0 && down < 4 {
+				f.crash(w)
+				down++
+			}
+		}
+		f.run(6 * time.Second)
+	}
+	f.run(10 * time.Second)
+	f.requireCompleted(sound)
+	require.Equal(t, jobs.StateRunning, lasting.State())
+	require.Equal(t, 24, lasting.Assigned())
+}
+
+// A worker that is only silent for a while is no crash: its tasks run again elsewhere and are not given up.
+func TestSilentWorkersMakeNoTaskGivenUp(t *testing.T) {
+	s := newSimulation(t, 8)
+	j := testJob(testID(1), s.now, plainStep(1))
+	s.p.AddJob(j, s.now)
+	silent := make(map[string]bool)
+	for range 6 {
+		var o Order
+		for i := 0; o.Worker == ""; i++ {
+			require.Less(t, i, 400)
+			s.advance(100 * time.Millisecond)
+			for _, w := range s.p.workerList {
+				if silent[w.ID] {
+					s.p.SyncFailed(w.ID, false, s.now)
+				} else {
+					s.report(w.ID, nil)
+				}
+			}
+			if l := s.plan()[OrderStart]; len(l) > 0 {
+				o = l[0]
+			}
+		}
+		s.p.HandleStartResult(o, ResultAccepted, s.now)
+		clear(silent)
+		silent[o.Worker] = true
+		if j.Tasks[0][0][0].Suspicion.Losses >= 2 {
+			break
+		}
+	}
+	require.Zero(t, j.Tasks[0][0][0].Suspicion.Crashes)
+	require.Equal(t, jobs.StateRunning, j.State())
+}
+
+// While a worker isolates a task, it gets no other; once the task has run for a moment, both are as before.
+func TestIsolatedTaskIsClearedByARun(t *testing.T) {
+	f := newCrashFleet(t, 1)
+	step := plainStep(1)
+	step.LongRunning = true
+	j := f.add(testJob(testID(1), f.now, step))
+	task := j.Tasks[0][0][0]
+	j.RecordLoss(task, jobs.Loss{Worker: "i-99", Crashed: true, AtStart: true})
+	f.run(crashFleetStep)
+	w := f.workerOf(task.Ref)
+	require.NotNil(t, w)
+	sound := f.addSound(100, 1)
+	f.run(500 * time.Millisecond)
+	require.Len(t, w.runs, 1)
+	f.run(3 * time.Second)
+	require.Zero(t, task.Suspicion.Losses)
+	f.requireCompleted(sound)
+}
+
+// Each owner runs a suspect isolated, also one that another owner started.
+func TestSuspectStaysIsolatedAfterAChangeOfOwner(t *testing.T) {
+	f := newCrashFleet(t, 1)
+	step := plainStep(1)
+	step.LongRunning = true
+	j := f.add(testJob(testID(1), f.now, step))
+	task := j.Tasks[0][0][0]
+	for range 2 {
+		j.RecordLoss(task, jobs.Loss{Worker: "i-99", Crashed: true, RanFor: 8 * time.Second})
+	}
+	f.run(crashFleetStep)
+	w := f.workerOf(task.Ref)
+	require.NotNil(t, w)
+	f.takeOver(func(j *jobs.Job) *jobs.Job { return restore(t, j) })
+	f.addSound(100, 1)
+	f.run(time.Second)
+	require.Len(t, w.runs, 1)
+}
--- a/internal/dispatch/crashfleet_test.go
+++ b/internal/dispatch/crashfleet_test.go
@@ -171,7 +171,7 @@
 
 func (f *crashFleet) sync(w *crashWorker) {
 	if w.isDown() {
-		f.p.SyncFailed(w.ID, f.now)
+		f.p.SyncFailed(w.ID, true, f.now)
 		return
 	}
 	var l []RunningAttempt
--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -21,6 +21,7 @@
 	excludedDomain
 	excludedSilent
 	excludedBackoff
+	excludedIsolating
 	excludedAvoided
 	// excludedPool to excludedInterference exclude a worker from all tasks of a step.
 	excludedPool
@@ -40,7 +41,7 @@
 
 // exclusionNames holds the fields in which a Wait line counts the workers with each reason.
 var exclusionNames = [exclusionCount]string{
-	"Takers", "OldView", "NotListed", "DrainingWorker", "Cordoned", "DrainedDomain", "Silent", "Backoff", "Avoided", "OtherPool", "OtherLabel", "Straggler",
+	"Takers", "OldView", "NotListed", "DrainingWorker", "Cordoned", "DrainedDomain", "Silent", "Backoff", "Isolating", "Avoided", "OtherPool", "OtherLabel", "Straggler",
 	"NoCapacity", "NoPermit", "NoSpareCPU", "Interference", "TaskLimit", "Reservation", "Reserve", "FailedThere",
 }
 
@@ -76,6 +77,8 @@
 		return excludedSilent
 	case now.Before(w.backoffUntil):
 		return excludedBackoff
+	case w.isolated > 0:
+		return excludedIsolating
 	case now.Before(w.avoidUntil):
 		return excludedAvoided
 	}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -43,18 +43,23 @@
 	return total, unlisted
 }
 
-// Idle counts the tasks that should run and, as far as the planner knows, do not.
+// Idle counts the tasks that should run and, as far as the planner knows, do not, and the workers that are kept for one task.
 type Idle struct {
 	// Held counts the attempts at workers that do not respond.
 	Held int
 	// Waiting counts the tasks whose turn has come and for which the latest plan found no worker.
 	Waiting int
+	// Isolating counts the workers that run a task isolated.
+	Isolating int
 }
 
 // Idle returns the counts for the state after the latest plan.
 func (p *Planner) Idle(now time.Time) Idle {
 	x := Idle{Waiting: p.waiting}
 	for _, w := range p.workerList {
+		if w.isolated > 0 {
+			x.Isolating++
+		}
 		if !w.isReachable(now) {
 			x.Held += len(w.attempts)
 		}
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -30,6 +30,8 @@
 	// LostWorkers counts, by cause, the workers that were lost with attempts, and LostAttempts these attempts.
 	LostWorkers  map[string]int
 	LostAttempts int
+	// GivenUp counts the jobs that were given up since workers were lost under a task.
+	GivenUp int
 }
 
 // TakeCounts returns the counts and resets them.
@@ -39,11 +41,18 @@
 	return c
 }
 
-// recordFailedCall records that a call to the worker got no response.
-func (w *worker) recordFailedCall(now time.Time) {
+// brokenWindow is the time after the first call without a response up to which another one that broke tells when the worker
+// ended.
+const brokenWindow = 100 * time.Millisecond
+
+// recordFailedCall records that a call to the worker got no response; broken means that the connection broke.
+func (w *worker) recordFailedCall(broken bool, now time.Time) {
 	if w.failedCalls == 0 {
 		w.silentSince = now
 	}
+	if broken && now.Sub(w.silentSince) < brokenWindow {
+		w.brokenAt = now
+	}
 	w.failedCalls++
 }
 
@@ -64,8 +73,10 @@
 	}
 	p.counts.LostWorkers[string(c)]++
 	p.counts.LostAttempts += len(w.attempts)
+	together := p.lostTogether(w, at)
 	p.Logger.Warn().Str("Worker", w.ID).Str("Address", w.Address).Int64("Life", w.Incarnation).Str("Cause", string(c)).Int("Attempts", len(w.attempts)).Bool("Draining", w.Draining).
-		Dur("SilentFor", now.Sub(at)).Int("LostTogether", p.lostTogether(w, at)).Str("Decision", "WorkerLost").Msg("the attempts of a worker are gone")
+		Dur("SilentFor", now.Sub(at)).Int("LostTogether", together).Str("Decision", "WorkerLost").Msg("the attempts of a worker are gone")
+	p.blame(w, c != lossLeaseExpired, together >= minSharedLoss, now)
 }
 
 // lostAt returns when the worker was first found not to respond, or now if it responds.
@@ -111,10 +122,13 @@
 	}
 }
 
-// provenRun returns for how long an attempt certainly ran: from its confirmation to the latest response of its worker.
+// provenRun returns for how long an attempt certainly ran: from its confirmation to the last sign of its worker.
 func (w *worker) provenRun(a *attempt) time.Duration {
 	if a.confirmedAt.IsZero() {
 		return 0
 	}
-	return max(0, w.lastResponseAt.Sub(a.confirmedAt))
+	return max(0, w.lastSignAt().Sub(a.confirmedAt))
 }
+
+// lastSignAt returns when the worker last responded or, if a connection to it broke afterwards, when that was.
+func (w *worker) lastSignAt() time.Time { return laterOf(w.lastResponseAt, w.brokenAt) }
--- a/internal/dispatch/loss_test.go
+++ b/internal/dispatch/loss_test.go
@@ -20,7 +20,7 @@
 	s.p.SetWorkers([]WorkerInfo{later, s.p.workers[o.Worker].WorkerInfo}, s.now)
 	s.p.HandleReport(Report{Worker: later.ID, Incarnation: later.Incarnation, RequestedAt: s.now}, s.now)
 	require.Empty(t, s.plan()[OrderStart], "the earlier worker responds to its calls")
-	s.p.SyncFailed(o.Worker, s.now)
+	s.p.SyncFailed(o.Worker, false, s.now)
 	s.p.SetWorkers([]WorkerInfo{later}, s.now)
 	s.p.HandleReport(Report{Worker: later.ID, Incarnation: later.Incarnation, RequestedAt: s.now}, s.now)
 	l := s.plan()[OrderStart]
@@ -35,7 +35,7 @@
 	o := s.plan()[OrderStart][0]
 	s.p.HandleStartResult(o, ResultAccepted, s.now)
 	s.p.LeaseGranted(o.Worker, s.now)
-	s.p.SyncFailed(o.Worker, s.now)
+	s.p.SyncFailed(o.Worker, false, s.now)
 	other := testWorker(5)
 	other.Incarnation = testIncarnation + 1
 	s.p.SetWorkers([]WorkerInfo{other}, s.now)
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -282,7 +282,7 @@
 		return
 	}
 	if w.partitioned || m.fence < w.fence {
-		m.p.SyncFailed(w.id, m.now)
+		m.p.SyncFailed(w.id, false, m.now)
 		return
 	}
 	w.fence = m.fence
@@ -294,7 +294,7 @@
 		r.Running = append(r.Running, RunningAttempt{Ref: ref, Run: w.runs[ref], ProgressPercent: 50})
 	}
 	if rapid.IntRange(0, 9).Draw(m.t, "response lost") == 0 {
-		m.p.SyncFailed(w.id, m.now)
+		m.p.SyncFailed(w.id, false, m.now)
 		return
 	}
 	m.p.HandleReport(r, m.now)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -16,17 +16,12 @@
 	p.detectStragglers(now)
 	p.schedulable = p.schedulableWorkers(now)
 	p.reserve.begin(p.workerList, p.schedulable)
+	p.isolation.begin(p.workerList, p.schedulable)
 	p.unplaceable = make(map[placementClass]jobs.Resources)
 	p.waits.begin(now)
 	p.overdue.begin(p.schedulable, now)
 	p.updateReservations(l, now)
-	for _, c := range l {
-		if c.step.Gang {
-			p.placeGang(&c, now)
-			continue
-		}
-		p.placeStep(&c, now)
-	}
+	p.placeSteps(l, now)
 	p.waiting = countWaiting(l)
 	p.drainWorkers(now)
 	p.rescheduleFromStragglers(now)
@@ -37,6 +32,28 @@
 	p.logHolds(now)
 }
 
+// placeSteps assigns the ready tasks of all steps: sound ones in the given order, and then those that may run only isolated.
+func (p *Planner) placeSteps(l []candidateStep, now time.Time) {
+	var later []*candidateStep
+	for _, c := range l {
+		if c.job.HasSuspicions() {
+			if s := p.placeSuspects(&c, now); s != nil {
+				later = append(later, s)
+			}
+		}
+		switch {
+		case len(c.tasks) == 0:
+		case c.step.Gang:
+			p.placeGang(&c, now)
+		default:
+			p.placeStep(&c, now)
+		}
+	}
+	for _, c := range later {
+		p.placeIsolated(c, now)
+	}
+}
+
 // countWaiting returns the number of the steps' tasks that still wait for a worker.
 func countWaiting(l []candidateStep) int {
 	n := 0
@@ -105,7 +122,7 @@
 		keepReserve: c.step.LongRunning && !p.mayUseReserve(c, t, waited, now),
 		avoidFailed: !c.step.LongRunning && waited < failedWorkerRetryDelay,
 	}
-	p.logWait(wait{c, t, x, waited, false}, now)
+	p.logWait(wait{step: c, task: t, constraints: x, waited: waited}, now)
 	if r := p.selectWorker(c, t, l, x, now); r != nil || !c.step.LongRunning || waited < avoidedWorkerDelay {
 		return r
 	}
@@ -232,10 +249,10 @@
 }
 
 // recordUnplaceable records that no worker was found for a best-effort task. It ignores a task whose label, MaxPerWorker,
-// queue or earlier failures exclude workers that other tasks of the class could use.
+// queue, earlier failures or lost workers exclude workers that other tasks of the class could use.
 func (p *Planner) recordUnplaceable(c *candidateStep, t *jobs.Task) {
 	s := c.step
-	if !s.BestEffort || len(t.FailedAt) > 0 || s.Label != "" || s.MaxPerWorker > 0 || c.job.Queue.NeedsPermit {
+	if !s.BestEffort || len(t.FailedAt) > 0 || t.Suspicion.Losses > 0 || s.Label != "" || s.MaxPerWorker > 0 || c.job.Queue.NeedsPermit {
 		return
 	}
 	k := placementClass{c.job.Queue.Pool, s.Image}
@@ -313,27 +330,33 @@
 		if l == nil {
 			continue
 		}
-		ids := make([]string, len(l))
-		incarnations := make([]int64, len(l))
-		for i, w := range l {
-			ids[i], incarnations[i] = w.ID, w.Incarnation
-		}
-		if !c.job.AssignGang(c.tasks, ids, incarnations, now) {
-			return
-		}
-		for i, t := range c.tasks {
-			p.waits.remove(t)
-			p.orderStart(c.job, t, l[i], now)
-		}
+		p.assignGang(c, l, now)
 		return
 	}
 	t := c.tasks[0]
-	p.logWait(wait{c, t, constraints{}, p.waits.record(t, now), false}, now)
+	p.logWait(wait{step: c, task: t, waited: p.waits.record(t, now)}, now)
 	if c.job.Queue.NeedsPermit {
 		p.requestAdvice(c, now)
 	}
 }
 
+// assignGang assigns the tasks of a gang to the workers in l, in this order, and reports whether all were allowed to start.
+func (p *Planner) assignGang(c *candidateStep, l []*worker, now time.Time) bool {
+	ids := make([]string, len(l))
+	incarnations := make([]int64, len(l))
+	for i, w := range l {
+		ids[i], incarnations[i] = w.ID, w.Incarnation
+	}
+	if !c.job.AssignGang(c.tasks, ids, incarnations, now) {
+		return false
+	}
+	for i, t := range c.tasks {
+		p.waits.remove(t)
+		p.orderStart(c.job, t, l[i], now)
+	}
+	return true
+}
+
 // workerLabels returns all worker labels, sorted; they name racks and kinds of workers.
 func (p *Planner) workerLabels() []string {
 	seen := make(map[string]bool)
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -84,6 +84,7 @@
 	// snapshot. unresponsiveChanged means that these workers have changed, so that a new snapshot is due.
 	unresponsive        map[string]int64
 	unresponsiveChanged bool
+	isolation           isolation
 	// lostAt holds, by worker ID, when workers were lost with their attempts, for lossRetention, and counts the events since
 	// TakeCounts.
 	lostAt map[string]time.Time
@@ -110,7 +111,7 @@
 		drainedDomains: make(map[string]bool), dirty: make(map[string]*jobs.Job),
 		waits: newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
 		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
-		lostAt: make(map[string]time.Time),
+		lostAt: make(map[string]time.Time), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
 	}
 }
 
@@ -125,7 +126,11 @@
 	}
 	j.ForEachAssigned(func(t *jobs.Task) {
 		w := p.worker(t.Worker)
-		w.add(&attempt{job: j, task: t, run: t.Run, incarnation: t.Incarnation, phase: phaseUncertain, restored: true, plannedAt: now, speedPercent: unknownSpeed})
+		a := &attempt{job: j, task: t, run: t.Run, incarnation: t.Incarnation, phase: phaseUncertain, restored: true, plannedAt: now, speedPercent: unknownSpeed}
+		w.add(a)
+		if t.Suspicion.IsSuspect() {
+			w.isolate(a)
+		}
 	})
 	if j.IsTerminal() {
 		p.stopAll(j, "job finished", now)
@@ -256,8 +261,10 @@
 		if a.incarnation == incarnation {
 			continue
 		}
+		w.endIsolation(a)
 		if a.reported {
 			p.release(w, a, "worker started a new incarnation", now)
+			p.finalizeJob(a.job, now)
 			continue
 		}
 		// The new incarnation knows nothing of a stop that an earlier one accepted.
@@ -290,13 +297,14 @@
 	return now.Add(time.Duration(float64(p.Lease)*clockDriftFactor) + leaseMargin)
 }
 
-// SyncFailed records that a worker did not respond to a sync call, and releases its attempts if it was replaced.
-func (p *Planner) SyncFailed(id string, now time.Time) {
+// SyncFailed records that a worker did not respond to a sync call, and releases its attempts if it was replaced. broken means
+// that the call failed before its deadline.
+func (p *Planner) SyncFailed(id string, broken bool, now time.Time) {
 	w := p.workers[id]
 	if w == nil {
 		return
 	}
-	w.recordFailedCall(now)
+	w.recordFailedCall(broken, now)
 	if len(w.attempts) > 0 && p.isReplaced(w, now) {
 		p.recordLoss(w, lossReplaced, now)
 		p.releaseLost(w, "a later worker responds at its address", now)
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -139,7 +139,7 @@
 	if o.Worker == other {
 		other = "i-01"
 	}
-	s.p.SyncFailed(o.Worker, s.now)
+	s.p.SyncFailed(o.Worker, false, s.now)
 	for range 6 {
 		s.advance(time.Second)
 		s.report(other, nil)
@@ -315,9 +315,9 @@
 	s.p.HandleStartResult(o, ResultAccepted, s.now)
 	s.advance(testStoreLossGrace + 2*testLease)
 	s.p.LeaseGranted(o.Worker, s.now)
-	s.p.SyncFailed(o.Worker, s.now)
+	s.p.SyncFailed(o.Worker, false, s.now)
 	require.False(t, s.p.DetectUnresponsiveChange())
-	s.p.SyncFailed(o.Worker, s.now)
+	s.p.SyncFailed(o.Worker, false, s.now)
 	require.True(t, s.p.DetectUnresponsiveChange())
 	s.advance(4 * time.Second)
 	b, err := s.p.PrepareSnapshot(s.now)
@@ -349,8 +349,8 @@
 	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
 	o := s.plan()[OrderStart][0]
 	s.p.HandleStartResult(o, ResultAccepted, s.now)
-	s.p.SyncFailed(o.Worker, s.now)
-	s.p.SyncFailed(o.Worker, s.now)
+	s.p.SyncFailed(o.Worker, false, s.now)
+	s.p.SyncFailed(o.Worker, false, s.now)
 	_, err := s.p.PrepareSnapshot(s.now)
 	require.NoError(t, err)
 	s.p.SnapshotCommitted()
@@ -373,7 +373,7 @@
 	s.p.SetWorkers([]WorkerInfo{testWorker(0)}, s.now)
 	s.p.AddJob(j, s.now)
 	s.report("i-00", []RunningAttempt{{Ref: j.Tasks[0][0][0].Ref, Run: 1}})
-	s.p.SyncFailed("i-00", s.now)
+	s.p.SyncFailed("i-00", false, s.now)
 	s.p.ExpireLeases(s.now.Add(testLease))
 	require.Equal(t, jobs.TaskAssigned, j.Tasks[0][0][0].State)
 	s.p.ExpireLeases(s.now.Add(testLease + time.Second))
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -133,6 +133,7 @@
 	p.waits.removeJob(j)
 	delete(p.overdue.jobs, j.ID)
 	p.removeRates(j)
+	p.isolation.removeJob(j)
 	j.Compact()
 	delete(p.active, j.ID)
 }
@@ -154,6 +155,7 @@
 		a.task.Checkpoint = x.Checkpoint
 	}
 	a.sample, a.progressPercent, a.sampledAt = x.Sample, x.ProgressPercent, now
+	p.clearSuspicion(w, a)
 }
 
 // recordJobStart records that a worker has started a task of a job; until then the job is published as pending.
@@ -181,6 +183,10 @@
 			continue
 		}
 		if p.isKnownAbsent(a, requestedAt) {
+			if a.restored && a.incarnation < w.Incarnation {
+				// The worker crashed before this owner knew it; how long the attempt had run is not known.
+				p.suspect(a, jobs.Loss{Worker: w.ID, Crashed: true}, requestedAt)
+			}
 			p.release(w, a, "worker does not report the attempt", requestedAt)
 			p.finalizeJob(a.job, requestedAt)
 		}
@@ -225,7 +231,7 @@
 		if a.phase == phaseStarting {
 			a.phase = phaseUncertain
 		}
-		w.recordFailedCall(now)
+		w.recordFailedCall(false, now)
 		p.stop(w, a, "no response to start", now)
 		p.stopGang(a, "state of another member of the gang is unknown", now)
 	}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -134,6 +134,9 @@
 			continue
 		}
 		for _, t := range c.tasks {
+			if t.Suspicion.IsSuspect() {
+				continue
+			}
 			if t.Run > 0 || now.Sub(first) >= reservationDelay {
 				m[t.Ref] = reservationRequest{c.job, t, now}
 			}
@@ -148,7 +151,7 @@
 			continue
 		}
 		for _, a := range w.attemptList {
-			if s := a.task.Spec; s.LongRunning && !s.Gang && !a.job.IsTerminal() {
+			if s := a.task.Spec; s.LongRunning && !s.Gang && !a.job.IsTerminal() && !a.task.Suspicion.IsSuspect() {
 				m[a.task.Ref] = reservationRequest{a.job, a.task, w.leaseUntil}
 			}
 		}
--- a/internal/dispatch/series_test.go
+++ b/internal/dispatch/series_test.go
@@ -109,7 +109,7 @@
 	s.p.SetWorkers([]WorkerInfo{testWorker(0), testWorker(9)}, s.now)
 	s.p.AddJob(s.job, s.now)
 	require.False(t, s.p.DetectUnresponsiveChange())
-	s.p.SyncFailed(missingWorker, s.now)
+	s.p.SyncFailed(missingWorker, false, s.now)
 	require.False(t, s.p.DetectUnresponsiveChange())
 	require.True(t, s.p.NeedsLease(missingWorker))
 }
@@ -139,8 +139,8 @@
 	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
 	o := s.plan()[OrderStart][0]
 	s.p.HandleStartResult(o, ResultAccepted, s.now)
-	s.p.SyncFailed(o.Worker, s.now)
-	s.p.SyncFailed(o.Worker, s.now)
+	s.p.SyncFailed(o.Worker, false, s.now)
+	s.p.SyncFailed(o.Worker, false, s.now)
 	require.True(t, s.p.DetectUnresponsiveChange())
 	_, err := s.p.PrepareSnapshot(s.now)
 	require.NoError(t, err)
--- /dev/null
+++ b/internal/dispatch/suspect.go
@@ -0,0 +1,325 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+const (
+	// startWindow is the run time up to which an attempt may have crashed its worker by starting.
+	startWindow = 500 * time.Millisecond
+	// minSharedLoss is the number of workers lost together from which on a cause outside of them is likely, such as a failed rack.
+	minSharedLoss = 3
+	// maxIsolatedFraction is the fraction of the workers that may isolate tasks at a time, or be lost while they do.
+	maxIsolatedFraction = 0.1
+	// suspectRetryDelay is the time after which a suspect may run again. It doubles with each further loss, up to
+	// maxSuspectRetryDelay.
+	suspectRetryDelay    = 2 * time.Second
+	maxSuspectRetryDelay = 16 * time.Second
+	// maxIsolation is the run time after which a worker gets other tasks again, also if its isolated task is not cleared yet.
+	maxIsolation = 5 * time.Second
+	// longRunningRisk is the work that counts as lost when a long-running task loses its worker.
+	longRunningRisk = 30 * time.Second
+)
+
+// isolation decides where and when tasks run under which workers were lost.
+//
+// A worker may crash because of a task that it runs, and then each worker that
+// starts the task does. Nothing tells which task it was. Attempts that had just
+// started when their worker was lost count against their tasks, and so do all
+// that had run for less than a minute unless several workers were lost together,
+// and all of earlier owners that this owner has not seen running; an isolated
+// attempt is blamed alone. jobs.Suspicion holds what counts against
+// a task, and outlives the owner.
+//
+// A task that may have crashed a worker by its start runs next on the worker
+// with the least to lose, if possible isolated: the worker gets no other task
+// until the task is cleared. A suspect, which has lost several workers, runs only
+// isolated, later than sound tasks and after a delay. Once many workers were lost
+// under one step, its tasks run one at a time. The number of workers that isolate
+// tasks bounds how many of them suspects can crash at a time.
+type isolation struct {
+	// retryAt holds the time before which a suspect does not run again.
+	retryAt map[jobs.Ref]time.Time
+	// remaining is the number of workers that may still begin to isolate tasks.
+	remaining int
+}
+
+// begin begins a plan, given all workers and those that may get tasks.
+func (i *isolation) begin(all, schedulable []*worker) {
+	i.remaining = max(1, int(maxIsolatedFraction*float64(len(schedulable))))
+	for _, w := range all {
+		if w.isolated > 0 {
+			i.remaining--
+		}
+	}
+}
+
+// delay records the loss of a suspect, and returns for how long it does not run again.
+func (i *isolation) delay(t *jobs.Task, now time.Time) {
+	if !t.Suspicion.IsSuspect() {
+		return
+	}
+	d := suspectRetryDelay
+	for range t.Suspicion.Losses - 2 {
+		d = min(2*d, maxSuspectRetryDelay)
+	}
+	i.retryAt[t.Ref] = now.Add(d)
+}
+
+// removeJob drops the tasks of a finished job.
+func (i *isolation) removeJob(j *jobs.Job) {
+	for r := range i.retryAt {
+		if r.Job == j.ID {
+			delete(i.retryAt, r)
+		}
+	}
+}
+
+// blame records the loss of a worker with the tasks that may have caused it. shared means that other workers were lost with it.
+func (p *Planner) blame(w *worker, crashed, shared bool, now time.Time) {
+	if w.Draining || w.cordoned {
+		return
+	}
+	for _, a := range w.suspects(shared) {
+		p.suspect(a, jobs.Loss{Worker: w.ID, Crashed: crashed, Isolated: a.isolated, AtStart: w.isAtStart(a), RanFor: w.provenRun(a)}, now)
+	}
+}
+
+// suspect records the loss of a worker with the task of an attempt that may have caused it.
+func (p *Planner) suspect(a *attempt, l jobs.Loss, now time.Time) {
+	terminal := a.job.IsTerminal()
+	a.job.RecordLoss(a.task, l)
+	p.dirty[a.job.ID] = a.job
+	p.isolation.delay(a.task, now)
+	p.logSuspect(a, l)
+	if !terminal && a.job.IsTerminal() {
+		p.counts.GivenUp++
+		p.Logger.Warn().Str("Job", a.job.ID).Str("Task", a.task.String()).Int("Run", a.run).Str("Reason", a.job.FailureReason).Str("Decision", "GiveUp").Msg("job is given up, since workers were lost under one of its tasks")
+	}
+}
+
+// logSuspect logs that a worker was lost under an attempt that may be the cause.
+func (p *Planner) logSuspect(a *attempt, l jobs.Loss) {
+	s := &a.task.Suspicion
+	p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", l.Worker).Dur("RanFor", l.RanFor).Bool("AtStart", l.AtStart).Bool("Isolated", l.Isolated).Bool("Crashed", l.Crashed).
+		Int("Losses", s.Losses).Int("Crashes", s.Crashes).Int("IsolatedLosses", s.Isolated).Str("Decision", "Suspect").Msg("worker was lost under a task that may be the cause")
+}
+
+// suspects returns the attempts that may have caused the loss of their worker.
+func (w *worker) suspects(shared bool) []*attempt {
+	var l []*attempt
+	for _, a := range w.attemptList {
+		if a.phase == phasePlanned || a.incarnation > w.Incarnation || w.isolated > 0 && !a.isolated {
+			continue
+		}
+		if a.isUnseen() || w.isAtStart(a) || !shared && w.provenRun(a) < jobs.MaxSuspectRun {
+			l = append(l, a)
+		}
+	}
+	return l
+}
+
+// isUnseen reports whether an earlier owner planned the attempt and its worker has not responded to this owner since, so that it
+// is not known for how long the attempt had run.
+func (a *attempt) isUnseen() bool { return a.restored && a.confirmedAt.IsZero() }
+
+// isAtStart reports whether an attempt of this owner is not known to have run for startWindow.
+func (w *worker) isAtStart(a *attempt) bool { return w.provenRun(a) < startWindow && !a.isUnseen() }
+
+// isolate makes the worker of an attempt run no other task until the attempt is cleared or removed.
+func (w *worker) isolate(a *attempt) {
+	a.isolated = true
+	w.isolated++
+}
+
+// endIsolation lets the worker of an attempt run other tasks again.
+func (w *worker) endIsolation(a *attempt) {
+	if a.isolated {
+		a.isolated = false
+		w.isolated--
+	}
+}
+
+// clearSuspicion clears the task of a running attempt once it has run for long enough.
+func (p *Planner) clearSuspicion(w *worker, a *attempt) {
+	s := &a.task.Suspicion
+	ranFor := w.provenRun(a)
+	if ranFor >= maxIsolation {
+		w.endIsolation(a)
+	}
+	if s.Losses == 0 && !a.isolated || !s.IsClearedBy(ranFor) {
+		return
+	}
+	losses := s.Losses
+	w.endIsolation(a)
+	delete(p.isolation.retryAt, a.task.Ref)
+	if a.job.ClearSuspicion(a.task) {
+		p.dirty[a.job.ID] = a.job
+		p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", w.ID).Dur("RanFor", ranFor).Int("Losses", losses).Str("Decision", "Cleared").Msg("task ran without harm and is no suspect any more")
+	}
+}
+
+// placeSuspects places the tasks of a step that may have crashed a worker by their start, and keeps the sound ones in c. It
+// returns the tasks that may run only isolated, which are placed later, nil if there are none.
+func (p *Planner) placeSuspects(c *candidateStep, now time.Time) *candidateStep {
+	l := c.tasks
+	later := *c
+	if c.step.Gang {
+		if !slices.ContainsFunc(l, func(t *jobs.Task) bool { return t.Suspicion.AtStart > 0 || t.Suspicion.IsSuspect() }) {
+			return nil
+		}
+		c.tasks = nil
+		return &later
+	}
+	c.tasks, later.tasks = nil, nil
+	held := c.job.IsStepSuspect(l[0].Occurrence, l[0].Step)
+	for _, t := range l {
+		switch {
+		case held, t.Suspicion.IsSuspect():
+			later.tasks = append(later.tasks, t)
+		case t.Suspicion.AtStart == 0 || !p.placeSuspect(c, t, p.isolation.remaining > 0, now):
+			c.tasks = append(c.tasks, t)
+		}
+	}
+	if held {
+		later.tasks = p.firstToProve(later.tasks)
+	}
+	if len(later.tasks) == 0 {
+		return nil
+	}
+	return &later
+}
+
+// firstToProve returns the task of a suspected step that has lost most workers, or nil while another task of the step is
+// isolated.
+func (p *Planner) firstToProve(l []*jobs.Task) []*jobs.Task {
+	job := p.jobs[l[0].Job]
+	for _, t := range job.Tasks[l[0].Occurrence][l[0].Step] {
+		if w := p.workers[t.Worker]; w != nil && w.attempts[t.Ref] != nil && w.attempts[t.Ref].isolated {
+			return nil
+		}
+	}
+	first := l[0]
+	for _, t := range l {
+		if t.Suspicion.Losses > first.Suspicion.Losses {
+			first = t
+		}
+	}
+	return []*jobs.Task{first}
+}
+
+// placeIsolated places the tasks of a step that may run only isolated, each if it may run again and enough workers are left.
+func (p *Planner) placeIsolated(c *candidateStep, now time.Time) {
+	if c.step.Gang {
+		p.placeGangIsolated(c, now)
+		return
+	}
+	for _, t := range c.tasks {
+		if !p.mayIsolate(t, now) || !p.placeSuspect(c, t, true, now) {
+			p.logWait(wait{step: c, task: t, waited: p.waits.record(t, now), suspect: true}, now)
+		}
+	}
+}
+
+// mayIsolate reports whether a task that may run only isolated may run now.
+func (p *Planner) mayIsolate(t *jobs.Task, now time.Time) bool {
+	return p.isolation.remaining > 0 && !now.Before(p.isolation.retryAt[t.Ref])
+}
+
+// placeGangIsolated places all tasks of a gang on as few workers as possible, or none.
+func (p *Planner) placeGangIsolated(c *candidateStep, now time.Time) {
+	var l []*worker
+	if !slices.ContainsFunc(c.tasks, func(t *jobs.Task) bool { return !p.mayIsolate(t, now) }) {
+		l = p.fitGangTightly(c, now)
+	}
+	if l == nil || !p.assignGang(c, l, now) {
+		p.logWait(wait{step: c, task: c.tasks[0], waited: p.waits.record(c.tasks[0], now), suspect: true}, now)
+		return
+	}
+	for i, t := range c.tasks {
+		if l[i].isolated == 0 {
+			p.isolation.remaining--
+		}
+		l[i].isolate(l[i].attempts[t.Ref])
+	}
+	p.Logger.Info().Str("Task", c.tasks[0].String()).Int("Run", c.tasks[0].Run).Int("Members", len(l)).Bool("Isolated", true).Str("Decision", "Isolate").Msg("gang that may crash its workers is placed on few workers")
+}
+
+// fitGangTightly returns a worker for each member of a gang, each with as many members as fit, those with the least to lose
+// first. It returns nil if not all members fit.
+func (p *Planner) fitGangTightly(c *candidateStep, now time.Time) []*worker {
+	r := p.rateByRisk(c, true, now)
+	slices.SortStableFunc(r, func(a, b rating) int { return cmp.Compare(b.score, a.score) })
+	l := make([]*worker, 0, len(c.tasks))
+	for _, x := range r {
+		free := x.worker.free()
+		for n := 0; len(l) < len(c.tasks) && free.CanFit(c.step.Reserved()) && (c.step.MaxPerWorker == 0 || n < c.step.MaxPerWorker); n++ {
+			free = free.Minus(c.step.Reserved())
+			l = append(l, x.worker)
+		}
+	}
+	if len(l) < len(c.tasks) {
+		return nil
+	}
+	return l
+}
+
+// placeSuspect places a task on the worker with the least to lose, and reports whether it did.
+func (p *Planner) placeSuspect(c *candidateStep, t *jobs.Task, isolated bool, now time.Time) bool {
+	one := *c
+	one.tasks = []*jobs.Task{t}
+	r := p.findWorker(&one, t, p.rateByRisk(&one, isolated, now), now)
+	if r == nil {
+		if c.job.Queue.NeedsPermit {
+			p.requestAdvice(&one, now)
+		}
+		return false
+	}
+	p.waits.remove(t)
+	p.assign(c.job, t, r.worker, now)
+	a := r.worker.attempts[t.Ref]
+	if a == nil {
+		return false
+	}
+	if isolated {
+		r.worker.isolate(a)
+		p.isolation.remaining--
+	}
+	p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Str("Worker", r.worker.ID).Bool("Isolated", isolated).Int("Beside", len(r.worker.attemptList)-1).Float64("RiskedCoreSeconds", -r.score).
+		Int("Losses", t.Suspicion.Losses).Str("Decision", "Isolate").Msg("task that may crash its worker is placed where least is lost")
+	return true
+}
+
+// rateByRisk rates the workers that may run a step by what would be lost with them. It leaves out workers that run another task
+// under which workers were lost, and, for an isolated task, those that run an attempt that has just started.
+func (p *Planner) rateByRisk(c *candidateStep, isolated bool, now time.Time) []rating {
+	var l []rating
+	for _, w := range p.schedulable {
+		if w.isolated > 0 || slices.ContainsFunc(w.attemptList, func(a *attempt) bool {
+			return a.task.Suspicion.Losses > 0 || isolated && now.Sub(a.plannedAt) < startWindow
+		}) {
+			continue
+		}
+		if _, e := p.rate(w, c, now); e == notExcluded {
+			l = append(l, rating{w, -w.risk(now), true})
+		}
+	}
+	return l
+}
+
+// risk returns the work that is lost if the worker crashes, in core-seconds.
+func (w *worker) risk(now time.Time) float64 {
+	sum := 0.0
+	for _, a := range w.attemptList {
+		at := longRunningRisk
+		if !a.task.Spec.LongRunning {
+			at = now.Sub(a.plannedAt)
+		}
+		sum += at.Seconds() * float64(a.task.Spec.Size.MilliCPU) / 1000
+	}
+	return sum
+}
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -86,6 +86,8 @@
 	waited time.Duration
 	// skipped means that the plan looked at no worker, since it had found none for a similar task.
 	skipped bool
+	// suspect means that the task may run only isolated, and waits for its time or for a worker that may isolate it.
+	suspect bool
 }
 
 // recordSkip records the waiting time of a step that a plan skips.
@@ -115,6 +117,9 @@
 	if x.skipped {
 		e.Bool("Skipped", true)
 	}
+	if x.suspect {
+		e.Bool("Suspect", true).Int("Losses", t.Suspicion.Losses)
+	}
 	for r, n := range p.countExclusions(x, now) {
 		if n > 0 {
 			e.Int(exclusion(r).String(), n)
--- a/internal/dispatch/wait_test.go
+++ b/internal/dispatch/wait_test.go
@@ -178,8 +178,8 @@
 	s.reportAll(s.p.workers["i-01"])
 	s.p.LeaseGranted("i-00", s.now)
 	log.Reset()
-	s.p.SyncFailed("i-00", s.now)
-	s.p.SyncFailed("i-00", s.now)
+	s.p.SyncFailed("i-00", false, s.now)
+	s.p.SyncFailed("i-00", false, s.now)
 	s.p.workers["i-00"].listed = false
 	s.pass(1900*time.Millisecond, "i-00")
 	require.Empty(t, log.with(t, "Hold"))
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -88,6 +88,8 @@
 	stopping       bool
 	stopSentAt     time.Time
 	stopAcceptedAt time.Time
+	// isolated means that the worker gets no other task until the attempt's task is cleared.
+	isolated bool
 	// overdue means that the task was placed although its expected speed was too low, since it had waited too long.
 	overdue bool
 	// sample and progressPercent are from the latest report of the worker, applied at sampledAt.
@@ -127,6 +129,8 @@
 	// cordoned means that the instance of the worker is due for maintenance. The worker gets no new tasks, and its long-running
 	// tasks and tasks with checkpoints are stopped. It is independent of Draining and of the drained failure domains.
 	cordoned bool
+	// isolated counts the isolated attempts of the worker; while there are any, it gets no other tasks.
+	isolated int
 	// reserved is the sum of the resources that the attempts reserve.
 	reserved jobs.Resources
 	// attempts holds the attempts by task, and attemptList in the order in which they were added.
@@ -150,6 +154,8 @@
 	// failedCalls counts the calls without a response since the latest report, the first of them at silentSince.
 	failedCalls int
 	silentSince time.Time
+	// brokenAt is when a connection to the worker last broke at the beginning of its silence.
+	brokenAt time.Time
 	// backoffUntil is the time before which the worker gets no new tasks, since it refused a start. avoidUntil is the time before
 	// which it gets none for which there is another worker, since too many attempts in a row failed there.
 	backoffUntil time.Time
@@ -198,6 +204,7 @@
 		return
 	}
 	clear(w.headroom)
+	w.endIsolation(a)
 	delete(w.attempts, a.task.Ref)
 	w.reserved = w.reserved.Minus(a.task.Spec.Reserved())
 	w.expectedMilliCPU -= expectedMilliCPU(a.task.Spec)
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -12,6 +13,8 @@
 	Tasks     [][][]*Task
 	Cancelled bool
 	Failed    bool
+	// FailureReason says why the job failed, empty if it has not or if an earlier version failed it.
+	FailureReason string
 	// Started means that a worker has started a task of the job.
 	Started bool
 	// doneTasks and assigned count the tasks that are done and those with an assigned attempt.
@@ -19,6 +22,10 @@
 	assigned  int
 	// completed means that all tasks were done before Compact dropped them.
 	completed bool
+	// suspicions counts the tasks under which workers were lost since they were last cleared.
+	suspicions int
+	// suspicionsChanged means that FailureReason or the suspicion of a task changed since the latest EncodeSuspicions.
+	suspicionsChanged bool
 }
 
 // New returns a job with the tasks of the spec, none of which has had an attempt.
@@ -258,6 +265,7 @@
 		j.Release(o)
 		o.State = TaskDone
 		o.Checkpoint = ""
+		j.ClearSuspicion(o)
 		j.doneTasks++
 	}
 }
@@ -275,10 +283,16 @@
 		}
 	}
 	if !t.Spec.LongRunning && n >= j.Queue.MaxAttempts && j.Queue.MaxAttempts > 0 {
-		j.Failed = true
+		j.fail(fmt.Sprintf("task %d.%d.%d: %d attempts failed, the latest at %s", t.Occurrence, t.Step, t.Index, n, worker))
 	}
 }
 
+// fail fails the job for a reason that its caller is told.
+func (j *Job) fail(reason string) {
+	j.Failed, j.FailureReason = true, reason
+	j.suspicionsChanged = true
+}
+
 // Cancel marks the job as cancelled unless it is terminal; assigned attempts stay assigned until they finish or are
 // released.
 func (j *Job) Cancel() {
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -9,7 +9,7 @@
 
 // RecordError reports a job record that cannot be decoded or is invalid.
 type RecordError struct {
-	// Kind is the kind of record: submission or progress.
+	// Kind is the kind of record: submission, progress or suspicion.
 	Kind  string
 	Cause error
 }
@@ -124,6 +124,62 @@
 	return j, nil
 }
 
+// suspicionRecord is the stored state of a job that earlier versions do not know. It has field names, so that later versions
+// can add fields, and is a record of its own, since earlier versions refuse a progress record with more fields.
+type suspicionRecord struct {
+	FailureReason string          `msgpack:",omitempty"`
+	Tasks         []taskSuspicion `msgpack:",omitempty"`
+}
+
+// taskSuspicion is the stored suspicion of a task.
+type taskSuspicion struct {
+	Occurrence int
+	Step       int
+	Index      int
+	Suspicion
+}
+
+// EncodeSuspicions encodes the record of the suspicions and the failure of a job, nil if there is nothing to record. It reports
+// whether they changed since the latest call.
+func (j *Job) EncodeSuspicions() ([]byte, bool, error) {
+	changed := j.suspicionsChanged
+	j.suspicionsChanged = false
+	r := suspicionRecord{FailureReason: j.FailureReason}
+	for _, k := range j.Tasks {
+		for _, s := range k {
+			for _, t := range s {
+				if t.Suspicion.Losses > 0 {
+					r.Tasks = append(r.Tasks, taskSuspicion{t.Occurrence, t.Step, t.Index, t.Suspicion})
+				}
+			}
+		}
+	}
+	if r.FailureReason == "" && len(r.Tasks) == 0 {
+		return nil, changed, nil
+	}
+	b, err := msgpack.Marshal(&r)
+	if err != nil {
+		return nil, changed, fmt.Errorf("encode suspicions of %s: %w", j.ID, err)
+	}
+	return b, changed, nil
+}
+
+// RestoreSuspicions applies the record of the suspicions of a job; it ignores tasks that the job does not hold any more.
+func (j *Job) RestoreSuspicions(b []byte) error {
+	var r suspicionRecord
+	if err := msgpack.Unmarshal(b, &r); err != nil {
+		return &RecordError{"suspicion", err}
+	}
+	j.FailureReason = r.FailureReason
+	for _, x := range r.Tasks {
+		if t := j.Task(Ref{j.ID, x.Occurrence, x.Step, x.Index}); t != nil {
+			t.Suspicion = x.Suspicion
+			j.suspicions++
+		}
+	}
+	return nil
+}
+
 // countTask adds a restored task to the counts of assigned and done tasks.
 func (j *Job) countTask(t *Task) {
 	switch t.State {
--- /dev/null
+++ b/internal/jobs/suspicion.go
@@ -0,0 +1,128 @@
+package jobs
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+const (
+	// MaxCrashes is the number of workers that have certainly crashed under a task after which the task is given up, if at least
+	// one of them had isolated the task.
+	MaxCrashes = 3
+	// MaxLosses is the number of workers lost under a task after which the task is given up if all certainly crashed, which ends
+	// one that crashes them long after its start, or if minIsolatedLosses of them had isolated it, which ends one whose workers
+	// never return.
+	MaxLosses         = 5
+	minIsolatedLosses = 3
+	// suspectLosses is the number of lost workers from which on a task is a suspect, and suspectStepLosses that of workers lost
+	// right after starts of tasks of a step from which on the whole step is suspected.
+	suspectLosses     = 2
+	suspectStepLosses = 3
+	// minClearRun is the least time that an attempt has to run until its task is cleared.
+	minClearRun = time.Second
+	// MaxSuspectRun is the run time after which an attempt always clears its task: what has run for so long is no suspect when
+	// its worker is lost.
+	MaxSuspectRun = time.Minute
+)
+
+// Suspicion is what counts against a task since it was last cleared: the workers that were lost under it.
+type Suspicion struct {
+	// Losses counts the workers that were lost under the task and for which it may be the cause. Of these, Crashes counts those
+	// that certainly crashed, Isolated those that had isolated the task, and AtStart those that were lost right after its start.
+	Losses   int
+	Crashes  int
+	Isolated int
+	AtStart  int
+	// LongestRun is the longest time that the task had run when its worker was lost.
+	LongestRun time.Duration
+	// Workers lists the IDs of these workers.
+	Workers []string
+}
+
+// Loss is the loss of a worker under an attempt of a task for which the task may be the cause.
+type Loss struct {
+	Worker string
+	// Crashed means that the worker certainly crashed, Isolated that it ran nothing else that may have been the cause, and AtStart
+	// that the attempt had just started.
+	Crashed  bool
+	Isolated bool
+	AtStart  bool
+	// RanFor is for how long the attempt had certainly run.
+	RanFor time.Duration
+}
+
+// add adds a loss.
+func (s *Suspicion) add(l Loss) {
+	s.Losses++
+	s.Workers = append(s.Workers, l.Worker)
+	s.LongestRun = max(s.LongestRun, l.RanFor)
+	if l.Crashed {
+		s.Crashes++
+	}
+	if l.Isolated {
+		s.Isolated++
+	}
+	if l.AtStart {
+		s.AtStart++
+	}
+}
+
+// IsSuspect reports whether the task may run only isolated.
+func (s *Suspicion) IsSuspect() bool { return s.Losses >= suspectLosses }
+
+// isHopeless reports whether the task is to be given up.
+func (s *Suspicion) isHopeless() bool {
+	return s.Crashes >= MaxCrashes && s.Isolated > 0 || s.Crashes >= MaxLosses || s.Losses >= MaxLosses && s.Isolated >= minIsolatedLosses
+}
+
+// IsClearedBy reports whether an attempt that has run for the given time clears the task: it has run for twice as long as any
+// that was lost.
+func (s *Suspicion) IsClearedBy(ranFor time.Duration) bool {
+	return ranFor >= min(max(2*s.LongestRun, minClearRun), MaxSuspectRun)
+}
+
+// RecordLoss records that a worker was lost under a task. It fails the job, also a long-running one, if the task is to be given
+// up.
+func (j *Job) RecordLoss(t *Task, l Loss) {
+	if t.Suspicion.Losses == 0 {
+		j.suspicions++
+	}
+	t.Suspicion.add(l)
+	j.suspicionsChanged = true
+	if j.IsTerminal() || !t.Suspicion.isHopeless() {
+		return
+	}
+	s := &t.Suspicion
+	j.fail(fmt.Sprintf("task %d.%d.%d: %d workers were lost under it, %d of them certainly crashed, %d of them while it ran isolated: %s",
+		t.Occurrence, t.Step, t.Index, s.Losses, s.Crashes, s.Isolated, strings.Join(s.Workers, ", ")))
+}
+
+// ClearSuspicion records that a task has run without harm, and reports whether anything counted against it.
+func (j *Job) ClearSuspicion(t *Task) bool {
+	if t.Suspicion.Losses == 0 {
+		return false
+	}
+	t.Suspicion = Suspicion{}
+	j.suspicions--
+	j.suspicionsChanged = true
+	return true
+}
+
+// HasSuspicions reports whether workers were lost under any task of the job since it was last cleared.
+func (j *Job) HasSuspicions() bool { return j.suspicions > 0 }
+
+// IsStepSuspect reports whether so many workers were lost right after starts of tasks of a step that its tasks may run only one
+// at a time and isolated.
+func (j *Job) IsStepSuspect(k, step int) bool {
+	lost := make(map[string]bool)
+	for _, t := range j.Tasks[k][step] {
+		if t.Suspicion.AtStart == 0 {
+			continue
+		}
+		for _, w := range t.Suspicion.Workers {
+			lost[w] = true
+		}
+	}
+	return len(lost) >= suspectStepLosses
+}
--- /dev/null
+++ b/internal/jobs/suspicion_test.go
@@ -0,0 +1,106 @@
+package jobs_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+func crash(worker string) jobs.Loss {
+	return jobs.Loss{Worker: worker, Crashed: true, AtStart: true, RanFor: 20 * time.Millisecond}
+}
+
+// progressFields is the number of fields of a progress record, and taskFields that of a task in it. Earlier versions refuse
+// records with more.
+const (
+	progressFields = 5
+	taskFields     = 10
+)
+
+// During an upgrade an owner of an earlier version reads what a later one wrote, and the other way round.
+func TestProgressOfEarlierAndLaterVersionsIsRead(t *testing.T) {
+	s := *newTestSpec()
+	j := jobs.New(s)
+	task := j.Tasks[0][0][3]
+	require.True(t, j.Assign(task, "i-1", 5, s.SubmittedAt))
+	j.RecordLoss(task, crash("i-1"))
+	j.Release(task)
+	b, err := j.EncodeProgress()
+	require.NoError(t, err)
+	var record []any
+	require.NoError(t, msgpack.Unmarshal(b, &record))
+	require.Len(t, record, progressFields)
+	require.Len(t, record[progressFields-1].([]any)[0], taskFields)
+	earlier, err := jobs.Restore(s, b)
+	require.NoError(t, err)
+	require.False(t, earlier.HasSuspicions(), "a record without suspicions is that of an earlier version")
+	x, changed, err := j.EncodeSuspicions()
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.NoError(t, earlier.RestoreSuspicions(x))
+	require.Equal(t, task.Suspicion, earlier.Tasks[0][0][3].Suspicion)
+	_, changed, err = j.EncodeSuspicions()
+	require.NoError(t, err)
+	require.False(t, changed)
+	require.True(t, j.ClearSuspicion(task))
+	x, changed, err = j.EncodeSuspicions()
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.Nil(t, x)
+}
+
+func TestSuspicionRecordWithUnknownFieldsIsRead(t *testing.T) {
+	j := jobs.New(*newTestSpec())
+	b, err := msgpack.Marshal(map[string]any{
+		"FailureReason": "some reason", "Later": 7, "Tasks": []map[string]any{{"Step": 1, "Index": 2, "Losses": 2, "Later": "x"}, {"Step": 9, "Losses": 1}},
+	})
+	require.NoError(t, err)
+	require.NoError(t, j.RestoreSuspicions(b))
+	require.Equal(t, "some reason", j.FailureReason)
+	require.True(t, j.Tasks[0][1][2].Suspicion.IsSuspect())
+	var e *jobs.RecordError
+	require.ErrorAs(t, j.RestoreSuspicions([]byte{0xc1}), &e)
+}
+
+func TestWhenATaskIsGivenUp(t *testing.T) {
+	silent := jobs.Loss{Worker: "i-1", AtStart: true}
+	isolated := crash("i-1")
+	isolated.Isolated = true
+	silentIsolated := silent
+	silentIsolated.Isolated = true
+	for name, c := range map[string]struct {
+		losses []jobs.Loss
+		failed bool
+	}{
+		"crashes beside others":                     {[]jobs.Loss{crash("a"), crash("b"), crash("c"), crash("d")}, false},
+		"many crashes beside others":                {[]jobs.Loss{crash("a"), crash("b"), crash("c"), crash("d"), crash("e")}, true},
+		"two crashes":                               {[]jobs.Loss{isolated, isolated}, false},
+		"three crashes, one isolated":               {[]jobs.Loss{crash("a"), crash("b"), isolated}, true},
+		"silence":                                   {[]jobs.Loss{silent, silent, silent, silent, silent, silentIsolated, silentIsolated}, false},
+		"workers that never return when isolated":   {[]jobs.Loss{silent, silent, silentIsolated, silentIsolated, silentIsolated}, true},
+		"crashes and silence without any isolation": {[]jobs.Loss{crash("a"), silent, crash("b"), silent, crash("c")}, false},
+	} {
+		j := jobs.New(*newTestSpec())
+		for _, l := range c.losses {
+			j.RecordLoss(j.Tasks[0][0][0], l)
+		}
+		require.Equal(t, c.failed, j.State() == jobs.StateFailed, name)
+		require.Equal(t, c.failed, j.FailureReason != "", name)
+	}
+}
+
+func TestStepIsSuspectByWorkersNotByTasks(t *testing.T) {
+	j := jobs.New(*newTestSpec())
+	for n := range 5 {
+		j.RecordLoss(j.Tasks[0][0][n], crash("i-1"))
+	}
+	require.False(t, j.IsStepSuspect(0, 0), "one worker was lost")
+	j.RecordLoss(j.Tasks[0][0][1], crash("i-2"))
+	j.RecordLoss(j.Tasks[0][0][7], crash("i-3"))
+	require.True(t, j.IsStepSuspect(0, 0))
+	require.False(t, j.IsStepSuspect(0, 1))
+}
--- a/internal/jobs/task.go
+++ b/internal/jobs/task.go
@@ -84,4 +84,6 @@
 	Incarnation int64
 	// FailedAt lists the workers on which attempts failed, so that the next attempt avoids these workers.
 	FailedAt []string
+	// Suspicion is what counts against the task after workers were lost under it.
+	Suspicion Suspicion
 }
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -24,6 +24,8 @@
 	{metricWaitingTasks, "gauge", "tasks whose turn has come and for which the latest plan of this owner found no worker; 0 on other instances"},
 	{metricLostWorkers, "counter", "workers that were lost with attempts, by how this owner knows it (label `cause`)"},
 	{metricLostAttempts, "counter", "attempts that were lost with their workers"},
+	{metricGivenUp, "counter", "jobs that were given up since workers were lost under one of their tasks"},
+	{metricIsolating, "gauge", "workers that get no other task while they run one under which workers were lost; 0 on other instances"},
 	{metricWorkersAge, "gauge", "age of the list of workers by which this owner starts tasks, in seconds; 0 on other instances"},
 	{metricOperatorsAge, "gauge", "age of what this instance knows of operators' changes, in seconds"},
 	{metricRequestsAge, "gauge", "age of what this instance knows of submissions and cancellations, in seconds"},
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -29,6 +29,8 @@
 	metricHeldAttempts     = "currantknot_held_attempts"
 	metricLostWorkers      = "currantknot_lost_workers_total"
 	metricLostAttempts     = "currantknot_lost_attempts_total"
+	metricGivenUp          = "currantknot_jobs_given_up_total"
+	metricIsolating        = "currantknot_isolating_workers"
 	metricWaitingTasks     = "currantknot_waiting_tasks"
 	metricWorkersAge       = "currantknot_worker_list_age_seconds"
 	metricOperatorsAge     = "currantknot_operators_age_seconds"
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -227,6 +227,7 @@
 func (o *Owner) recordIdle(x dispatch.Idle) {
 	o.Metrics.Set(metricHeldAttempts, x.Held)
 	o.Metrics.Set(metricWaitingTasks, x.Waiting)
+	o.Metrics.Set(metricIsolating, x.Isolating)
 }
 
 // addCounts adds what happened since the latest cycle to the counters.
@@ -237,6 +238,9 @@
 	if c.LostAttempts > 0 {
 		o.Metrics.Add(metricLostAttempts, "", c.LostAttempts)
 	}
+	if c.GivenUp > 0 {
+		o.Metrics.Add(metricGivenUp, "", c.GivenUp)
+	}
 }
 
 // publishStates publishes new job states to the other instances.
@@ -258,6 +262,13 @@
 			return nil, err
 		}
 		r = append(r, Record{Key: j.ID, Value: b})
+		s, changed, err := j.EncodeSuspicions()
+		if err != nil {
+			return nil, err
+		}
+		if changed {
+			r = append(r, Record{Key: suspicionPrefix + j.ID, Value: s})
+		}
 	}
 	if o.isSnapshotDue(len(r) > 0, now) {
 		o.snapshotAt = now
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -18,10 +18,15 @@
 	submissionPrefix = "s/"
 	cancelPrefix     = "c/"
 	statePrefix      = "t/"
+	// reasonPrefix is the prefix of the keys of the reasons for which jobs failed.
+	reasonPrefix = "r/"
 	// ownerKey is the key of the claims in PartitionOwners.
 	ownerKey = "owner"
 )
 
+// suspicionPrefix is the prefix of the keys of suspicions in the progress partition; a key with it is not a valid job ID.
+const suspicionPrefix = "suspicion/"
+
 // Replica is a local copy of the store's records of all jobs; only an owner reads the progress partition.
 type Replica struct {
 	store  Store
@@ -37,9 +42,10 @@
 	claim Claim
 	// progress holds, by key, the newest progress record.
 	progress map[string]Record
-	// states holds the published states of jobs, committed the states that this instance has committed as the owner, and
-	// queues the decoded queue names, each by job ID.
+	// states holds the published states of jobs, reasons why jobs failed, committed the states that this instance has committed
+	// as the owner, and queues the decoded queue names, each by job ID.
 	states    map[string]jobs.State
+	reasons   map[string]string
 	committed map[string]jobs.State
 	queues    map[string]string
 	// partitions holds the state of the reads of each partition.
@@ -51,7 +57,7 @@
 	return &Replica{
 		store: s, logger: l, catchUpInterval: replicaRefreshInterval,
 		specs: make(map[string][]byte), cancelled: make(map[string]bool), progress: make(map[string]Record),
-		states: make(map[string]jobs.State), committed: make(map[string]jobs.State), queues: make(map[string]string),
+		states: make(map[string]jobs.State), reasons: make(map[string]string), committed: make(map[string]jobs.State), queues: make(map[string]string),
 		partitions: [partitions]*partitionState{newPartitionState(), newPartitionState(), newPartitionState()},
 	}
 }
@@ -158,6 +164,10 @@
 		r.cancelled[id] = true
 		return
 	}
+	if id, ok := strings.CutPrefix(x.Key, reasonPrefix); ok {
+		r.reasons[id] = string(x.Value)
+		return
+	}
 	if id, ok := strings.CutPrefix(x.Key, statePrefix); ok {
 		r.states[id] = r.states[id].Later(jobs.State(x.Value))
 	}
@@ -169,6 +179,7 @@
 		delete(r.specs, id)
 		delete(r.cancelled, id)
 		delete(r.states, id)
+		delete(r.reasons, id)
 		delete(r.committed, id)
 		delete(r.queues, id)
 		return
@@ -227,12 +238,22 @@
 	return s, true
 }
 
-// RecordCommittedState records a state that this instance has committed as the owner, and reports whether that state is still
-// unpublished.
-func (r *Replica) RecordCommittedState(id string, s jobs.State) bool {
+// FailureReason returns why a job failed, empty if it has not or the reason is not known.
+func (r *Replica) FailureReason(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reasons[id]
+}
+
+// RecordCommittedState records a state that this instance has committed as the owner, with the reason of a failure, and reports
+// whether that state is still unpublished.
+func (r *Replica) RecordCommittedState(id string, s jobs.State, reason string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.committed[id] = r.committed[id].Later(s)
+	if reason != "" {
+		r.reasons[id] = reason
+	}
 	o := r.states[id]
 	return o.Later(s) != o
 }
@@ -303,9 +324,35 @@
 		r.logger.Error().Err(err).Str("Job", id).Int64("Offset", x.Offset).Msg("progress record cannot be decoded")
 		return nil
 	}
+	r.restoreSuspicions(j)
 	return j
 }
 
+// restoreSuspicions applies the suspicions of a job, if there are any; a job without them is scheduled as if no worker had been
+// lost under it. r.mu is held.
+func (r *Replica) restoreSuspicions(j *jobs.Job) {
+	x, ok := r.progress[suspicionPrefix+j.ID]
+	if !ok {
+		return
+	}
+	if err := j.RestoreSuspicions(x.Value); err != nil {
+		r.logger.Error().Err(err).Str("Job", j.ID).Int64("Offset", x.Offset).Msg("suspicion record cannot be decoded")
+	}
+}
+
+// staleSuspicions returns the keys of the suspicions of jobs whose submissions are gone.
+func (r *Replica) staleSuspicions() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var l []string
+	for k := range r.progress {
+		if id, ok := strings.CutPrefix(k, suspicionPrefix); ok && r.specs[id] == nil {
+			l = append(l, k)
+		}
+	}
+	return l
+}
+
 // Progress returns the value of the newest progress record of a key, or nil if there is none.
 func (r *Replica) Progress(key string) []byte {
 	r.mu.Lock()
--- a/internal/jobserve/retention.go
+++ b/internal/jobserve/retention.go
@@ -83,17 +83,20 @@
 	var r []Record
 	for _, id := range l {
 		r = append(r, Record{Key: submissionPrefix + id}, Record{Key: cancelPrefix + id}, Record{Key: statePrefix + id})
+		if o.Replica.FailureReason(id) != "" {
+			r = append(r, Record{Key: reasonPrefix + id})
+		}
 	}
 	c, cancel := context.WithTimeout(ctx, o.latency.timeout())
 	defer cancel()
 	if _, err := o.Store.Append(c, PartitionRequests, r, nil); err != nil {
-		o.Logger.Warn().Err(err).Int("Jobs", len(l)).Str("Decision", "RetireLater").Msg("removal of submissions, cancellations and states of finished jobs was not confirmed")
+		o.Logger.Warn().Err(err).Int("Jobs", len(l)).Str("Decision", "RetireLater").Msg("removal of the records of finished jobs was not confirmed")
 		return nil
 	}
 	for _, id := range l {
 		o.retention.removed[id] = true
 	}
-	o.Logger.Info().Int("Jobs", len(l)).Dur("KeptFor", retentionFactor*o.retention.queryDuration).Str("Decision", "Retire").Msg("submissions, cancellations and states of finished jobs were removed")
+	o.Logger.Info().Int("Jobs", len(l)).Dur("KeptFor", retentionFactor*o.retention.queryDuration).Str("Decision", "Retire").Msg("records of finished jobs were removed")
 	return nil
 }
 
@@ -111,5 +114,8 @@
 		delete(o.retention.removed, x.Key)
 		delete(o.retention.finishedAt, x.Key)
 	}
+	for _, k := range o.Replica.staleSuspicions() {
+		r = append(r, Record{Key: k})
+	}
 	return o.commit(ctx, r)
 }
--- a/internal/jobserve/service.go
+++ b/internal/jobserve/service.go
@@ -99,6 +99,9 @@
 	return "", false, nil
 }
 
+// FailureReason returns why a job failed, empty if it has not or the reason is not known.
+func (s *Service) FailureReason(id string) string { return s.replica.FailureReason(id) }
+
 // PendingCount returns the number of accepted jobs of a queue of which no task has started.
 func (s *Service) PendingCount(ctx context.Context, queue string) (int, error) {
 	if err := s.replica.Refresh(ctx, time.Now().Add(-maxStateAge)); err != nil {
--- a/internal/jobserve/statepublisher.go
+++ b/internal/jobserve/statepublisher.go
@@ -24,16 +24,17 @@
 	return &statePublisher{batcher: &batcher{store: s, logger: l}, replica: r, published: make(map[string]jobs.State)}
 }
 
-// jobState is the state of a job at the time its progress was committed.
+// jobState is the state of a job at the time its progress was committed, and why the job failed if it did.
 type jobState struct {
-	job   string
-	state jobs.State
+	job    string
+	state  jobs.State
+	reason string
 }
 
 func statesOf(l []*jobs.Job) []jobState {
 	s := make([]jobState, len(l))
 	for i, j := range l {
-		s[i] = jobState{j.ID, j.State()}
+		s[i] = jobState{j.ID, j.State(), j.FailureReason}
 	}
 	return s
 }
@@ -45,12 +46,19 @@
 		return false
 	}
 	p.published[x.job] = x.state
-	return p.replica.RecordCommittedState(x.job, x.state)
+	return p.replica.RecordCommittedState(x.job, x.state, x.reason)
 }
 
-// publish appends a state for the other instances, and retries until an append succeeds or the context ends.
+// publish appends a state for the other instances, after the reason of a failure, and retries until the appends succeed or the
+// context ends.
 func (p *statePublisher) publish(ctx context.Context, x jobState) {
-	r := Record{Key: statePrefix + x.job, Value: []byte(x.state)}
+	if x.state == jobs.StateFailed && x.reason != "" {
+		p.appendRecord(ctx, Record{Key: reasonPrefix + x.job, Value: []byte(x.reason)})
+	}
+	p.appendRecord(ctx, Record{Key: statePrefix + x.job, Value: []byte(x.state)})
+}
+
+func (p *statePublisher) appendRecord(ctx context.Context, r Record) {
 	for ctx.Err() == nil && p.batcher.append(ctx, r) != nil {
 		sleep(ctx, storeBackoff)
 	}
--- a/internal/jobserve/statepublisher_test.go
+++ b/internal/jobserve/statepublisher_test.go
@@ -53,7 +53,7 @@
 // still be published to the other instances.
 func TestReelectedOwnerPublishesUnstoredStates(t *testing.T) {
 	r := newReplicaWithJob(t, false)
-	x := jobState{stateTestJob, jobs.StateCompleted}
+	x := jobState{stateTestJob, jobs.StateCompleted, ""}
 	require.True(t, newStatePublisher(nil, r, zerolog.Nop()).record(x))
 	again := newStatePublisher(nil, r, zerolog.Nop())
 	require.True(t, again.record(x))
--- a/internal/jobserve/sync.go
+++ b/internal/jobserve/sync.go
@@ -68,7 +68,8 @@
 	first := true
 	for ctx.Err() == nil {
 		s := o.nextSync(w, failures, first)
-		err := o.sync(ctx, s)
+		deadline := s.LongPollUntil.Add(syncTimeout)
+		err := o.sync(ctx, s, deadline)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -77,7 +78,7 @@
 			sleep(ctx, memberLease)
 		case err != nil:
 			failures++
-			o.recordSyncFailure(w, failures, err)
+			o.recordSyncFailure(w, failures, time.Now().Before(deadline), err)
 			sleep(ctx, syncBackoff)
 		default:
 			failures, first = 0, false
@@ -98,8 +99,8 @@
 
 // sync makes one sync call and handles its report. A report that the planner ignores is an error, so that the worker is
 // granted no further lease and its attempts are released.
-func (o *Owner) sync(ctx context.Context, s Sync) error {
-	c, cancel := context.WithDeadline(ctx, s.LongPollUntil.Add(syncTimeout))
+func (o *Owner) sync(ctx context.Context, s Sync, deadline time.Time) error {
+	c, cancel := context.WithDeadline(ctx, deadline)
 	r, err := o.Workers.Sync(c, s)
 	cancel()
 	if err != nil || ctx.Err() != nil {
@@ -141,10 +142,11 @@
 	return idlePollTimeout
 }
 
-// recordSyncFailure reports a failed sync call to the planner, and logs at most maxSyncFailures consecutive failures.
-func (o *Owner) recordSyncFailure(w dispatch.WorkerInfo, failures int, err error) {
+// recordSyncFailure reports a failed sync call to the planner, and logs at most maxSyncFailures consecutive failures; broken
+// means that the call failed before its deadline.
+func (o *Owner) recordSyncFailure(w dispatch.WorkerInfo, failures int, broken bool, err error) {
 	o.mu.Lock()
-	o.planner.SyncFailed(w.ID, time.Now())
+	o.planner.SyncFailed(w.ID, broken, time.Now())
 	o.mu.Unlock()
 	if failures <= maxSyncFailures {
 		o.Logger.Warn().Err(err).Str("Worker", w.ID).Int("Failures", failures).Str("Decision", "WorkerSilent").Msg("sync call to the worker failed")
