Orphans count against the capacity of their worker

A worker that does not guard its capacity could be brought over it: an attempt that the owner does not hold is stopped, but until it has stopped the owner gave its capacity to others. Its size is known from its job. TestOrphanCountsAgainstTheCapacityUntilItHasStopped failed before.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -48,6 +48,7 @@
 		p.handleFinished(w, e, now)
 		w.ackNumber = max(w.ackNumber, e.Number)
 	}
+	w.orphaned = jobs.Resources{}
 	present := make(map[jobs.Ref]int, len(r.Running))
 	for _, x := range r.Running {
 		present[x.Ref] = x.Run
@@ -142,6 +143,9 @@
 func (p *Planner) handleRunning(w *worker, x RunningAttempt, now time.Time) {
 	a := w.attempts[x.Ref]
 	if a == nil || a.run != x.Run {
+		if j := p.jobs[x.Job]; j != nil && x.Step < len(j.Steps) {
+			w.orphaned = w.orphaned.Plus(j.Steps[x.Step].Reserved())
+		}
 		p.stopOrphan(w, x, now)
 		return
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -139,6 +139,9 @@
 	// expectedMilliCPU is the expected CPU use of all attempts. bestEffortDemand is the CPU use of the best-effort attempts
 	// at full speed, by image. services holds the attempts of services, which are tasks with a tail latency bound.
 	expectedMilliCPU int
+	// orphaned is the sum of the resources that orphans reserve by the latest report. Orphans of jobs that the planner does not
+	// hold any more are not in it, since their sizes are not known.
+	orphaned jobs.Resources
 	// longRunningMilliCPU is the CPU that the long-running attempts reserve, in thousandths of a core.
 	longRunningMilliCPU int
 	bestEffortDemand    []imageCPU
@@ -177,7 +180,8 @@
 	holdLoggedAt time.Time
 }
 
-func (w *worker) free() jobs.Resources { return w.Capacity.Minus(w.reserved) }
+// free returns the capacity that neither attempts nor orphans reserve; it is negative if the capacity has shrunk below that.
+func (w *worker) free() jobs.Resources { return w.Capacity.Minus(w.reserved).Minus(w.orphaned) }
 
 // hasLabel reports whether the worker has a label; every worker has the empty label.
 func (w *worker) hasLabel(l string) bool { return l == "" || slices.Contains(w.Labels, l) }
