A start that was planned before its worker shrank is not sent

What becomes known between the plan and its commit was looked at for drains and incarnations, not for capacity: a start was sent to a worker of which the list meanwhile said that it has less than is reserved there. TestPlannedStartOverAShrunkCapacityIsNotSent failed before. Starts over a capacity that had shrunk before the plan were refused already (TestNothingStartsOverAShrunkCapacity passed).

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -54,6 +54,17 @@
 	}
 }
 
+// The list showed that a worker had shrunk after a start was planned, and the start was sent all the same.
+func TestPlannedStartOverAShrunkCapacityIsNotSent(t *testing.T) {
+	s := newSimulation(t, 1)
+	s.p.AddJob(testJob(testID(1), s.now, plainStep(1)), s.now)
+	s.p.Plan(s.now)
+	_, l := s.p.TakeChanges()
+	require.Len(t, l, 1)
+	s.shrink(1000, 128000)
+	require.Empty(t, s.p.OrdersCommitted(l, s.now))
+}
+
 // A worker ran an attempt that the owner did not hold. Until it had stopped it took capacity that the owner gave to others.
 func TestOrphanCountsAgainstTheCapacityUntilItHasStopped(t *testing.T) {
 	s := newSimulation(t, 1)
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -412,5 +412,5 @@
 
 // isOutdated reports whether a planned start must not be sent, because of its age or of what became known since it was planned.
 func (p *Planner) isOutdated(w *worker, a *attempt, now time.Time) bool {
-	return a.stopping || now.Sub(a.plannedAt) > maxPlanAge || a.incarnation != w.Incarnation || p.viewExclusion(w, now) != notExcluded
+	return a.stopping || now.Sub(a.plannedAt) > maxPlanAge || a.incarnation != w.Incarnation || w.isOvercommitted() || p.viewExclusion(w, now) != notExcluded
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -183,6 +183,9 @@
 // free returns the capacity that neither attempts nor orphans reserve; it is negative if the capacity has shrunk below that.
 func (w *worker) free() jobs.Resources { return w.Capacity.Minus(w.reserved).Minus(w.orphaned) }
 
+// isOvercommitted reports whether attempts and orphans reserve more than the capacity.
+func (w *worker) isOvercommitted() bool { return !w.free().CanFit(jobs.Resources{}) }
+
 // hasLabel reports whether the worker has a label; every worker has the empty label.
 func (w *worker) hasLabel(l string) bool { return l == "" || slices.Contains(w.Labels, l) }
 
