--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -21,6 +21,10 @@
 	modelMilliCPU = 8000
 	// modelStoreLossGrace is the time for which a former owner grants leases after another owner has taken over.
 	modelStoreLossGrace = 3 * time.Second
+	// maxModelCrashes and maxModelStartsAfterCrashes bound how often a task that crashes its workers starts: after so many
+	// crashes fewer than so many starts may follow.
+	maxModelCrashes            = 3
+	maxModelStartsAfterCrashes = 3
 )
 
 // formerOwner is an owner that does not know yet that another one took over.
@@ -36,6 +40,7 @@
 	Order
 	fence       int64
 	leaseUntil  time.Time
+	sentAt      time.Time
 	incarnation int64
 }
 
@@ -64,6 +69,11 @@
 	listAway, operatorsAway, cancelsAway bool
 	workers                              []*modelWorker
 	delayed                              []call
+	// deadly holds the jobs whose tasks crash each worker that starts them, crashes the number of workers that each task has
+	// crashed, and startsAfterCrashes the number of its starts after maxModelCrashes.
+	deadly             map[string]bool
+	crashes            map[jobs.Ref]int
+	startsAfterCrashes map[jobs.Ref]int
 	// done holds the tasks with a successful attempt, acknowledged the tasks whose success the owner has acknowledged, and
 	// failed the number of acknowledged failures of each task.
 	done         map[jobs.Ref]bool
@@ -75,9 +85,10 @@
 	m := &model{
 		t: t, now: time.Unix(1_700_000_000, 0), log: make(map[string][]byte), specs: make(map[string]jobs.Spec),
 		cancels: make(map[string]time.Time), drains: make(map[string]time.Time), done: make(map[jobs.Ref]bool), acknowledged: make(map[jobs.Ref]bool), failed: make(map[jobs.Ref]int),
+		deadly: make(map[string]bool), crashes: make(map[jobs.Ref]int), startsAfterCrashes: make(map[jobs.Ref]int),
 	}
 	for i := range modelWorkers {
-		w := &modelWorker{id: fmt.Sprintf("i-%02d", i), incarnation: 1}
+		w := &modelWorker{id: fmt.Sprintf("i-%02d", i), incarnation: 1, capacity: []modelCapacity{{milliCPU: modelMilliCPU}}}
 		w.reset()
 		m.workers = append(m.workers, w)
 	}
@@ -117,9 +128,27 @@
 	}
 	j, err := jobs.Restore(s, b)
 	require.NoError(m.t, err)
+	if b := m.log[suspicionKey(id)]; b != nil {
+		require.NoError(m.t, j.RestoreSuspicions(b))
+	}
 	return j
 }
 
+// suspicionKey is the key of the suspicions of a job in the log.
+func suspicionKey(id string) string { return "suspicion/" + id }
+
+// commit stores the state of a changed job.
+func (m *model) commit(j *jobs.Job) {
+	b, err := j.EncodeProgress()
+	require.NoError(m.t, err)
+	m.log[j.ID] = b
+	s, changed, err := j.EncodeSuspicions()
+	require.NoError(m.t, err)
+	if changed {
+		m.log[suspicionKey(j.ID)] = s
+	}
+}
+
 func (m *model) submitRandomJob() {
 	id := testID(rapid.IntRange(1, modelJobs).Draw(m.t, "job"))
 	if _, ok := m.specs[id]; ok {
@@ -131,6 +160,7 @@
 	first.LongRunning = rapid.Bool().Draw(m.t, "long-running") && rapid.Bool().Draw(m.t, "long-running, second draw")
 	s := jobs.Spec{ID: id, Queue: testQueue(), Payload: "p", Steps: []jobs.Step{first, second}, SubmittedAt: m.now}
 	m.specs[id] = s
+	m.deadly[id] = rapid.IntRange(0, 3).Draw(m.t, "deadly") == 0
 	m.p.AddJob(jobs.New(s), m.now)
 }
 
@@ -164,9 +194,7 @@
 		return
 	}
 	for _, j := range changed {
-		b, err := j.EncodeProgress()
-		require.NoError(m.t, err)
-		m.log[j.ID] = b
+		m.commit(j)
 	}
 	if b != nil {
 		m.snapshot = b
@@ -238,7 +266,7 @@
 	}
 	m.checkViews(w, o)
 	m.p.LeaseGranted(o.Worker, m.now)
-	c := call{Order: o, fence: m.fence, leaseUntil: m.now.Add(testLease), incarnation: w.incarnation}
+	c := call{Order: o, fence: m.fence, leaseUntil: m.now.Add(testLease), sentAt: m.now, incarnation: w.incarnation}
 	outcome := rapid.IntRange(0, 9).Draw(m.t, "call")
 	switch {
 	case w.partitioned || outcome == 0:
@@ -250,7 +278,11 @@
 		m.execute(w, c)
 		m.handleResult(o, ResultUnknown)
 	default:
-		m.handleResult(o, m.execute(w, c))
+		r := m.execute(w, c)
+		if w.incarnation != c.incarnation {
+			r = ResultUnknown
+		}
+		m.handleResult(o, r)
 	}
 }
 
@@ -378,6 +410,7 @@
 			"call from a former owner": func(*rapid.T) { m.callFromFormerOwner(m.randomWorker()) }, "lose owners in series": func(*rapid.T) { m.loseOwnersInSeries() },
 			"cut off": func(*rapid.T) { m.cutOffRandomWorker() }, "leave or enter the list": func(*rapid.T) { m.toggleListingOfRandomWorker() },
 			"drain a worker or no longer": func(*rapid.T) { m.toggleDrainOfRandomWorker() }, "drain a domain or no longer": func(*rapid.T) { m.toggleDrainOfRandomDomain() },
+			"change a capacity": func(*rapid.T) { m.changeRandomCapacity() },
 			"lose or regain a view": func(*rapid.T) { m.toggleRandomView() }, "change unseen": func(*rapid.T) { m.changeUnseen() },
 		})
 	})
--- a/internal/dispatch/modelviews_test.go
+++ b/internal/dispatch/modelviews_test.go
@@ -114,7 +114,7 @@
 		}
 		l = append(l, WorkerInfo{
 			ID: w.id, Address: w.id, Pool: "pool", FailureDomain: w.domain(), Draining: !w.drainingSince.IsZero(),
-			Capacity: jobs.Resources{MilliCPU: modelMilliCPU, MemoryMB: 64000}, Incarnation: w.incarnation,
+			Capacity: jobs.Resources{MilliCPU: w.milliCPU(), MemoryMB: 64000}, Incarnation: w.incarnation,
 		})
 	}
 	m.p.SetWorkers(l, m.now)
--- a/internal/dispatch/modelworker_test.go
+++ b/internal/dispatch/modelworker_test.go
@@ -30,10 +30,36 @@
 	partitioned  bool
 	// unlisted means that the platform does not list the worker, which runs on.
 	unlisted bool
+	// capacity holds the capacities that the worker had, the latest last.
+	capacity []modelCapacity
 	// drainingSince is when the worker published that it is draining, zero if it is not.
 	drainingSince time.Time
 }
 
+// modelCapacity is a capacity that a worker has had since a time.
+type modelCapacity struct {
+	since    time.Time
+	milliCPU int
+}
+
+// milliCPU returns the present capacity.
+func (w *modelWorker) milliCPU() int { return w.capacity[len(w.capacity)-1].milliCPU }
+
+// mostMilliCPU returns the largest capacity that the worker had after the given time.
+func (w *modelWorker) mostMilliCPU(after time.Time) int {
+	n := w.milliCPU()
+	for i := len(w.capacity) - 1; i > 0 && w.capacity[i].since.After(after); i-- {
+		n = max(n, w.capacity[i-1].milliCPU)
+	}
+	return n
+}
+
+// changeRandomCapacity lets the capacity of a worker shrink or grow.
+func (m *model) changeRandomCapacity() {
+	w := m.randomWorker()
+	w.capacity = append(w.capacity, modelCapacity{m.now, rapid.IntRange(0, 4).Draw(m.t, "quarters of the capacity") * modelMilliCPU / 4})
+}
+
 // reset clears the state that a worker loses when a new incarnation starts.
 func (w *modelWorker) reset() {
 	w.runs, w.highestRun = make(map[jobs.Ref]int), make(map[jobs.Ref]int)
@@ -68,11 +94,16 @@
 	m.checkStart(w, c)
 	w.runs[c.Ref] = c.Run
 	w.leaseUntil = later(w.leaseUntil, c.leaseUntil)
+	if m.deadly[c.Job] {
+		m.crashes[c.Ref]++
+		m.crash(w)
+	}
 	return ResultAccepted
 }
 
 // checkStart checks that no other attempt of the task runs, that the task has no acknowledged success and fewer than
-// MaxAttempts acknowledged failures, that the steps that the task depends on are done, and that the worker has capacity.
+// MaxAttempts acknowledged failures, that the steps that the task depends on are done, that the worker has capacity by what it
+// said of itself, and that no task starts often after workers have crashed under it.
 func (m *model) checkStart(w *modelWorker, c call) {
 	for _, o := range m.workers {
 		require.Zero(m.t, o.runs[c.Ref], "%s run %d starts at %s while it runs at %s", c.Ref, c.Run, w.id, o.id)
@@ -91,7 +122,11 @@
 	for r := range w.runs {
 		reserved += m.specs[r.Job].Steps[r.Step].Reserved().MilliCPU
 	}
-	require.LessOrEqual(m.t, reserved, modelMilliCPU, "%s is overcommitted", w.id)
+	require.LessOrEqual(m.t, reserved, w.mostMilliCPU(c.sentAt.Add(-modelStartBounds.WorkerDrain)), "%s is overcommitted", w.id)
+	if m.crashes[c.Ref] >= maxModelCrashes {
+		m.startsAfterCrashes[c.Ref]++
+		require.Less(m.t, m.startsAfterCrashes[c.Ref], maxModelStartsAfterCrashes, "%s starts after %d workers have crashed under it", c.Ref, m.crashes[c.Ref])
+	}
 }
 
 func (m *model) stopAt(w *modelWorker, c call) {
@@ -125,8 +160,10 @@
 	}
 }
 
-func (m *model) crashRandomWorker() {
-	w := m.randomWorker()
+func (m *model) crashRandomWorker() { m.crash(m.randomWorker()) }
+
+// crash starts the next incarnation of a worker.
+func (m *model) crash(w *modelWorker) {
 	w.reset()
 	w.incarnation++
 	w.drainingSince = time.Time{}
