A request that breaks connections reaches two upstreams, not four

An idempotent request without a body whose connections broke after it was sent went to up to four upstreams, one after another: if it is the request that crashes them, each caller's try took four. Refused connections and responses with an error still allow four. TestRequestThatBreaksConnectionsReachesTwoUpstreams failed before with 4.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -13,12 +13,18 @@
 	"currantknot.dev/currantknot/pkg/outcome"
 )
 
-// maxAttempts bounds the number of upstreams that one request is sent to.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the number of upstreams that one request is sent to.
+	maxAttempts = 4
+	// maxBrokenAttempts bounds the number of upstreams whose connection breaks after a byte of a request was written: the request
+	// may be what makes them crash.
+	maxBrokenAttempts = 2
+)
 
 // sendWithRetries sends the request to one upstream after another until one responds or no retry is allowed.
 func (h *Handler) sendWithRetries(ctx context.Context, c *call) (*response, error) {
 	var last *callError
+	broken := 0
 	for n := 1; ; n++ {
 		t, err := h.acquireSlot(ctx, c)
 		if err != nil {
@@ -32,8 +38,13 @@
 			r.complete(true)
 			r.Body.Close()
 			r.cancel()
-		} else if !h.tryRetryAfterError(c, e, n) {
-			return nil, e
+		} else {
+			if e.outcome != outcome.NotRun {
+				broken++
+			}
+			if broken >= maxBrokenAttempts || !h.tryRetryAfterError(c, e, n) {
+				return nil, e
+			}
 		}
 		last = preferUnknown(last, e)
 		c.Tried = append(c.Tried, t.Name)
