A job of very many tasks no longer ends the commits of its owner and of the next

Callers saw nothing start any more, for no job: the progress of one job was larger than the 256 KiB that the store takes as a record, the append was refused, and the owner repeated it for good, as did each owner after it. Likewise a scheduled job of 10,000 tasks and 10,000 occurrences was accepted and took the memory of each owner that loaded it. Now large progress is stored in parts, one append is within what the store takes and has all or none of a job's records, and a job of more than 20,000 tasks in all occurrences is refused at once. The settings record_bytes and call_bytes of the platform, of which the latter was read and not used, bound both.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -69,7 +69,7 @@
 	node.Append = service.AppendFor
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, ShutdownTimeout: s.ShutdownTimeout,
-		Lease: min(s.MaxLease, maxLease), FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, StartBounds: s.StartBounds, Identity: id,
+		Lease: min(s.MaxLease, maxLease), FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, StartBounds: s.StartBounds, AppendLimits: s.AppendLimits, Identity: id,
 		Store: store, Replica: replica, State: state,
 		Workers: jobserve.InstrumentWorkers(node, m), Relays: node, Directory: platform.NewDirectory(platformStore, l),
 		Advisor: platform.NewPlacementAdvisor(s.PlacementAdvisorAddress), Maintenance: platform.NewMaintenanceClient(s.MaintenanceAddress, s.Name, platformStore),
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -410,7 +410,7 @@
 			"call from a former owner": func(*rapid.T) { m.callFromFormerOwner(m.randomWorker()) }, "lose owners in series": func(*rapid.T) { m.loseOwnersInSeries() },
 			"cut off": func(*rapid.T) { m.cutOffRandomWorker() }, "leave or enter the list": func(*rapid.T) { m.toggleListingOfRandomWorker() },
 			"drain a worker or no longer": func(*rapid.T) { m.toggleDrainOfRandomWorker() }, "drain a domain or no longer": func(*rapid.T) { m.toggleDrainOfRandomDomain() },
-			"change a capacity": func(*rapid.T) { m.changeRandomCapacity() },
+			"change a capacity":     func(*rapid.T) { m.changeRandomCapacity() },
 			"lose or regain a view": func(*rapid.T) { m.toggleRandomView() }, "change unseen": func(*rapid.T) { m.changeUnseen() },
 		})
 	})
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -12,6 +12,8 @@
 	MaxPayloadBytes = 4000
 	// MaxTasks is the maximum number of tasks in one occurrence of a job.
 	MaxTasks = 10000
+	// MaxJobTasks is the maximum number of tasks in all occurrences of a job, whose state is kept as a whole.
+	MaxJobTasks = 20000
 	// MaxOccurrences is the maximum number of occurrences of a scheduled job.
 	MaxOccurrences = 10000
 )
@@ -166,6 +168,8 @@
 	}
 	if n > MaxTasks {
 		add("Steps", "%d tasks are more than %d", n, MaxTasks)
+	} else if t := n * max(s.Times, 1); t > MaxJobTasks {
+		add("Times", "%d tasks in all occurrences are more than %d", t, MaxJobTasks)
 	}
 	if len(e.Findings) > 0 {
 		return &e
--- a/internal/jobserve/batcher.go
+++ b/internal/jobserve/batcher.go
@@ -17,6 +17,8 @@
 	maxRejections = 2
 	// maxBatchRecords is the maximum number of records in one append.
 	maxBatchRecords = 500
+	// maxBatchBytes is the size of the values in an append from which on further records wait for the next one.
+	maxBatchBytes = 512 << 10
 	// congestedLatency is the duration of an append from which the store counts as congested.
 	congestedLatency = 150 * time.Millisecond
 	// congestionPeriod is the time after a slow or failed append in which records go through another instance.
@@ -131,16 +133,18 @@
 	}
 }
 
-// nextBatch removes records from the queue and returns those whose callers still wait, at most maxBatchRecords.
+// nextBatch removes records from the queue and returns those whose callers still wait, within maxBatchRecords and maxBatchBytes.
 func (b *batcher) nextBatch() []*pendingRecord {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var l []*pendingRecord
-	for len(b.waiting) > 0 && len(l) < maxBatchRecords {
+	size := 0
+	for len(b.waiting) > 0 && len(l) < maxBatchRecords && size < maxBatchBytes {
 		p := b.waiting[0]
 		b.waiting = b.waiting[1:]
 		if p.ctx.Err() == nil {
 			l = append(l, p)
+			size += len(p.record.Value)
 		}
 	}
 	if len(l) == 0 {
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -48,7 +48,8 @@
 	// Lease is the duration of each lease that an owner grants to a worker.
 	Lease time.Duration
 	// StartBounds bounds the ages of what starts rest on.
-	StartBounds dispatch.StartBounds
+	StartBounds  dispatch.StartBounds
+	AppendLimits AppendLimits
 	// FinishedJobRetention is how long callers may query a finished job.
 	FinishedJobRetention time.Duration
 	// Identity identifies this process in the group that elects the owner.
@@ -139,7 +140,7 @@
 	RunOwner(ctx, OwnerConfig{
 		Identity: i.Identity.String(), Predecessor: predecessor, Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Advisor: i.Advisor, Maintenance: i.Maintenance,
 		State: i.State, MaintenanceDelay: i.MaintenanceDelay,
-		LastCommit: i.commits.unchangedSince, Lease: i.Lease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, StartBounds: i.StartBounds, Metrics: i.Metrics, Logger: i.Logger,
+		LastCommit: i.commits.unchangedSince, Lease: i.Lease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, StartBounds: i.StartBounds, AppendLimits: i.AppendLimits, Metrics: i.Metrics, Logger: i.Logger,
 	})
 }
 
--- a/internal/jobserve/leasewait_test.go
+++ b/internal/jobserve/leasewait_test.go
@@ -26,7 +26,7 @@
 	j := jobs.New(jobs.Spec{ID: "0000000000000001", Queue: jobs.Queue{Name: "queue", Pool: "pool", MaxAttempts: 3}, Steps: []jobs.Step{step}, SubmittedAt: now})
 	require.True(t, j.Assign(j.Tasks[0][0][0], worker, 1, now))
 	p.AddJob(j, now)
-	return &Owner{planner: p}
+	return &Owner{OwnerConfig: OwnerConfig{Replica: NewReplica(nil, zerolog.Nop())}, planner: p}
 }
 
 // runCycles runs planning cycles whose commits succeed, and returns when each snapshot was made. The workers don't respond.
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -69,7 +69,8 @@
 	// StoreLossGrace is the time after the start of the latest successful commit in which leases are still granted.
 	StoreLossGrace time.Duration
 	// StartBounds bounds the ages of what starts rest on.
-	StartBounds dispatch.StartBounds
+	StartBounds  dispatch.StartBounds
+	AppendLimits AppendLimits
 	// FinishedJobRetention is how long callers may query a finished job; if it is 0, records are kept forever.
 	FinishedJobRetention time.Duration
 	// MaintenanceDelay is the time after a takeover in which no maintenance is ordered.
@@ -261,7 +262,7 @@
 		if err != nil {
 			return nil, err
 		}
-		r = append(r, Record{Key: j.ID, Value: b})
+		r = append(r, o.progressRecords(j.ID, b)...)
 		s, changed, err := j.EncodeSuspicions()
 		if err != nil {
 			return nil, err
@@ -286,6 +287,16 @@
 	return r, nil
 }
 
+// progressRecords returns the records of a job's progress, and the deletion of the parts that an earlier, larger one has beyond
+// them.
+func (o *Owner) progressRecords(id string, b []byte) []Record {
+	r := o.AppendLimits.split(id, b)
+	for o.Replica.Progress(partKey(id, len(r))) != nil {
+		r = append(r, Record{Key: partKey(id, len(r))})
+	}
+	return r
+}
+
 // isSnapshotDue reports whether a snapshot is due; o.mu is held. Regular snapshots are committed only together with other
 // records.
 func (o *Owner) isSnapshotDue(hasRecords bool, now time.Time) bool {
@@ -307,14 +318,21 @@
 	}
 }
 
-// commit appends progress records, and retries until the store has them, another owner has taken over, or the context ends.
+// commit appends progress records, in several appends if they are too large for one.
+func (o *Owner) commit(ctx context.Context, r []Record) error {
+	for _, b := range o.AppendLimits.batches(r) {
+		if err := o.commitBatch(ctx, b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// commitBatch makes one append, and retries until the store has it, another owner has taken over, or the context ends.
 //
 // A success extends the time in which leases are granted, from the start of the first attempt: a later attempt may succeed
 // without a new append, after the store has executed an earlier one.
-func (o *Owner) commit(ctx context.Context, r []Record) error {
-	if len(r) == 0 {
-		return nil
-	}
+func (o *Owner) commitBatch(ctx context.Context, r []Record) error {
 	o.sequence++
 	w := &Writer{Epoch: o.epoch, Sequence: o.sequence}
 	firstAt := bootclock.Now()
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -319,7 +320,7 @@
 	if !ok {
 		return jobs.New(s)
 	}
-	j, err := jobs.Restore(s, x.Value)
+	j, err := jobs.Restore(s, r.progressOf(id))
 	if err != nil {
 		r.logger.Error().Err(err).Str("Job", id).Int64("Offset", x.Offset).Msg("progress record cannot be decoded")
 		return nil
@@ -328,6 +329,18 @@
 	return j
 }
 
+// progressOf returns the progress of a job, joined from its parts; r.mu is held.
+func (r *Replica) progressOf(id string) []byte {
+	b := r.progress[id].Value
+	for n := 1; ; n++ {
+		x, ok := r.progress[partKey(id, n)]
+		if !ok {
+			return b
+		}
+		b = slices.Concat(b, x.Value)
+	}
+}
+
 // restoreSuspicions applies the suspicions of a job, if there are any; a job without them is scheduled as if no worker had been
 // lost under it. r.mu is held.
 func (r *Replica) restoreSuspicions(j *jobs.Job) {
@@ -340,13 +353,13 @@
 	}
 }
 
-// staleSuspicions returns the keys of the suspicions of jobs whose submissions are gone.
-func (r *Replica) staleSuspicions() []string {
+// staleProgressKeys returns the keys, other than the IDs of jobs, of the records of jobs whose submissions are gone.
+func (r *Replica) staleProgressKeys() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var l []string
 	for k := range r.progress {
-		if id, ok := strings.CutPrefix(k, suspicionPrefix); ok && r.specs[id] == nil {
+		if id := jobOfKey(k); id != k && r.specs[id] == nil {
 			l = append(l, k)
 		}
 	}
--- a/internal/jobserve/retention.go
+++ b/internal/jobserve/retention.go
@@ -114,7 +114,7 @@
 		delete(o.retention.removed, x.Key)
 		delete(o.retention.finishedAt, x.Key)
 	}
-	for _, k := range o.Replica.staleSuspicions() {
+	for _, k := range o.Replica.staleProgressKeys() {
 		r = append(r, Record{Key: k})
 	}
 	return o.commit(ctx, r)
