A job that makes its owner panic is set aside

There was no recover around work on one job: a job or record that the planner can't handle ended the process of its owner, and then that of each owner after it, until no job was served. Now such a job is not scheduled any more, its uncommitted starts are dropped, what runs of it goes on, and the log and currantknot_jobs_set_aside tell. A progress record that names a task with a negative number is refused as one with an unknown task.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -49,13 +49,15 @@
 	Held int
 	// Waiting counts the tasks whose turn has come and for which the latest plan found no worker.
 	Waiting int
+	// SetAside counts the jobs that are set aside.
+	SetAside int
 	// Isolating counts the workers that run a task isolated.
 	Isolating int
 }
 
 // Idle returns the counts for the state after the latest plan.
 func (p *Planner) Idle(now time.Time) Idle {
-	x := Idle{Waiting: p.waiting}
+	x := Idle{Waiting: p.waiting, SetAside: len(p.aside)}
 	for _, w := range p.workerList {
 		if w.isolated > 0 {
 			x.Isolating++
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -36,22 +36,34 @@
 func (p *Planner) placeSteps(l []candidateStep, now time.Time) {
 	var later []*candidateStep
 	for _, c := range l {
-		if c.job.HasSuspicions() {
-			if s := p.placeSuspects(&c, now); s != nil {
+		if p.aside[c.job.ID] {
+			continue
+		}
+		p.guard(c.job, func() {
+			if s := p.placeCandidate(&c, now); s != nil {
 				later = append(later, s)
 			}
-		}
-		switch {
-		case len(c.tasks) == 0:
-		case c.step.Gang:
-			p.placeGang(&c, now)
-		default:
-			p.placeStep(&c, now)
-		}
+		})
 	}
 	for _, c := range later {
-		p.placeIsolated(c, now)
+		p.guard(c.job, func() { p.placeIsolated(c, now) })
+	}
+}
+
+// placeCandidate assigns the ready tasks of a step, and returns those that may run only isolated, nil if there are none.
+func (p *Planner) placeCandidate(c *candidateStep, now time.Time) *candidateStep {
+	var later *candidateStep
+	if c.job.HasSuspicions() {
+		later = p.placeSuspects(c, now)
+	}
+	switch {
+	case len(c.tasks) == 0:
+	case c.step.Gang:
+		p.placeGang(c, now)
+	default:
+		p.placeStep(c, now)
 	}
+	return later
 }
 
 // countWaiting returns the number of the steps' tasks that still wait for a worker.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -50,6 +50,8 @@
 	// uncommitted changes.
 	jobs   map[string]*jobs.Job
 	active map[string]*jobs.Job
+	// aside holds the IDs of the jobs that are set aside.
+	aside map[string]bool
 	// drainedDomains holds the failure domains that operators drained. Workers there get no new tasks, but keep all tasks that
 	// they run. Draining workers, in contrast, lose their long-running tasks, and cordoned workers also those with checkpoints.
 	drainedDomains map[string]bool
@@ -111,7 +113,7 @@
 		drainedDomains: make(map[string]bool), dirty: make(map[string]*jobs.Job),
 		waits: newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
 		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
-		lostAt: make(map[string]time.Time), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
+		aside: make(map[string]bool), lostAt: make(map[string]time.Time), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
 	}
 }
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -75,6 +75,11 @@
 		return
 	}
 	w.remove(a)
+	p.guard(a.job, func() { p.finishAttempt(w, a, e, now) })
+}
+
+// finishAttempt records the outcome of an attempt that was removed from its worker.
+func (p *Planner) finishAttempt(w *worker, a *attempt, e FinishedAttempt, now time.Time) {
 	if e.Checkpoint == "" && e.Outcome == jobs.OutcomeStopped {
 		e.Checkpoint = a.task.Checkpoint
 	}
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -52,9 +52,11 @@
 		if j.IsTerminal() {
 			continue
 		}
-		for k := range j.Tasks {
-			l = p.appendCandidateSteps(l, j, k, now)
-		}
+		p.guard(j, func() {
+			for k := range j.Tasks {
+				l = p.appendCandidateSteps(l, j, k, now)
+			}
+		})
 	}
 	slices.SortFunc(l, func(a, b candidateStep) int {
 		return cmp.Or(
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -89,7 +89,7 @@
 
 // Task returns the task that a reference names, or nil if there is none.
 func (j *Job) Task(r Ref) *Task {
-	if r.Occurrence >= len(j.Tasks) || r.Step >= len(j.Steps) || r.Index >= j.Steps[r.Step].Tasks {
+	if min(r.Occurrence, r.Step, r.Index) < 0 || r.Occurrence >= len(j.Tasks) || r.Step >= len(j.Steps) || r.Index >= j.Steps[r.Step].Tasks {
 		return nil
 	}
 	return j.Tasks[r.Occurrence][r.Step][r.Index]
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -26,6 +26,7 @@
 	{metricLostAttempts, "counter", "attempts that were lost with their workers"},
 	{metricGivenUp, "counter", "jobs that were given up since workers were lost under one of their tasks"},
 	{metricIsolating, "gauge", "workers that get no other task while they run one under which workers were lost; 0 on other instances"},
+	{metricSetAside, "gauge", "jobs that made this owner panic and are not scheduled any more; 0 on other instances"},
 	{metricWorkersAge, "gauge", "age of the list of workers by which this owner starts tasks, in seconds; 0 on other instances"},
 	{metricOperatorsAge, "gauge", "age of what this instance knows of operators' changes, in seconds"},
 	{metricRequestsAge, "gauge", "age of what this instance knows of submissions and cancellations, in seconds"},
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -30,6 +30,7 @@
 	metricLostWorkers      = "currantknot_lost_workers_total"
 	metricLostAttempts     = "currantknot_lost_attempts_total"
 	metricGivenUp          = "currantknot_jobs_given_up_total"
+	metricSetAside         = "currantknot_jobs_set_aside"
 	metricIsolating        = "currantknot_isolating_workers"
 	metricWaitingTasks     = "currantknot_waiting_tasks"
 	metricWorkersAge       = "currantknot_worker_list_age_seconds"
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -229,6 +229,7 @@
 	o.Metrics.Set(metricHeldAttempts, x.Held)
 	o.Metrics.Set(metricWaitingTasks, x.Waiting)
 	o.Metrics.Set(metricIsolating, x.Isolating)
+	o.Metrics.Set(metricSetAside, x.SetAside)
 }
 
 // addCounts adds what happened since the latest cycle to the counters.
