--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -105,7 +105,7 @@
 // logSuspect logs that a worker was lost under an attempt that may be the cause.
 func (p *Planner) logSuspect(a *attempt, l jobs.Loss) {
 	s := &a.task.Suspicion
-	p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", l.Worker).Dur("RanFor", l.RanFor).Bool("AtStart", l.AtStart).Bool("Isolated", l.Isolated).Bool("Crashed", l.Crashed).
+	p.Logger.Warn().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", l.Worker).Dur("RanFor", l.RanFor).Bool("AtStart", l.AtStart).Bool("Isolated", l.Isolated).Bool("Crashed", l.Crashed).
 		Int("Losses", s.Losses).Int("Crashes", s.Crashes).Int("IsolatedLosses", s.Isolated).Str("Decision", "Suspect").Msg("worker was lost under a task that may be the cause")
 }
 
--- a/internal/jobserve/logwriter.go
+++ b/internal/jobserve/logwriter.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -14,6 +16,8 @@
 	// logBytesPerSecond and logBurstBytes are the rate and the burst size of the byte budget.
 	logBytesPerSecond = 256 << 10
 	logBurstBytes     = 2 << 20
+	// logReservedBytes is the part of the budget that only warnings and errors may use, which tell causes and are few.
+	logReservedBytes = 512 << 10
 	// logWriteBytes is the maximum size of one write, unless a single line is longer. A write of this size to a pipe is atomic,
 	// so that the reader of the pipe finds complete lines.
 	logWriteBytes = 4 << 10
@@ -24,7 +28,7 @@
 // LogWriter writes log lines in the background, within a budget of bytes.
 //
 // It never blocks: a line that arrives while the buffer is full or the budget is
-// spent is dropped and counted. The count is written after the lines that were
+// spent is dropped and counted. A part of the budget is kept for warnings. The count is written after the lines that were
 // accepted before.
 type LogWriter struct {
 	out  io.Writer
@@ -49,14 +53,21 @@
 	return w
 }
 
-// Write buffers or drops one log line; it never fails.
-func (w *LogWriter) Write(b []byte) (int, error) {
+// Write buffers or drops one log line of an ordinary level; it never fails.
+func (w *LogWriter) Write(b []byte) (int, error) { return w.WriteLevel(zerolog.InfoLevel, b) }
+
+// WriteLevel implements zerolog.LevelWriter; it never fails.
+func (w *LogWriter) WriteLevel(level zerolog.Level, b []byte) (int, error) {
+	reserved := 0.0
+	if level < zerolog.WarnLevel {
+		reserved = logReservedBytes
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
 	w.budget = min(logBurstBytes, w.budget+logBytesPerSecond*now.Sub(w.refilledAt).Seconds())
 	w.refilledAt = now
-	if len(w.buffer)+len(b) > logBufferBytes || float64(len(b)) > w.budget {
+	if len(w.buffer)+len(b) > logBufferBytes || float64(len(b)) > w.budget-reserved {
 		w.dropped++
 		w.droppedTotal++
 		return len(b), nil
--- a/internal/jobserve/logwriter_test.go
+++ b/internal/jobserve/logwriter_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
 
@@ -127,3 +128,20 @@
 	}
 	require.Equal(t, 100, n)
 }
+
+// The lines on why a job was given up were dropped among thousands on what was started.
+func TestWarningsAreKeptWhileOrdinaryLinesSpendTheBudget(t *testing.T) {
+	var b bytes.Buffer
+	w := NewLogWriter(&b)
+	l := zerolog.New(w)
+	text := strings.Repeat("x", 1000)
+	for w.Dropped() == 0 {
+		l.Info().Msg(text)
+		if len(w.buffered()) > logBufferBytes/2 {
+			time.Sleep(2 * logFlushInterval)
+		}
+	}
+	l.Warn().Msg("the cause " + text)
+	w.Close(time.Now().Add(time.Second))
+	require.Contains(t, b.String(), "the cause")
+}
