--- /dev/null
+++ b/internal/dispatch/blame.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"time"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+// startWindow is the run time up to which an attempt may have crashed its worker by starting.
+const startWindow = 500 * time.Millisecond
+
+// blame records the loss of a worker with the tasks that may have caused it. shared means that other workers were lost with it.
+func (p *Planner) blame(w *worker, crashed, shared bool, now time.Time) {
+	if w.Draining || w.cordoned {
+		return
+	}
+	for _, a := range w.suspects(shared) {
+		p.suspect(a, jobs.Loss{Worker: w.ID, Crashed: crashed, Isolated: a.isolated, AtStart: w.isAtStart(a), RanFor: w.provenRun(a)}, now)
+	}
+}
+
+// suspect records the loss of a worker with the task of an attempt that may have caused it.
+func (p *Planner) suspect(a *attempt, l jobs.Loss, now time.Time) {
+	terminal := a.job.IsTerminal()
+	a.job.RecordLoss(a.task, l)
+	p.dirty[a.job.ID] = a.job
+	p.isolation.delay(a.task, now)
+	p.logSuspect(a, l)
+	if !terminal && a.job.IsTerminal() {
+		p.counts.GivenUp++
+		p.Logger.Warn().Str("Job", a.job.ID).Str("Task", a.task.String()).Int("Run", a.run).Str("Reason", a.job.FailureReason).Str("Decision", "GiveUp").Msg("job is given up, since workers were lost under one of its tasks")
+	}
+}
+
+// logSuspect logs that a worker was lost under an attempt that may be the cause.
+func (p *Planner) logSuspect(a *attempt, l jobs.Loss) {
+	s := &a.task.Suspicion
+	p.Logger.Warn().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", l.Worker).Dur("RanFor", l.RanFor).Bool("AtStart", l.AtStart).Bool("Isolated", l.Isolated).Bool("Crashed", l.Crashed).
+		Int("Losses", s.Losses).Int("Crashes", s.Crashes).Int("IsolatedLosses", s.Isolated).Str("Decision", "Suspect").Msg("worker was lost under a task that may be the cause")
+}
+
+// suspects returns the attempts that may have caused the loss of their worker.
+func (w *worker) suspects(shared bool) []*attempt {
+	var l []*attempt
+	for _, a := range w.attemptList {
+		if a.phase == phasePlanned || a.incarnation > w.Incarnation || w.isolated > 0 && !a.isolated {
+			continue
+		}
+		if a.isUnseen() || w.isAtStart(a) || !shared && w.provenRun(a) < jobs.MaxSuspectRun {
+			l = append(l, a)
+		}
+	}
+	return l
+}
+
+// isUnseen reports whether an earlier owner planned the attempt and its worker has not responded to this owner since, so that it
+// is not known for how long the attempt had run.
+func (a *attempt) isUnseen() bool { return a.restored && a.confirmedAt.IsZero() }
+
+// isAtStart reports whether an attempt of this owner is not known to have run for startWindow.
+func (w *worker) isAtStart(a *attempt) bool { return w.provenRun(a) < startWindow && !a.isUnseen() }
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/isolation.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,10 +8,6 @@
 )
 
 const (
-	// startWindow is the run time up to which an attempt may have crashed its worker by starting.
-	startWindow = 500 * time.Millisecond
-	// minSharedLoss is the number of workers lost together from which on a cause outside of them is likely, such as a failed rack.
-	minSharedLoss = 3
 	// maxIsolatedFraction is the fraction of the workers that may isolate tasks at a time, or be lost while they do.
 	maxIsolatedFraction = 0.1
 	// suspectRetryDelay is the time after which a suspect may run again. It doubles with each further loss, up to
@@ -79,57 +74,6 @@
 	}
 }
 
-// blame records the loss of a worker with the tasks that may have caused it. shared means that other workers were lost with it.
-func (p *Planner) blame(w *worker, crashed, shared bool, now time.Time) {
-	if w.Draining || w.cordoned {
-		return
-	}
-	for _, a := range w.suspects(shared) {
-		p.suspect(a, jobs.Loss{Worker: w.ID, Crashed: crashed, Isolated: a.isolated, AtStart: w.isAtStart(a), RanFor: w.provenRun(a)}, now)
-	}
-}
-
-// suspect records the loss of a worker with the task of an attempt that may have caused it.
-func (p *Planner) suspect(a *attempt, l jobs.Loss, now time.Time) {
-	terminal := a.job.IsTerminal()
-	a.job.RecordLoss(a.task, l)
-	p.dirty[a.job.ID] = a.job
-	p.isolation.delay(a.task, now)
-	p.logSuspect(a, l)
-	if !terminal && a.job.IsTerminal() {
-		p.counts.GivenUp++
-		p.Logger.Warn().Str("Job", a.job.ID).Str("Task", a.task.String()).Int("Run", a.run).Str("Reason", a.job.FailureReason).Str("Decision", "GiveUp").Msg("job is given up, since workers were lost under one of its tasks")
-	}
-}
-
-// logSuspect logs that a worker was lost under an attempt that may be the cause.
-func (p *Planner) logSuspect(a *attempt, l jobs.Loss) {
-	s := &a.task.Suspicion
-	p.Logger.Warn().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", l.Worker).Dur("RanFor", l.RanFor).Bool("AtStart", l.AtStart).Bool("Isolated", l.Isolated).Bool("Crashed", l.Crashed).
-		Int("Losses", s.Losses).Int("Crashes", s.Crashes).Int("IsolatedLosses", s.Isolated).Str("Decision", "Suspect").Msg("worker was lost under a task that may be the cause")
-}
-
-// suspects returns the attempts that may have caused the loss of their worker.
-func (w *worker) suspects(shared bool) []*attempt {
-	var l []*attempt
-	for _, a := range w.attemptList {
-		if a.phase == phasePlanned || a.incarnation > w.Incarnation || w.isolated > 0 && !a.isolated {
-			continue
-		}
-		if a.isUnseen() || w.isAtStart(a) || !shared && w.provenRun(a) < jobs.MaxSuspectRun {
-			l = append(l, a)
-		}
-	}
-	return l
-}
-
-// isUnseen reports whether an earlier owner planned the attempt and its worker has not responded to this owner since, so that it
-// is not known for how long the attempt had run.
-func (a *attempt) isUnseen() bool { return a.restored && a.confirmedAt.IsZero() }
-
-// isAtStart reports whether an attempt of this owner is not known to have run for startWindow.
-func (w *worker) isAtStart(a *attempt) bool { return w.provenRun(a) < startWindow && !a.isUnseen() }
-
 // isolate makes the worker of an attempt run no other task until the attempt is cleared or removed.
 func (w *worker) isolate(a *attempt) {
 	a.isolated = true
@@ -230,44 +174,6 @@
 	return p.isolation.remaining > 0 && !now.Before(p.isolation.retryAt[t.Ref])
 }
 
-// placeGangIsolated places all tasks of a gang on as few workers as possible, or none.
-func (p *Planner) placeGangIsolated(c *candidateStep, now time.Time) {
-	var l []*worker
-	if !slices.ContainsFunc(c.tasks, func(t *jobs.Task) bool { return !p.mayIsolate(t, now) }) {
-		l = p.fitGangTightly(c, now)
-	}
-	if l == nil || !p.assignGang(c, l, now) {
-		p.logWait(wait{step: c, task: c.tasks[0], waited: p.waits.record(c.tasks[0], now), suspect: true}, now)
-		return
-	}
-	for i, t := range c.tasks {
-		if l[i].isolated == 0 {
-			p.isolation.remaining--
-		}
-		l[i].isolate(l[i].attempts[t.Ref])
-	}
-	p.Logger.Info().Str("Task", c.tasks[0].String()).Int("Run", c.tasks[0].Run).Int("Members", len(l)).Bool("Isolated", true).Str("Decision", "Isolate").Msg("gang that may crash its workers is placed on few workers")
-}
-
-// fitGangTightly returns a worker for each member of a gang, each with as many members as fit, those with the least to lose
-// first. It returns nil if not all members fit.
-func (p *Planner) fitGangTightly(c *candidateStep, now time.Time) []*worker {
-	r := p.rateByRisk(c, true, now)
-	slices.SortStableFunc(r, func(a, b rating) int { return cmp.Compare(b.score, a.score) })
-	l := make([]*worker, 0, len(c.tasks))
-	for _, x := range r {
-		free := x.worker.free()
-		for n := 0; len(l) < len(c.tasks) && free.CanFit(c.step.Reserved()) && (c.step.MaxPerWorker == 0 || n < c.step.MaxPerWorker); n++ {
-			free = free.Minus(c.step.Reserved())
-			l = append(l, x.worker)
-		}
-	}
-	if len(l) < len(c.tasks) {
-		return nil
-	}
-	return l
-}
-
 // placeSuspect places a task on the worker with the least to lose, and reports whether it did.
 func (p *Planner) placeSuspect(c *candidateStep, t *jobs.Task, isolated bool, now time.Time) bool {
 	one := *c
--- /dev/null
+++ b/internal/dispatch/lease.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// LeaseGranted records that a lease was sent to a worker.
+func (p *Planner) LeaseGranted(id string, now time.Time) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	if u := p.leaseExpiry(now); u.After(w.leaseUntil) {
+		w.leaseUntil = u
+	}
+}
+
+// leaseExpiry returns the time by which every lease that was granted up to now has certainly expired.
+func (p *Planner) leaseExpiry(now time.Time) time.Time {
+	return now.Add(time.Duration(float64(p.Lease)*clockDriftFactor) + leaseMargin)
+}
+
+// ExpireLeases releases the attempts of unreachable workers whose leases have expired, except planned attempts, whose
+// starts are not sent yet. It drops those of these workers that are unlisted and hold no attempts.
+func (p *Planner) ExpireLeases(now time.Time) {
+	for _, w := range p.workerList {
+		if w.isReachable(now) || now.Before(w.leaseUntil) {
+			continue
+		}
+		if slices.ContainsFunc(w.attemptList, func(a *attempt) bool { return a.phase != phasePlanned }) {
+			p.recordLoss(w, lossLeaseExpired, now)
+		}
+		p.releaseLost(w, "worker lease expired", now)
+		w.synced = w.isResponding(now)
+		if w.isRemovable() {
+			delete(p.workers, w.ID)
+		}
+	}
+	p.workerList = slices.DeleteFunc(p.workerList, func(w *worker) bool { return p.workers[w.ID] != w })
+}
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -21,6 +21,8 @@
 const (
 	// lossWindow is the time between two losses up to which one cause may have led to both, such as a failed rack.
 	lossWindow = time.Second
+	// minSharedLoss is the number of workers lost together from which on a cause outside of them is likely, such as a failed rack.
+	minSharedLoss = 3
 	// lossRetention is the time for which the loss of a worker is remembered.
 	lossRetention = 30 * time.Second
 )
--- /dev/null
+++ b/internal/dispatch/workerlist.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+// worker returns the worker with the given ID, and adds the worker if the planner does not hold it.
+func (p *Planner) worker(id string) *worker {
+	w := p.workers[id]
+	if w == nil {
+		w = &worker{WorkerInfo: WorkerInfo{ID: id}, attempts: make(map[jobs.Ref]*attempt), headroom: make(map[string]float64)}
+		w.leaseUntil = p.leaseExpiry(p.LastCommitAt.Add(p.StoreLossGrace))
+		p.workers[id] = w
+		n, _ := slices.BinarySearchFunc(p.workerList, id, func(o *worker, id string) int { return cmp.Compare(o.ID, id) })
+		p.workerList = slices.Insert(p.workerList, n, w)
+	}
+	return w
+}
+
+// SetWorkers applies the platform's list of workers.
+func (p *Planner) SetWorkers(l []WorkerInfo, now time.Time) {
+	seen := make(map[string]bool, len(l))
+	for _, info := range l {
+		seen[info.ID] = true
+		p.setWorker(info, now)
+	}
+	for _, w := range p.workerList {
+		if seen[w.ID] || !w.listed {
+			continue
+		}
+		w.listed = false
+		p.Logger.Info().Str("Worker", w.ID).Str("Decision", "WorkerUnlisted").Int("Attempts", len(w.attempts)).Msg("worker removed from the list")
+	}
+}
+
+// setWorker applies an entry of the list. It ignores an entry of an earlier incarnation, which may have another address and
+// more capacity than the present one.
+func (p *Planner) setWorker(info WorkerInfo, now time.Time) {
+	w := p.worker(info.ID)
+	if info.Incarnation != 0 && info.Incarnation < w.Incarnation {
+		return
+	}
+	if info.Incarnation != 0 && w.Incarnation != 0 && info.Incarnation != w.Incarnation && info.Incarnation > w.Incarnation {
+		p.startIncarnation(w, info.Incarnation, now)
+	}
+	incarnation := max(w.Incarnation, info.Incarnation)
+	if !w.listed || w.Draining != info.Draining {
+		p.Logger.Info().Str("Worker", info.ID).Str("Decision", "WorkerListed").Bool("Draining", info.Draining).Str("FailureDomain", info.FailureDomain).Int64("Life", incarnation).Msg("worker added to the list or its draining state changed")
+	}
+	w.WorkerInfo = info
+	w.Incarnation = incarnation
+	w.listed = true
+}
+
+// startIncarnation releases the attempts that an earlier incarnation of the worker reported. It stops the other attempts
+// that were planned for an earlier incarnation, because their start calls may have reached, or may still reach, the new
+// incarnation, which has the same worker ID.
+func (p *Planner) startIncarnation(w *worker, incarnation int64, now time.Time) {
+	p.Logger.Info().Str("Worker", w.ID).Int64("Life", incarnation).Str("Decision", "WorkerReborn").Int("Attempts", len(w.attempts)).Msg("worker started a new incarnation")
+	p.recordLoss(w, lossNewIncarnation, now)
+	w.Incarnation = incarnation
+	w.synced, w.fenced = false, false
+	w.ackNumber = 0
+	for _, a := range slices.Clone(w.attemptList) {
+		if a.incarnation == incarnation {
+			continue
+		}
+		w.endIsolation(a)
+		if a.reported {
+			p.release(w, a, "worker started a new incarnation", now)
+			p.finalizeJob(a.job, now)
+			continue
+		}
+		// The new incarnation knows nothing of a stop that an earlier one accepted.
+		a.stopping, a.stopAcceptedAt = false, time.Time{}
+		p.stop(w, a, "start was meant for an earlier incarnation", now)
+	}
+}
+
+// SyncTargets returns the workers that need a sync loop: those with a known address that are listed or hold attempts.
+func (p *Planner) SyncTargets() []WorkerInfo {
+	l := make([]WorkerInfo, 0, len(p.workers))
+	for _, w := range p.workerList {
+		if w.Address != "" && (w.listed || len(w.attempts) > 0) {
+			l = append(l, w.WorkerInfo)
+		}
+	}
+	return l
+}
+
+// AckNumber returns the incarnation of a worker, and the highest sequence number of the finished attempts of that
+// incarnation that were handled.
+func (p *Planner) AckNumber(id string) (incarnation, number int64) {
+	w := p.workers[id]
+	if w == nil {
+		return 0, 0
+	}
+	return w.Incarnation, w.ackNumber
+}
+
+// NeedsLease reports whether a worker holds attempts and may be granted a lease.
+func (p *Planner) NeedsLease(id string) bool {
+	w := p.workers[id]
+	return w != nil && len(w.attempts) > 0 && !w.leaseWithheld
+}
+
+// IsLeaseWithheld reports whether a snapshot names a worker as unresponsive, so that it may be granted no lease.
+func (p *Planner) IsLeaseWithheld(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.leaseWithheld
+}
