Half of the isolating workers are kept for suspects; an attempt that has just started is blamed on a leaving worker too

After a round of crashes every task that was at its start could take a worker of its own for a moment, and those that may run only isolated waited for them. A task that crashed a worker which was about to leave was not counted.

--- a/internal/dispatch/blame.go
+++ b/internal/dispatch/blame.go
@@ -11,9 +11,6 @@
 
 // blame records the loss of a worker with the tasks that may have caused it. shared means that other workers were lost with it.
 func (p *Planner) blame(w *worker, crashed, shared bool, now time.Time) {
-	if w.Draining || w.cordoned {
-		return
-	}
 	for _, a := range w.suspects(shared) {
 		p.suspect(a, jobs.Loss{Worker: w.ID, Crashed: crashed, Isolated: a.isolated, AtStart: w.isAtStart(a), RanFor: w.provenRun(a)}, now)
 	}
@@ -39,14 +36,16 @@
 		Int("Losses", s.Losses).Int("Crashes", s.Crashes).Int("IsolatedLosses", s.Isolated).Str("Decision", "Suspect").Msg("worker was lost under a task that may be the cause")
 }
 
-// suspects returns the attempts that may have caused the loss of their worker.
+// suspects returns the attempts that may have caused the loss of their worker. A worker that was about to leave is lost by that,
+// unless an attempt had just started.
 func (w *worker) suspects(shared bool) []*attempt {
+	leaving := w.Draining || w.cordoned
 	var l []*attempt
 	for _, a := range w.attemptList {
 		if a.phase == phasePlanned || a.incarnation > w.Incarnation || w.isolated > 0 && !a.isolated {
 			continue
 		}
-		if a.isUnseen() || w.isAtStart(a) || !shared && w.provenRun(a) < jobs.MaxSuspectRun {
+		if w.isAtStart(a) || !leaving && (a.isUnseen() || !shared && w.provenRun(a) < jobs.MaxSuspectRun) {
 			l = append(l, a)
 		}
 	}
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -39,13 +39,15 @@
 type isolation struct {
 	// retryAt holds the time before which a suspect does not run again.
 	retryAt map[jobs.Ref]time.Time
-	// remaining is the number of workers that may still begin to isolate tasks.
+	// limit is the number of workers that may isolate tasks at a time, and remaining that of those that may still begin to.
+	limit     int
 	remaining int
 }
 
 // begin begins a plan, given all workers and those that may get tasks.
 func (i *isolation) begin(all, schedulable []*worker) {
-	i.remaining = max(1, int(maxIsolatedFraction*float64(len(schedulable))))
+	i.limit = max(1, int(maxIsolatedFraction*float64(len(schedulable))))
+	i.remaining = i.limit
 	for _, w := range all {
 		if w.isolated > 0 {
 			i.remaining--
@@ -53,13 +55,16 @@
 	}
 }
 
-// delay records the loss of a suspect, and returns for how long it does not run again.
+// maySpare reports whether a task that need not be isolated may be: half of the workers are kept for suspects.
+func (i *isolation) maySpare() bool { return 2*i.remaining > i.limit }
+
+// delay makes a suspect wait after the loss of its worker.
 func (i *isolation) delay(t *jobs.Task, now time.Time) {
 	if !t.Suspicion.IsSuspect() {
 		return
 	}
 	d := suspectRetryDelay
-	for range t.Suspicion.Losses - 2 {
+	for range t.Suspicion.Losses - jobs.SuspectLosses {
 		d = min(2*d, maxSuspectRetryDelay)
 	}
 	i.retryAt[t.Ref] = now.Add(d)
@@ -125,7 +130,7 @@
 		switch {
 		case held, t.Suspicion.IsSuspect():
 			later.tasks = append(later.tasks, t)
-		case t.Suspicion.AtStart == 0 || !p.placeSuspect(c, t, p.isolation.remaining > 0, now):
+		case t.Suspicion.AtStart == 0 || !p.placeSuspect(c, t, p.isolation.maySpare(), now):
 			c.tasks = append(c.tasks, t)
 		}
 	}
@@ -186,6 +191,7 @@
 		return false
 	}
 	p.waits.remove(t)
+	beside, risk := len(r.worker.attemptList), r.worker.risk(now)
 	p.assign(c.job, t, r.worker, now)
 	a := r.worker.attempts[t.Ref]
 	if a == nil {
@@ -195,7 +201,7 @@
 		r.worker.isolate(a)
 		p.isolation.remaining--
 	}
-	p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Str("Worker", r.worker.ID).Bool("Isolated", isolated).Int("Beside", len(r.worker.attemptList)-1).Float64("RiskedCoreSeconds", -r.score).
+	p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Str("Worker", r.worker.ID).Bool("Isolated", isolated).Int("Beside", beside).Float64("RiskedCoreSeconds", risk).
 		Int("Losses", t.Suspicion.Losses).Str("Decision", "Isolate").Msg("task that may crash its worker is placed where least is lost")
 	return true
 }
--- a/internal/jobs/suspicion.go
+++ b/internal/jobs/suspicion.go
@@ -15,9 +15,10 @@
 	// never return.
 	MaxLosses         = 5
 	minIsolatedLosses = 3
-	// suspectLosses is the number of lost workers from which on a task is a suspect, and suspectStepLosses that of workers lost
-	// right after starts of tasks of a step from which on the whole step is suspected.
-	suspectLosses     = 2
+	// SuspectLosses is the number of lost workers from which on a task is a suspect.
+	SuspectLosses = 2
+	// suspectStepLosses is the number of workers lost right after starts of tasks of a step from which on the whole step is
+	// suspected.
 	suspectStepLosses = 3
 	// minClearRun is the least time that an attempt has to run until its task is cleared.
 	minClearRun = time.Second
@@ -69,7 +70,7 @@
 }
 
 // IsSuspect reports whether the task may run only isolated.
-func (s *Suspicion) IsSuspect() bool { return s.Losses >= suspectLosses }
+func (s *Suspicion) IsSuspect() bool { return s.Losses >= SuspectLosses }
 
 // isHopeless reports whether the task is to be given up.
 func (s *Suspicion) isHopeless() bool {
