Losses that several workers share show no crash, and those that an owner never knew count

In a shared loss only an attempt counts as a cause that had run for under 100 ms, or that this owner has not seen running; workers that isolated a task don't make a loss shared, since that explains it.

--- a/internal/dispatch/blame.go
+++ b/internal/dispatch/blame.go
@@ -6,13 +6,21 @@
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
-// startWindow is the run time up to which an attempt may have crashed its worker by starting.
-const startWindow = 500 * time.Millisecond
+const (
+	// startWindow is the run time up to which an attempt may have crashed its worker by starting.
+	startWindow = 500 * time.Millisecond
+	// instantWindow is the run time up to which the start of an attempt and the loss of its worker are hardly a coincidence, even
+	// if other workers were lost at the same time.
+	instantWindow = 100 * time.Millisecond
+)
 
-// blame records the loss of a worker with the tasks that may have caused it. shared means that other workers were lost with it.
+// blame records the loss of a worker with the tasks that may have caused it. shared means that other workers were lost with it,
+// so that only an attempt that had just started, or that this owner has not seen running, counts as the cause of a crash.
 func (p *Planner) blame(w *worker, crashed, shared bool, now time.Time) {
 	for _, a := range w.suspects(shared) {
-		p.suspect(a, jobs.Loss{Worker: w.ID, Crashed: crashed, Isolated: a.isolated, AtStart: w.isAtStart(a), RanFor: w.provenRun(a)}, now)
+		r := w.provenRun(a)
+		shown := !shared || a.isUnseen() || w.isAtStart(a) && r < instantWindow
+		p.suspect(a, jobs.Loss{Worker: w.ID, Crashed: crashed && shown, Isolated: a.isolated, AtStart: w.isAtStart(a), RanFor: r}, now)
 	}
 }
 
@@ -42,7 +50,7 @@
 	leaving := w.Draining || w.cordoned
 	var l []*attempt
 	for _, a := range w.attemptList {
-		if a.phase == phasePlanned || a.incarnation > w.Incarnation || w.isolated > 0 && !a.isolated {
+		if a.phase == phasePlanned || w.Incarnation != 0 && a.incarnation > w.Incarnation || w.isolated > 0 && !a.isolated {
 			continue
 		}
 		if w.isAtStart(a) || !leaving && (a.isUnseen() || !shared && w.provenRun(a) < jobs.MaxSuspectRun) {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -149,6 +149,27 @@
 	f.requireCompleted(sound)
 }
 
+// An owner that never knew the worker of an inherited attempt, since the platform no longer listed it, did not count its loss.
+func TestLossOfAWorkerThatTheOwnerNeverKnewCounts(t *testing.T) {
+	f := newCrashFleet(t, 12)
+	j := f.addDeadly(1, 0)
+	f.run(3 * crashFleetStep)
+	require.Equal(t, 1, f.crashes[jobs.Ref{Job: j.ID}])
+	for _, w := range f.workers {
+		w.noReturn = w.noReturn || w.isDown()
+	}
+	f.advance(2 * crashUnlistAfter)
+	f.takeOver(func(j *jobs.Job) *jobs.Job { return restore(t, j) })
+	for range 400 {
+		f.step()
+		if f.log[j.ID].Tasks[0][0][0].Suspicion.Losses > 0 {
+			return
+		}
+		require.LessOrEqual(t, f.starts[jobs.Ref{Job: j.ID}], 1)
+	}
+	require.Fail(t, "the loss was not counted")
+}
+
 // Several workers crash together, as those of a rack do, again and again: no task is at fault.
 func TestWorkersLostTogetherMakeNoTaskGivenUp(t *testing.T) {
 	f := newCrashFleet(t, 16)
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -52,24 +52,30 @@
 	if w.failedCalls == 0 {
 		w.silentSince = now
 	}
-	if broken && now.Sub(w.silentSince) < brokenWindow {
+	if broken && now.Sub(w.silentSince) < brokenWindow && !w.brokenAt.After(w.lastResponseAt) {
 		w.brokenAt = now
 	}
 	w.failedCalls++
 }
 
+// loss is the time at which a worker was lost, and whether it isolated a task then.
+type loss struct {
+	at        time.Time
+	isolating bool
+}
+
 // recordLoss records and logs that all attempts of a worker are gone.
 func (p *Planner) recordLoss(w *worker, c lossCause, now time.Time) {
 	if len(w.attempts) == 0 {
 		return
 	}
 	at := w.lostAt(now)
-	for id, t := range p.lostAt {
-		if now.Sub(t) > lossRetention {
-			delete(p.lostAt, id)
+	for id, l := range p.recentLosses {
+		if now.Sub(l.at) > lossRetention {
+			delete(p.recentLosses, id)
 		}
 	}
-	p.lostAt[w.ID] = at
+	p.recentLosses[w.ID] = loss{at, w.isolated > 0}
 	if p.counts.LostWorkers == nil {
 		p.counts.LostWorkers = make(map[string]int)
 	}
@@ -90,15 +96,16 @@
 }
 
 // lostTogether returns the number of workers, the given one included, that were lost or fell silent within lossWindow of a loss.
+// It leaves out others that isolated a task, which explains their loss.
 func (p *Planner) lostTogether(w *worker, at time.Time) int {
 	n := 1
-	for id, t := range p.lostAt {
-		if id != w.ID && t.Sub(at).Abs() <= lossWindow {
+	for id, l := range p.recentLosses {
+		if id != w.ID && !l.isolating && l.at.Sub(at).Abs() <= lossWindow {
 			n++
 		}
 	}
 	for _, o := range p.workerList {
-		if _, known := p.lostAt[o.ID]; o != w && !known && o.failedCalls > 0 && o.silentSince.Sub(at).Abs() <= lossWindow {
+		if _, known := p.recentLosses[o.ID]; o != w && !known && o.isolated == 0 && o.failedCalls > 0 && o.silentSince.Sub(at).Abs() <= lossWindow {
 			n++
 		}
 	}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -85,10 +85,10 @@
 	unresponsive        map[string]int64
 	unresponsiveChanged bool
 	isolation           isolation
-	// lostAt holds, by worker ID, when workers were lost with their attempts, for lossRetention, and counts the events since
+	// recentLosses holds the losses of workers with attempts, by worker ID and for lossRetention, and counts the events since
 	// TakeCounts.
-	lostAt map[string]time.Time
-	counts Counts
+	recentLosses map[string]loss
+	counts       Counts
 	// relocatedAt is when a plan last looked for tasks to relocate.
 	relocatedAt time.Time
 	// progressRates holds the progress rate of the tasks of each step.
@@ -111,7 +111,7 @@
 		drainedDomains: make(map[string]bool), dirty: make(map[string]*jobs.Job),
 		waits: newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
 		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
-		aside: make(map[string]bool), lostAt: make(map[string]time.Time), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
+		aside: make(map[string]bool), recentLosses: make(map[string]loss), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
 	}
 }
 
--- a/internal/jobs/suspicion.go
+++ b/internal/jobs/suspicion.go
@@ -30,7 +30,7 @@
 // Suspicion is what counts against a task since it was last cleared: the workers that were lost under it.
 type Suspicion struct {
 	// Losses counts the workers that were lost under the task and for which it may be the cause. Of these, Crashes counts those
-	// that certainly crashed, Isolated those that had isolated the task, and AtStart those that were lost right after its start.
+	// that certainly crashed, other than by coincidence, Isolated those that had isolated the task, and AtStart those that were lost right after its start.
 	Losses   int
 	Crashes  int
 	Isolated int
@@ -44,7 +44,7 @@
 // Loss is the loss of a worker under an attempt of a task for which the task may be the cause.
 type Loss struct {
 	Worker string
-	// Crashed means that the worker certainly crashed, Isolated that it ran nothing else that may have been the cause, and AtStart
+	// Crashed means that the worker certainly crashed and that this is no coincidence with other losses, Isolated that it ran nothing else that may have been the cause, and AtStart
 	// that the attempt had just started.
 	Crashed  bool
 	Isolated bool
