Few workers isolate tasks while others wait, and a suspect does not wait for them without end

A task that need not be isolated is not while tasks wait, and a suspect that was never lost while isolated runs beside others after 4 s.

--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -16,6 +16,9 @@
 	maxSuspectRetryDelay = 16 * time.Second
 	// maxIsolation is the run time after which a worker gets other tasks again, also if its isolated task is not cleared yet.
 	maxIsolation = 5 * time.Second
+	// maxIsolationWait is the waiting time after which a suspect runs beside others, though not beside another suspect, if too many
+	// tasks are isolated.
+	maxIsolationWait = 4 * time.Second
 	// longRunningRisk is the work that counts as lost when a long-running task loses its worker.
 	longRunningRisk = 30 * time.Second
 )
@@ -32,7 +35,7 @@
 //
 // A task that may have crashed a worker by its start runs next on the worker
 // with the least to lose, if possible isolated: the worker gets no other task
-// until the task is cleared. A suspect, which has lost several workers, runs only
+// until the task is cleared. A suspect, which has lost several workers, runs
 // isolated, later than sound tasks and after a delay. Once many workers were lost
 // under one step, its tasks run one at a time. The number of workers that isolate
 // tasks bounds how many of them suspects can crash at a time.
@@ -55,8 +58,11 @@
 	}
 }
 
-// maySpare reports whether a task that need not be isolated may be: half of the workers are kept for suspects.
-func (i *isolation) maySpare() bool { return 2*i.remaining > i.limit }
+// maySpare reports whether a task that need not be isolated may be: half of the workers are kept for suspects, and none is spared
+// while tasks wait.
+func (p *Planner) maySpare() bool {
+	return p.waiting == 0 && 2*p.isolation.remaining > p.isolation.limit
+}
 
 // delay makes a suspect wait after the loss of its worker.
 func (i *isolation) delay(t *jobs.Task, now time.Time) {
@@ -130,7 +136,7 @@
 		switch {
 		case held, t.Suspicion.IsSuspect():
 			later.tasks = append(later.tasks, t)
-		case t.Suspicion.AtStart == 0 || !p.placeSuspect(c, t, p.isolation.maySpare(), now):
+		case t.Suspicion.AtStart == 0 || !p.placeSuspect(c, t, p.maySpare(), now):
 			c.tasks = append(c.tasks, t)
 		}
 	}
@@ -161,19 +167,27 @@
 	return []*jobs.Task{first}
 }
 
-// placeIsolated places the tasks of a step that may run only isolated, each if it may run again and enough workers are left.
+// placeIsolated places the tasks of a step that may run only isolated, each if it may run again and enough workers are left. After
+// many losses, of which most tasks are not the cause, some run without isolation.
 func (p *Planner) placeIsolated(c *candidateStep, now time.Time) {
 	if c.step.Gang {
 		p.placeGangIsolated(c, now)
 		return
 	}
 	for _, t := range c.tasks {
-		if !p.mayIsolate(t, now) || !p.placeSuspect(c, t, true, now) {
-			p.logWait(wait{step: c, task: t, waited: p.waits.record(t, now), suspect: true}, now)
+		waited := p.waits.record(t, now)
+		isolated := p.mayIsolate(t, now)
+		if !isolated && !p.mayRunBeside(t, waited, now) || !p.placeSuspect(c, t, isolated, now) {
+			p.logWait(wait{step: c, task: t, waited: waited, suspect: true}, now)
 		}
 	}
 }
 
+// mayRunBeside reports whether a suspect may run without isolation: it has waited for too long and was not lost while isolated.
+func (p *Planner) mayRunBeside(t *jobs.Task, waited time.Duration, now time.Time) bool {
+	return t.Suspicion.Isolated == 0 && waited >= maxIsolationWait && !now.Before(p.isolation.retryAt[t.Ref])
+}
+
 // mayIsolate reports whether a task that may run only isolated may run now.
 func (p *Planner) mayIsolate(t *jobs.Task, now time.Time) bool {
 	return p.isolation.remaining > 0 && !now.Before(p.isolation.retryAt[t.Ref])
