--- a/internal/dispatch/blame.go
+++ b/internal/dispatch/blame.go
@@ -18,9 +18,10 @@
 // so that only an attempt that had just started, or that this owner has not seen running, counts as the cause of a crash.
 func (p *Planner) blame(w *worker, crashed, shared bool, now time.Time) {
 	for _, a := range w.suspects(shared) {
-		r := w.provenRun(a)
-		shown := !shared || a.isUnseen() || w.isAtStart(a) && r < instantWindow
-		p.suspect(a, jobs.Loss{Worker: w.ID, Crashed: crashed && shown, Isolated: a.isolated, AtStart: w.isAtStart(a), RanFor: r}, now)
+		l := jobs.Loss{Worker: w.ID, Isolated: a.isolated, AtStart: w.isAtStart(a), RanFor: w.provenRun(a)}
+		isCause := !shared || a.isUnseen() || l.AtStart && l.RanFor < instantWindow
+		l.Crashed = crashed && isCause
+		p.suspect(a, l, now)
 	}
 }
 
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -23,6 +23,9 @@
 	lossWindow = time.Second
 	// minSharedLoss is the number of workers lost together from which on a cause outside of them is likely, such as a failed rack.
 	minSharedLoss = 3
+	// brokenWindow is the time after the first call without a response up to which another one that broke tells when the worker
+	// ended.
+	brokenWindow = 100 * time.Millisecond
 	// lossRetention is the time for which the loss of a worker is remembered.
 	lossRetention = 30 * time.Second
 )
@@ -43,10 +46,6 @@
 	return c
 }
 
-// brokenWindow is the time after the first call without a response up to which another one that broke tells when the worker
-// ended.
-const brokenWindow = 100 * time.Millisecond
-
 // recordFailedCall records that a call to the worker got no response; broken means that the connection broke.
 func (w *worker) recordFailedCall(broken bool, now time.Time) {
 	if w.failedCalls == 0 {
--- a/internal/jobs/suspicion.go
+++ b/internal/jobs/suspicion.go
@@ -30,7 +30,8 @@
 // Suspicion is what counts against a task since it was last cleared: the workers that were lost under it.
 type Suspicion struct {
 	// Losses counts the workers that were lost under the task and for which it may be the cause. Of these, Crashes counts those
-	// that certainly crashed, other than by coincidence, Isolated those that had isolated the task, and AtStart those that were lost right after its start.
+	// that certainly crashed, other than by coincidence, Isolated those that had isolated the task, and AtStart those that were
+	// lost right after its start.
 	Losses   int
 	Crashes  int
 	Isolated int
@@ -44,8 +45,8 @@
 // Loss is the loss of a worker under an attempt of a task for which the task may be the cause.
 type Loss struct {
 	Worker string
-	// Crashed means that the worker certainly crashed and that this is no coincidence with other losses, Isolated that it ran nothing else that may have been the cause, and AtStart
-	// that the attempt had just started.
+	// Crashed means that the worker certainly crashed, other than by coincidence with further losses. Isolated means that it had
+	// isolated the task, and AtStart that the attempt had just started.
 	Crashed  bool
 	Isolated bool
 	AtStart  bool
@@ -69,7 +70,7 @@
 	}
 }
 
-// IsSuspect reports whether the task may run only isolated.
+// IsSuspect reports whether so many workers were lost under the task that it is to run isolated.
 func (s *Suspicion) IsSuspect() bool { return s.Losses >= SuspectLosses }
 
 // isHopeless reports whether the task is to be given up.
