--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -38,7 +38,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newCrashFleet(t, 12)
 			sound := f.addSound(100, 40)
-			j := f.addDeadly(1, after)
+			j := f.addCrashing(1, after)
 			f.run(120 * time.Second)
 			require.Equal(t, jobs.StateFailed, j.State())
 			require.Contains(t, j.FailureReason, "task 0.0.0")
@@ -53,7 +53,7 @@
 	f := newCrashFleet(t, 12)
 	var sound []*jobs.Job
 	for n := range 4 {
-		f.addDeadly(n+1, 0)
+		f.addCrashing(n+1, 0)
 	}
 	for n := range 40 {
 		sound = append(sound, f.addSound(100+8*n, 8)...)
@@ -121,7 +121,7 @@
 func TestTaskWhoseWorkersNeverReturnIsGivenUp(t *testing.T) {
 	f := newCrashFleet(t, 12)
 	f.noReturn = true
-	j := f.addDeadly(1, 0)
+	j := f.addCrashing(1, 0)
 	f.run(120 * time.Second)
 	require.Equal(t, jobs.StateFailed, j.State())
 	require.LessOrEqual(t, f.crashes[jobs.Ref{Job: j.ID}], jobs.MaxLosses)
@@ -131,7 +131,7 @@
 func TestCrashingTaskIsGivenUpByLaterOwners(t *testing.T) {
 	f := newCrashFleet(t, 12)
 	sound := f.addSound(100, 20)
-	j := f.addDeadly(1, 0)
+	j := f.addCrashing(1, 0)
 	r := jobs.Ref{Job: j.ID}
 	for n := range jobs.MaxLosses {
 		for i := 0; f.crashes[r] <= n && f.log[j.ID].State() != jobs.StateFailed; i++ {
@@ -152,7 +152,7 @@
 // An owner that never knew the worker of an inherited attempt, since the platform no longer listed it, did not count its loss.
 func TestLossOfAWorkerThatTheOwnerNeverKnewCounts(t *testing.T) {
 	f := newCrashFleet(t, 12)
-	j := f.addDeadly(1, 0)
+	j := f.addCrashing(1, 0)
 	f.run(3 * crashFleetStep)
 	require.Equal(t, 1, f.crashes[jobs.Ref{Job: j.ID}])
 	for _, w := range f.workers {
--- a/internal/dispatch/crashfleet_test.go
+++ b/internal/dispatch/crashfleet_test.go
@@ -79,8 +79,8 @@
 	return j
 }
 
-// addDeadly adds a job of one task that crashes its workers some time after its start.
-func (f *crashFleet) addDeadly(n int, after time.Duration) *jobs.Job {
+// addCrashing adds a job of one task that crashes its workers some time after its start.
+func (f *crashFleet) addCrashing(n int, after time.Duration) *jobs.Job {
 	f.crashAfter[testID(n)] = after
 	return f.add(testJob(testID(n), f.now, plainStep(1)))
 }
@@ -142,7 +142,7 @@
 			f.crashBy(w, r)
 			return
 		}
-		if _, deadly := f.crashAfter[r.Job]; !deadly && ran >= crashFleetTask && !f.log[r.Job].Steps[r.Step].LongRunning {
+		if _, crashing := f.crashAfter[r.Job]; !crashing && ran >= crashFleetTask && !f.log[r.Job].Steps[r.Step].LongRunning {
 			f.finish(w, r, jobs.OutcomeDone)
 		}
 	}
@@ -218,7 +218,7 @@
 	}
 }
 
-// worker returns the worker that runs a task, nil if there is none.
+// workerOf returns the worker that runs a task, nil if there is none.
 func (f *crashFleet) workerOf(r jobs.Ref) *crashWorker {
 	for _, w := range f.workers {
 		if _, ok := w.runs[r]; ok {
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -69,9 +69,9 @@
 	listAway, operatorsAway, cancelsAway bool
 	workers                              []*modelWorker
 	delayed                              []call
-	// deadly holds the jobs whose tasks crash each worker that starts them, crashes the number of workers that each task has
+	// crashing holds the jobs whose tasks crash each worker that starts them, crashes the number of workers that each task has
 	// crashed, and startsAfterCrashes the number of its starts after maxModelCrashes.
-	deadly             map[string]bool
+	crashing           map[string]bool
 	crashes            map[jobs.Ref]int
 	startsAfterCrashes map[jobs.Ref]int
 	// done holds the tasks with a successful attempt, acknowledged the tasks whose success the owner has acknowledged, and
@@ -85,7 +85,7 @@
 	m := &model{
 		t: t, now: time.Unix(1_700_000_000, 0), log: make(map[string][]byte), specs: make(map[string]jobs.Spec),
 		cancels: make(map[string]time.Time), drains: make(map[string]time.Time), done: make(map[jobs.Ref]bool), acknowledged: make(map[jobs.Ref]bool), failed: make(map[jobs.Ref]int),
-		deadly: make(map[string]bool), crashes: make(map[jobs.Ref]int), startsAfterCrashes: make(map[jobs.Ref]int),
+		crashing: make(map[string]bool), crashes: make(map[jobs.Ref]int), startsAfterCrashes: make(map[jobs.Ref]int),
 	}
 	for i := range modelWorkers {
 		w := &modelWorker{id: fmt.Sprintf("i-%02d", i), incarnation: 1, capacity: []modelCapacity{{milliCPU: modelMilliCPU}}}
@@ -160,7 +160,7 @@
 	first.LongRunning = rapid.Bool().Draw(m.t, "long-running") && rapid.Bool().Draw(m.t, "long-running, second draw")
 	s := jobs.Spec{ID: id, Queue: testQueue(), Payload: "p", Steps: []jobs.Step{first, second}, SubmittedAt: m.now}
 	m.specs[id] = s
-	m.deadly[id] = rapid.IntRange(0, 3).Draw(m.t, "deadly") == 0
+	m.crashing[id] = rapid.IntRange(0, 3).Draw(m.t, "crashing") == 0
 	m.p.AddJob(jobs.New(s), m.now)
 }
 
--- a/internal/dispatch/modelworker_test.go
+++ b/internal/dispatch/modelworker_test.go
@@ -94,7 +94,7 @@
 	m.checkStart(w, c)
 	w.runs[c.Ref] = c.Run
 	w.leaseUntil = later(w.leaseUntil, c.leaseUntil)
-	if m.deadly[c.Job] {
+	if m.crashing[c.Job] {
 		m.crashes[c.Ref]++
 		m.crash(w)
 	}
