--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -195,6 +195,31 @@
 	require.Equal(t, 24, lasting.Assigned())
 }
 
+// In each of three rounds a task had run for 0.2 s when its worker crashed together with others; its job was given up.
+func TestTaskThatIsYoungInEachSharedLossIsNotGivenUp(t *testing.T) {
+	f := newCrashFleet(t, 24)
+	j := f.addSound(1, 1)[0]
+	r := j.Tasks[0][0][0].Ref
+	for range 3 {
+		for i := 0; f.workerOf(r) == nil; i++ {
+			require.Less(t, i, 400)
+			f.step()
+		}
+		f.run(200 * time.Millisecond)
+		down := 0
+		f.crash(f.workerOf(r))
+		for _, w := range f.workers {
+			if !w.isDown() && down < 5 {
+				f.crash(w)
+				down++
+			}
+		}
+		f.step()
+	}
+	f.run(60 * time.Second)
+	f.requireCompleted([]*jobs.Job{j})
+}
+
 // A worker that is only silent for a while is no crash: its tasks run again elsewhere and are not given up.
 func TestSilentWorkersMakeNoTaskGivenUp(t *testing.T) {
 	s := newSimulation(t, 8)
