Client accounts in configuration, settings and submission records

Cause: configurations name client accounts with keys, weights and caps, and settings bound how long a withdrawn key may be used; none of it was read. Change: package account with the plain type, decoding of the accounts, of public routes and of the bounds, and the account of a job in an extension after its spec. Earlier versions read the spec alone, and records without the extension name no account. Nothing uses the fields yet. Result: tests of jobs, jobserve and dispatch pass; both versions read each other's records (TestSubmissionsOfBothVersionsAreReadable).

--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -45,8 +47,14 @@
 	Tasks     []taskRecord
 }
 
+// specExtension holds what follows the spec in the record of a submission. It has field names, so that later versions can add
+// fields; earlier versions do not read it.
+type specExtension struct {
+	Account string `msgpack:",omitempty"`
+}
+
 // EncodeSpec encodes the record of a submission. Fields are identified by their position, so that a version that adds a field to
-// Spec, Step, Queue or Resources cannot read the records of an earlier one.
+// Spec, Step, Queue or Resources cannot read the records of an earlier one; new fields belong into specExtension.
 func EncodeSpec(s *Spec) ([]byte, error) {
 	var b bytes.Buffer
 	e := msgpack.NewEncoder(&b)
@@ -55,15 +63,27 @@
 	if err := e.Encode(s); err != nil {
 		return nil, fmt.Errorf("encode job %s: %w", s.ID, err)
 	}
+	if s.Account == "" {
+		return b.Bytes(), nil
+	}
+	if err := msgpack.NewEncoder(&b).Encode(&specExtension{s.Account}); err != nil {
+		return nil, fmt.Errorf("encode account of job %s: %w", s.ID, err)
+	}
 	return b.Bytes(), nil
 }
 
 // DecodeSpec decodes and validates the record of a submission.
 func DecodeSpec(b []byte) (Spec, error) {
 	var s Spec
-	if err := msgpack.Unmarshal(b, &s); err != nil {
+	d := msgpack.NewDecoder(bytes.NewReader(b))
+	if err := d.Decode(&s); err != nil {
+		return s, &RecordError{"submission", err}
+	}
+	var x specExtension
+	if err := d.Decode(&x); err != nil && !errors.Is(err, io.EOF) {
 		return s, &RecordError{"submission", err}
 	}
+	s.Account = x.Account
 	if err := s.Check(); err != nil {
 		return s, &RecordError{"submission", err}
 	}
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -107,7 +107,10 @@
 
 // Spec is a job as its caller submitted it.
 type Spec struct {
-	ID      string
+	ID string
+	// Account is the client account that submitted the job, empty if none did. It is not encoded with the other fields, since
+	// earlier versions cannot read a record with more of them.
+	Account string `msgpack:"-"`
 	Queue   Queue
 	Payload string
 	Steps   []Step
--- a/internal/jobserve/config.go
+++ b/internal/jobserve/config.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"currantknot.dev/currantknot/internal/account"
 	"currantknot.dev/currantknot/internal/bootclock"
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobs"
@@ -15,6 +16,8 @@
 	jobs.Queue
 	Host       string
 	PathPrefix string
+	// Public means that callers need no key, and that the jobs belong to no client account.
+	Public bool
 	// Timeout is the time for a response; 0 means the default of the handler.
 	Timeout time.Duration
 }
@@ -31,6 +34,8 @@
 type Configuration struct {
 	Version int64
 	Routes  []Route
+	// Accounts are the client accounts, none if callers need no keys.
+	Accounts []account.Account
 	Limits
 }
 
