Callers authenticate with the keys of client accounts

Cause: configurations name client accounts with API keys, and callers of all accounts could read and cancel every job. Change: package account checks accounts, looks up keys and tells whether a job can ever fit a cap. The caller handler requires a key on routes that are not public once the configuration has accounts, and decides again after the body of a submission has arrived. Jobs of another account are unknown to a caller. Of two accounts that submit an ID at two instances at once, the first record decides: submissions are read back before the response, and the owner stores the first record again, since the store keeps only the newest one of a key. Result: tests of account, jobs and jobserve pass under the race detector, and six tests of platform with real processes pass.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -73,7 +73,8 @@
 		Store: store, Replica: replica, State: state,
 		Workers: jobserve.InstrumentWorkers(node, m), Relays: node, Directory: platform.NewDirectory(platformStore, l),
 		Advisor: platform.NewPlacementAdvisor(s.PlacementAdvisorAddress), Maintenance: platform.NewMaintenanceClient(s.MaintenanceAddress, s.Name, platformStore),
-		Operators: platform.NewOperatorWatcher(platformStore, l), CallerHandler: platform.NewCallerHandler(state, service, l),
+		Operators:     platform.NewOperatorWatcher(platformStore, l),
+		CallerHandler: platform.NewCallerHandler(platform.CallerHandlerConfig{State: state, Service: service, Metrics: m, MaxKeyAge: s.MaxKeyAge, Logger: l}),
 		MetricsListen: metricsListen, Metrics: m, Log: w, Logger: l,
 	})
 }
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -50,7 +50,8 @@
 // specExtension holds what follows the spec in the record of a submission. It has field names, so that later versions can add
 // fields; earlier versions do not read it.
 type specExtension struct {
-	Account string `msgpack:",omitempty"`
+	Account   string `msgpack:",omitempty"`
+	Confirmed bool   `msgpack:",omitempty"`
 }
 
 // EncodeSpec encodes the record of a submission. Fields are identified by their position, so that a version that adds a field to
@@ -63,11 +64,12 @@
 	if err := e.Encode(s); err != nil {
 		return nil, fmt.Errorf("encode job %s: %w", s.ID, err)
 	}
-	if s.Account == "" {
+	x := specExtension{s.Account, s.Confirmed}
+	if x == (specExtension{}) {
 		return b.Bytes(), nil
 	}
-	if err := msgpack.NewEncoder(&b).Encode(&specExtension{s.Account}); err != nil {
-		return nil, fmt.Errorf("encode account of job %s: %w", s.ID, err)
+	if err := msgpack.NewEncoder(&b).Encode(&x); err != nil {
+		return nil, fmt.Errorf("encode extension of job %s: %w", s.ID, err)
 	}
 	return b.Bytes(), nil
 }
@@ -83,7 +85,7 @@
 	if err := d.Decode(&x); err != nil && !errors.Is(err, io.EOF) {
 		return s, &RecordError{"submission", err}
 	}
-	s.Account = x.Account
+	s.Account, s.Confirmed = x.Account, x.Confirmed
 	if err := s.Check(); err != nil {
 		return s, &RecordError{"submission", err}
 	}
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -111,9 +111,12 @@
 	// Account is the client account that submitted the job, empty if none did. It is not encoded with the other fields, since
 	// earlier versions cannot read a record with more of them.
 	Account string `msgpack:"-"`
-	Queue   Queue
-	Payload string
-	Steps   []Step
+	// Confirmed means that an owner stored the submission again since another account submitted a job with the same ID later; such
+	// a record prevails over all others. It is encoded as Account is.
+	Confirmed bool `msgpack:"-"`
+	Queue     Queue
+	Payload   string
+	Steps     []Step
 	// Times is the number of occurrences of a scheduled job, 0 for a job that runs once.
 	Times int
 	// StartAt is the earliest start of the first occurrence of a scheduled job, and Period the time between two occurrences.
--- a/internal/jobserve/config.go
+++ b/internal/jobserve/config.go
@@ -34,8 +34,10 @@
 type Configuration struct {
 	Version int64
 	Routes  []Route
-	// Accounts are the client accounts, none if callers need no keys.
+	// Accounts are the client accounts, without their keys.
 	Accounts []account.Account
+	// Keys holds the keys of the accounts, nil if callers need no keys.
+	Keys *account.Keyring
 	Limits
 }
 
@@ -99,6 +101,9 @@
 	return *l
 }
 
+// RequiresKeys reports whether calls to routes that are not public need a key.
+func (c *Configuration) RequiresKeys() bool { return c.Keys != nil || len(c.Accounts) > 0 }
+
 // Route returns the host's route with the longest prefix of the path, or nil if no route matches.
 func (c *Configuration) Route(host, path string) *Route {
 	var best *Route
--- a/internal/jobserve/follow.go
+++ b/internal/jobserve/follow.go
@@ -9,6 +9,7 @@
 func (o *Owner) followRequests(ctx context.Context) {
 	for ctx.Err() == nil {
 		o.applyRequests()
+		o.confirmContested(ctx)
 		u := time.Now().Add(requestsPollTimeout)
 		c, cancel := context.WithDeadline(ctx, u.Add(pollResponseTimeout))
 		err := o.Replica.Follow(c, PartitionRequests, time.Now(), u)
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -8,6 +8,7 @@
 // metricHelp describes the metrics in the order of the generated page.
 var metricHelp = []struct{ name, kind, help string }{
 	{metricRequests, "histogram", "duration of callers' requests, by method and status"},
+	{metricRefusedCalls, "counter", "calls that were refused for their API key, by reason: `missing` (none, or malformed), `unknown`, and `outdated` (the configuration of this instance is too old to tell)"},
 	{metricStoreCalls, "histogram", "duration of calls to the store, by call and outcome; reads include the long poll for a record"},
 	{metricWorkerCalls, "histogram", "duration of calls to workers, by call and outcome; sync includes the long poll for a finished attempt"},
 	{metricOrders, "counter", "orders to which workers responded, by order and result (label `answer`)"},
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -36,6 +36,7 @@
 	metricWorkersAge       = "currantknot_worker_list_age_seconds"
 	metricOperatorsAge     = "currantknot_operators_age_seconds"
 	metricRequestsAge      = "currantknot_requests_age_seconds"
+	metricRefusedCalls     = "currantknot_refused_calls_total"
 	metricLinesDropped     = "currantknot_log_lines_dropped_total"
 )
 
@@ -72,6 +73,24 @@
 // Add adds n to a counter; label holds the pairs of name and quoted value, or is empty.
 func (m *Metrics) Add(name, label string, n int) { m.counters.Add(series(name, label), int64(n)) }
 
+// RefusalCause is why a call was refused for its key, as the value of a label.
+type RefusalCause string
+
+// The causes of refusals.
+const (
+	// RefusedMissing means that the call had no well-formed key.
+	RefusedMissing RefusalCause = "missing"
+	// RefusedUnknown means that the key is not in the configuration.
+	RefusedUnknown RefusalCause = "unknown"
+	// RefusedOutdated means that the configuration was too old to decide on the key.
+	RefusedOutdated RefusalCause = "outdated"
+)
+
+// CountRefusedCall counts a call that was refused for its key.
+func (m *Metrics) CountRefusedCall(c RefusalCause) {
+	m.Add(metricRefusedCalls, label("reason", string(c)), 1)
+}
+
 // Observe adds the time since the given time to a histogram.
 func (m *Metrics) Observe(name, label string, since time.Time) {
 	d := time.Since(since)
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -44,11 +44,14 @@
 	// progress holds, by key, the newest progress record.
 	progress map[string]Record
 	// states holds the published states of jobs, reasons why jobs failed, committed the states that this instance has committed
-	// as the owner, and queues the decoded queue names, each by job ID.
+	// as the owner, and queues and accounts the decoded names of queues and client accounts, each by job ID.
 	states    map[string]jobs.State
 	reasons   map[string]string
 	committed map[string]jobs.State
 	queues    map[string]string
+	accounts  map[string]string
+	// contested holds the jobs whose ID another account submitted too, until the first submission is confirmed.
+	contested map[string]bool
 	// partitions holds the state of the reads of each partition.
 	partitions [partitions]*partitionState
 }
@@ -58,7 +61,7 @@
 	return &Replica{
 		store: s, logger: l, catchUpInterval: replicaRefreshInterval,
 		specs: make(map[string][]byte), cancelled: make(map[string]bool), progress: make(map[string]Record),
-		states: make(map[string]jobs.State), reasons: make(map[string]string), committed: make(map[string]jobs.State), queues: make(map[string]string),
+		states: make(map[string]jobs.State), reasons: make(map[string]string), committed: make(map[string]jobs.State), queues: make(map[string]string), accounts: make(map[string]string), contested: make(map[string]bool),
 		partitions: [partitions]*partitionState{newPartitionState(), newPartitionState(), newPartitionState()},
 	}
 }
@@ -183,11 +186,15 @@
 		delete(r.reasons, id)
 		delete(r.committed, id)
 		delete(r.queues, id)
+		delete(r.accounts, id)
+		delete(r.contested, id)
 		return
 	}
-	if _, ok := r.specs[id]; !ok {
-		r.specs[id] = v
+	if _, ok := r.specs[id]; ok {
+		r.applyRepeat(id, v)
+		return
 	}
+	r.specs[id] = v
 }
 
 // applyProgress applies a progress record unless a newer one is known; r.mu is held.
--- a/internal/jobserve/service.go
+++ b/internal/jobserve/service.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"currantknot.dev/currantknot/internal/account"
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
@@ -22,6 +24,9 @@
 // ErrOutcomeUnknown means that a request may or may not have an effect. Callers receive the text of the error.
 var ErrOutcomeUnknown = errors.New("the store did not answer in time")
 
+// ErrOtherAccount means that a job with the submitted ID belongs to another client account. Callers receive the text of the error.
+var ErrOtherAccount = errors.New("another account submitted a job with this ID")
+
 // Service accepts, cancels and queries jobs; every instance has one.
 type Service struct {
 	batcher *batcher
@@ -44,26 +49,68 @@
 	return s.forwarded.appendAll(ctx, l)
 }
 
-// Submit stores a job; a further submission with the same ID has no effect. If the store fails, Submit returns ErrNotAccepted
-// or ErrOutcomeUnknown.
-func (s *Service) Submit(ctx context.Context, p *jobs.Spec) error {
+// Submit stores a job as the caller's; a further submission with the same ID has no effect. It returns ErrOtherAccount if the first
+// submission with the ID is of another account, a *jobs.SpecError if the job never fits the cap of the account, and ErrNotAccepted
+// or ErrOutcomeUnknown if the store fails.
+func (s *Service) Submit(ctx context.Context, c account.Caller, p *jobs.Spec) error {
+	p.Account = c.Account
 	if s.replica.Contains(p.ID) {
-		s.logger.Info().Str("Job", p.ID).Str("Decision", "AcceptRepeat").Msg("job was submitted before")
-		return nil
+		return s.acceptRepeat(c, p.ID)
+	}
+	if err := account.CheckFit(c.Cap, p); err != nil {
+		return s.rejectMisfit(ctx, c, p.ID, err)
 	}
 	b, err := jobs.EncodeSpec(p)
 	if err != nil {
 		return err
 	}
 	err = s.batcher.append(ctx, Record{Key: submissionPrefix + p.ID, Value: b})
-	s.logOutcome(err, "Accept").Str("Job", p.ID).Str("Queue", p.Queue.Name).Int("Steps", len(p.Steps)).Msg("submission handled")
+	if err == nil && !c.Unchecked {
+		err = s.checkFirst(ctx, c, p.ID)
+	}
+	s.logOutcome(err, "Accept").Str("Job", p.ID).Str("Account", p.Account).Str("Queue", p.Queue.Name).Int("Steps", len(p.Steps)).Msg("submission handled")
 	return err
 }
 
-// Cancel stores the cancellation of a job, and reports whether the job is known.
-func (s *Service) Cancel(ctx context.Context, id string) (bool, error) {
+// acceptRepeat accepts a further submission of a known job, unless the job is of another account.
+func (s *Service) acceptRepeat(c account.Caller, id string) error {
+	if !s.replica.MayAccess(c, id) {
+		return ErrOtherAccount
+	}
+	s.logger.Info().Str("Job", id).Str("Decision", "AcceptRepeat").Msg("job was submitted before")
+	return nil
+}
+
+// rejectMisfit returns the error with which a job is rejected that never fits the cap of its account. A job that was accepted
+// under an earlier cap stays accepted.
+func (s *Service) rejectMisfit(ctx context.Context, c account.Caller, id string, misfit error) error {
+	if err := s.replica.Refresh(ctx, time.Now().Add(-maxStateAge)); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
+	}
+	if s.replica.Contains(id) {
+		return s.acceptRepeat(c, id)
+	}
+	return misfit
+}
+
+// checkFirst returns ErrOtherAccount if the first submission of a job that was just appended is of another account, which submitted
+// it at another instance at the same time. Only the order of the records in the store tells, so that they are read.
+func (s *Service) checkFirst(ctx context.Context, c account.Caller, id string) error {
 	if !s.replica.Contains(id) {
-		_, ok, err := s.State(ctx, id)
+		if err := s.replica.Follow(ctx, PartitionRequests, time.Now(), time.Time{}); err != nil {
+			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		}
+	}
+	if s.replica.Contains(id) && !s.replica.MayAccess(c, id) {
+		return ErrOtherAccount
+	}
+	return nil
+}
+
+// Cancel stores the cancellation of a job, and reports whether the job is known. A job that the caller may not access is not.
+func (s *Service) Cancel(ctx context.Context, c account.Caller, id string) (bool, error) {
+	if !s.replica.MayAccess(c, id) {
+		_, ok, err := s.State(ctx, c, id)
 		if err != nil || !ok {
 			return ok, err
 		}
@@ -82,14 +129,14 @@
 	return s.logger.Info().Str("Decision", decision).Str("Outcome", "Stored")
 }
 
-// State returns the state of a job as callers see it, and whether the job is known. If the store cannot be read, State returns
-// the latest known state, or an error for an unknown job.
-func (s *Service) State(ctx context.Context, id string) (jobs.State, bool, error) {
-	if x, ok := s.replica.State(id); ok && x.IsTerminal() {
+// State returns the state of a job as callers see it, and whether the job is known. A job that the caller may not access is treated
+// as an unknown one throughout. If the store cannot be read, State returns the latest known state, or an error for an unknown job.
+func (s *Service) State(ctx context.Context, c account.Caller, id string) (jobs.State, bool, error) {
+	if x, ok := s.stateFor(c, id); ok && x.IsTerminal() {
 		return x, true, nil
 	}
 	err := s.replica.Refresh(ctx, time.Now().Add(-maxStateAge))
-	x, ok := s.replica.State(id)
+	x, ok := s.stateFor(c, id)
 	if ok {
 		return x, true, nil
 	}
@@ -99,6 +146,14 @@
 	return "", false, nil
 }
 
+// stateFor returns the state of a job that the replica holds and the caller may access.
+func (s *Service) stateFor(c account.Caller, id string) (jobs.State, bool) {
+	if !s.replica.MayAccess(c, id) {
+		return "", false
+	}
+	return s.replica.State(id)
+}
+
 // FailureReason returns why a job failed, empty if it has not or the reason is not known.
 func (s *Service) FailureReason(id string) string { return s.replica.FailureReason(id) }
 
--- a/internal/jobserve/views_test.go
+++ b/internal/jobserve/views_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"currantknot.dev/currantknot/internal/account"
 	"currantknot.dev/currantknot/internal/bootclock"
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobs"
@@ -163,14 +164,14 @@
 		v := NewService(s, r, nil, zerolog.Nop())
 		for range 20 {
 			c, cancelCall := context.WithTimeout(t.Context(), callTimeout)
-			_, known, err := v.State(c, "0000000000000001")
+			_, known, err := v.State(c, account.Caller{Unchecked: true}, "0000000000000001")
 			cancelCall()
 			require.True(t, known || err != nil, "an accepted job is unknown")
 			time.Sleep(callTimeout)
 		}
 		s.silent.Store(false)
 		time.Sleep(visibleAfter)
-		_, known, err := v.State(t.Context(), "0000000000000001")
+		_, known, err := v.State(t.Context(), account.Caller{Unchecked: true}, "0000000000000001")
 		require.NoError(t, err)
 		require.True(t, known)
 		cancel()
