--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,4 @@
 	go test ./pkg/document -run '^$$' -fuzz FuzzParse -fuzztime 20s
 	go test ./internal/record -run '^$$' -fuzz FuzzDecode -fuzztime 20s
 	go test ./internal/peer -run '^$$' -fuzz FuzzReadFrame -fuzztime 20s
+	go test ./platform -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime 20s
--- a/internal/account/check.go
+++ b/internal/account/check.go
@@ -85,24 +85,30 @@
 
 func (c *checker) findings() []Finding {
 	var l []Finding
-	add := func(place, reason string) {
-		if reason != "" {
-			l = append(l, Finding{place, reason})
-		}
-	}
 	for i := range c.accounts {
-		a := &c.accounts[i]
-		p := fmt.Sprintf("Accounts[%d]", i)
-		add(p+".Name", c.nameFault(a))
-		for n, k := range a.Keys {
-			add(fmt.Sprintf("%s.Keys[%d]", p, n), c.keyFault(k))
-		}
-		if a.Weight < 0 {
-			add(p+".Weight", "is negative; it counts as the smallest weight")
+		for _, f := range c.accountFindings(&c.accounts[i]) {
+			l = append(l, Finding{fmt.Sprintf("Accounts[%d].%s", i, f.Place), f.Reason})
 		}
-		if !a.HasValidCap() {
-			add(p+".Cap", "is negative; nothing of the account starts")
+	}
+	return l
+}
+
+// accountFindings returns the findings in an account, with places within it.
+func (c *checker) accountFindings(a *Account) []Finding {
+	var l []Finding
+	if f := c.nameFault(a); f != "" {
+		l = append(l, Finding{"Name", f})
+	}
+	for n, k := range a.Keys {
+		if f := c.keyFault(k); f != "" {
+			l = append(l, Finding{fmt.Sprintf("Keys[%d]", n), f})
 		}
 	}
+	if a.Weight < 0 {
+		l = append(l, Finding{"Weight", "is negative; it counts as the smallest weight"})
+	}
+	if !a.HasValidCap() {
+		l = append(l, Finding{"Cap", "is negative; nothing of the account starts"})
+	}
 	return l
 }
