Caps of client accounts bound what starts

Cause: what an account had running was not bounded; one account could take all workers.

Change: internal/quota.Ledger sums the full size of attempts and of orphans of known jobs by account, as workers get and lose them. A step whose account is at its cap is passed over before any worker is rated; gangs count as a whole. assign and assignGang are the only places that start attempts and check again, so that isolated, overdue and moved tasks are bounded too. A planned start is dropped if the cap was lowered before its commit. Tasks at the cap reserve no workers, do not become overdue by that wait, and are not counted as waiting for workers; tasks of an account above its cap are not moved. StartBounds.Configuration bounds the age of the operators' view while there are accounts. An owner without a configuration starts nothing of accounts. The owner reads the times of its views before the views.

--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -25,8 +25,12 @@
 	}
 }
 
-// hasCapacityElsewhere reports whether another worker than w may get the task of an attempt and has capacity for it.
+// hasCapacityElsewhere reports whether another worker than w may get the task of an attempt and has capacity for it, and the
+// account's cap allows another start once the attempt has stopped.
 func (p *Planner) hasCapacityElsewhere(w *worker, a *attempt, now time.Time) bool {
+	if p.accounts.isOverCap(a.job) {
+		return false
+	}
 	c := &candidateStep{job: a.job, step: a.task.Spec}
 	for _, o := range p.workerList {
 		if o != w && !o.cordoned && p.isEligible(o, a.job, a.task.Spec, now) && p.hasRoom(o, c, a.task, now) {
--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -10,7 +10,7 @@
 // exclusion is the reason for which a worker may not get a task.
 type exclusion uint8
 
-// The reasons, in the order in which they are looked for: those of the worker, of the step on the worker, and of one task.
+// The reasons, in the order in which they are looked for: those of the worker, of the step on the worker, of one task, and of the account.
 const (
 	notExcluded exclusion = iota
 	// excludedOldView to excludedAvoided exclude a worker from all tasks.
@@ -36,13 +36,15 @@
 	excludedReservation
 	excludedReserve
 	excludedFailed
+	// excludedCap excludes all workers from the tasks of a step, since the account of its job is at its cap.
+	excludedCap
 	exclusionCount
 )
 
 // exclusionNames holds the fields in which a Wait line counts the workers with each reason.
 var exclusionNames = [exclusionCount]string{
 	"Takers", "OldView", "NotListed", "DrainingWorker", "Cordoned", "DrainedDomain", "Silent", "Backoff", "Isolating", "Avoided", "OtherPool", "OtherLabel", "Straggler",
-	"NoCapacity", "NoPermit", "NoSpareCPU", "Interference", "TaskLimit", "Reservation", "Reserve", "FailedThere",
+	"NoCapacity", "NoPermit", "NoSpareCPU", "Interference", "TaskLimit", "Reservation", "Reserve", "FailedThere", "AtCap",
 }
 
 // String returns the field of the Wait lines that counts the workers with the reason.
@@ -146,6 +148,9 @@
 // explain returns the first reason for which a worker may not get a task within the constraints. For a gang, which is placed
 // without scores, it is the reason for one member.
 func (p *Planner) explain(w *worker, c *candidateStep, t *jobs.Task, x constraints, now time.Time) exclusion {
+	if !p.accounts.fits(c) {
+		return excludedCap
+	}
 	if e := p.workerExclusion(w, now); e != notExcluded {
 		return e
 	}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -37,7 +37,7 @@
 	for i, w := range l {
 		ids[i], incarnations[i] = w.ID, w.Incarnation
 	}
-	if !c.job.AssignGang(c.tasks, ids, incarnations, now) {
+	if !p.accounts.fits(c) || !c.job.AssignGang(c.tasks, ids, incarnations, now) {
 		return false
 	}
 	for i, t := range c.tasks {
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -170,11 +170,17 @@
 // placeIsolated places the tasks of a step that may run only isolated, each if it may run again and enough workers are left. After
 // many losses, of which most tasks are not the cause, some run without isolation.
 func (p *Planner) placeIsolated(c *candidateStep, now time.Time) {
+	if p.passOverAtCap(c, now) {
+		return
+	}
 	if c.step.Gang {
 		p.placeGangIsolated(c, now)
 		return
 	}
 	for _, t := range c.tasks {
+		if p.passOverAtCap(c, now) {
+			return
+		}
 		waited := p.waits.record(t, now)
 		isolated := p.mayIsolate(t, now)
 		if !isolated && !p.mayRunBeside(t, waited, now) || !p.placeSuspect(c, t, isolated, now) {
@@ -195,6 +201,9 @@
 
 // placeSuspect places a task on the worker with the least to lose, and reports whether it did.
 func (p *Planner) placeSuspect(c *candidateStep, t *jobs.Task, isolated bool, now time.Time) bool {
+	if !p.accounts.fits(c) {
+		return false
+	}
 	one := *c
 	one.tasks = []*jobs.Task{t}
 	r := p.findWorker(&one, t, p.rateByRisk(&one, isolated, now), now)
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -122,6 +122,7 @@
 // releaseLost releases the attempts of a worker on which nothing runs any more, except planned attempts, whose starts are not
 // sent yet.
 func (p *Planner) releaseLost(w *worker, reason string, now time.Time) {
+	w.clearOrphans()
 	for _, a := range slices.Clone(w.attemptList) {
 		if a.phase != phasePlanned {
 			p.release(w, a, reason, now)
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"currantknot.dev/currantknot/internal/account"
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
@@ -61,8 +62,11 @@
 	// cancels holds when the cancelled jobs were cancelled, and drains since when the failure domains are drained.
 	cancels map[string]time.Time
 	drains  map[string]time.Time
-	// knownDrains holds the drained failure domains as the instances last read them.
-	knownDrains map[string]bool
+	// knownDrains holds the drained failure domains as the instances last read them, and knownAccounts the accounts.
+	knownDrains   map[string]bool
+	knownAccounts []account.Account
+	// caps holds the caps that each account had, the latest last.
+	caps map[string][]modelCap
 	// views tells as of when the owner knows the store. While one of the others is set, the store refuses to read the list of workers,
 	// the operators' changes or the requests.
 	views                                Views
@@ -85,13 +89,16 @@
 	m := &model{
 		t: t, now: time.Unix(1_700_000_000, 0), log: make(map[string][]byte), specs: make(map[string]jobs.Spec),
 		cancels: make(map[string]time.Time), drains: make(map[string]time.Time), done: make(map[jobs.Ref]bool), acknowledged: make(map[jobs.Ref]bool), failed: make(map[jobs.Ref]int),
-		crashing: make(map[string]bool), crashes: make(map[jobs.Ref]int), startsAfterCrashes: make(map[jobs.Ref]int),
+		caps: make(map[string][]modelCap), crashing: make(map[string]bool), crashes: make(map[jobs.Ref]int), startsAfterCrashes: make(map[jobs.Ref]int),
 	}
 	for i := range modelWorkers {
 		w := &modelWorker{id: fmt.Sprintf("i-%02d", i), incarnation: 1, capacity: []modelCapacity{{milliCPU: modelMilliCPU}}}
 		w.reset()
 		m.workers = append(m.workers, w)
 	}
+	for _, n := range modelAccounts {
+		m.caps[n] = []modelCap{{}}
+	}
 	m.takeOver()
 	return m
 }
@@ -159,6 +166,7 @@
 	first := plainStep(rapid.IntRange(1, 3).Draw(m.t, "tasks of the first step"))
 	first.LongRunning = rapid.Bool().Draw(m.t, "long-running") && rapid.Bool().Draw(m.t, "long-running, second draw")
 	s := jobs.Spec{ID: id, Queue: testQueue(), Payload: "p", Steps: []jobs.Step{first, second}, SubmittedAt: m.now}
+	s.Account = rapid.SampledFrom(append([]string{""}, modelAccounts...)).Draw(m.t, "account")
 	m.specs[id] = s
 	m.crashing[id] = rapid.IntRange(0, 3).Draw(m.t, "crashing") == 0
 	m.p.AddJob(jobs.New(s), m.now)
@@ -179,6 +187,7 @@
 func (m *model) planAndCommit() {
 	m.p.SetViews(m.views, m.now)
 	m.p.Plan(m.now)
+	m.checkLedger()
 	changed, orders := m.p.TakeChanges()
 	commitAt := m.now
 	if rapid.IntRange(0, 3).Draw(m.t, "slow commit") == 0 {
@@ -410,7 +419,7 @@
 			"call from a former owner": func(*rapid.T) { m.callFromFormerOwner(m.randomWorker()) }, "lose owners in series": func(*rapid.T) { m.loseOwnersInSeries() },
 			"cut off": func(*rapid.T) { m.cutOffRandomWorker() }, "leave or enter the list": func(*rapid.T) { m.toggleListingOfRandomWorker() },
 			"drain a worker or no longer": func(*rapid.T) { m.toggleDrainOfRandomWorker() }, "drain a domain or no longer": func(*rapid.T) { m.toggleDrainOfRandomDomain() },
-			"change a capacity":     func(*rapid.T) { m.changeRandomCapacity() },
+			"change a cap": func(*rapid.T) { m.changeRandomCap() }, "change a capacity": func(*rapid.T) { m.changeRandomCapacity() },
 			"lose or regain a view": func(*rapid.T) { m.toggleRandomView() }, "change unseen": func(*rapid.T) { m.changeUnseen() },
 		})
 	})
--- a/internal/dispatch/modelviews_test.go
+++ b/internal/dispatch/modelviews_test.go
@@ -12,7 +12,7 @@
 )
 
 // modelStartBounds bounds the ages of the views in the model.
-var modelStartBounds = StartBounds{WorkerDrain: 2 * time.Second, DomainDrain: 5 * time.Second, Cancellation: 3 * time.Second}
+var modelStartBounds = StartBounds{WorkerDrain: 2 * time.Second, DomainDrain: 5 * time.Second, Cancellation: 3 * time.Second, Configuration: 4 * time.Second}
 
 // readStore lets the owner read what the store does not refuse to read.
 func (m *model) readStore() {
@@ -20,10 +20,11 @@
 		m.setWorkers()
 	}
 	if !m.operatorsAway {
-		m.knownDrains = m.drainedDomains()
+		m.knownDrains, m.knownAccounts = m.drainedDomains(), m.accounts()
 		m.views.Operators = m.now
 	}
 	m.p.SetDrainedDomains(m.knownDrains)
+	m.p.SetAccounts(m.knownAccounts)
 	if !m.cancelsAway {
 		for _, id := range slices.Sorted(maps.Keys(m.cancels)) {
 			m.p.Cancel(id, m.now)
@@ -66,7 +67,7 @@
 // changeUnseen changes something that starts depend on while the store refuses to read it, and lets the owner go on for a while.
 func (m *model) changeUnseen() {
 	m.readStore()
-	change := rapid.SampledFrom([]func(){m.toggleDrainOfRandomWorker, m.toggleDrainOfRandomDomain, m.cancelRandomJob}).Draw(m.t, "change")
+	change := rapid.SampledFrom([]func(){m.toggleDrainOfRandomWorker, m.toggleDrainOfRandomDomain, m.cancelRandomJob, m.changeRandomCap}).Draw(m.t, "change")
 	m.listAway, m.operatorsAway, m.cancelsAway = true, true, true
 	change()
 	for range rapid.IntRange(2, 8).Draw(m.t, "cycles") {
--- a/internal/dispatch/modelworker_test.go
+++ b/internal/dispatch/modelworker_test.go
@@ -103,7 +103,7 @@
 
 // checkStart checks that no other attempt of the task runs, that the task has no acknowledged success and fewer than
 // MaxAttempts acknowledged failures, that the steps that the task depends on are done, that the worker has capacity by what it
-// said of itself, and that no task starts often after workers have crashed under it.
+// said of itself, that its account stays within its cap, and that no task starts often after workers have crashed under it.
 func (m *model) checkStart(w *modelWorker, c call) {
 	for _, o := range m.workers {
 		require.Zero(m.t, o.runs[c.Ref], "%s run %d starts at %s while it runs at %s", c.Ref, c.Run, w.id, o.id)
@@ -123,6 +123,7 @@
 		reserved += m.specs[r.Job].Steps[r.Step].Reserved().MilliCPU
 	}
 	require.LessOrEqual(m.t, reserved, w.mostMilliCPU(c.sentAt.Add(-modelStartBounds.WorkerDrain)), "%s is overcommitted", w.id)
+	m.checkCap(c)
 	if m.crashes[c.Ref] >= maxModelCrashes {
 		m.startsAfterCrashes[c.Ref]++
 		require.Less(m.t, m.startsAfterCrashes[c.Ref], maxModelStartsAfterCrashes, "%s starts after %d workers have crashed under it", c.Ref, m.crashes[c.Ref])
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -12,7 +12,7 @@
 	p.ExpireLeases(now)
 	p.repeatStops(now)
 	l := p.candidateSteps(now)
-	p.reserve.observe(p.workerList, l, now)
+	p.reserve.observe(p.workerList, p.withinCaps(l), now)
 	p.detectStragglers(now)
 	p.schedulable = p.schedulableWorkers(now)
 	p.reserve.begin(p.workerList, p.schedulable)
@@ -22,7 +22,7 @@
 	p.overdue.begin(p.schedulable, now)
 	p.updateReservations(l, now)
 	p.placeSteps(l, now)
-	p.waiting = countWaiting(l)
+	p.waiting = countWaiting(p.withinCaps(l))
 	p.drainWorkers(now)
 	p.rescheduleFromStragglers(now)
 	p.advanceWaves(now)
@@ -52,6 +52,9 @@
 
 // placeCandidate assigns the ready tasks of a step, and returns those that may run only isolated, nil if there are none.
 func (p *Planner) placeCandidate(c *candidateStep, now time.Time) *candidateStep {
+	if p.passOverAtCap(c, now) {
+		return nil
+	}
 	var later *candidateStep
 	if c.job.HasSuspicions() {
 		later = p.placeSuspects(c, now)
@@ -66,7 +69,7 @@
 	return later
 }
 
-// countWaiting returns the number of the steps' tasks that still wait for a worker.
+// countWaiting returns the number of the steps' tasks that still wait for a worker. It is given the steps within the caps of their accounts.
 func countWaiting(l []candidateStep) int {
 	n := 0
 	for _, c := range l {
@@ -91,8 +94,11 @@
 	}
 }
 
-// placeStep assigns the ready tasks of a step in turn, until no worker can take the next task.
+// placeStep assigns the ready tasks of a step in turn, until no worker can take the next task or the account is at its cap.
 func (p *Planner) placeStep(c *candidateStep, now time.Time) {
+	if p.passOverAtCap(c, now) {
+		return
+	}
 	if p.isUnplaceable(c, c.tasks[0]) {
 		p.recordSkip(c, now)
 		p.placeOverdue(c, c.tasks[0], now)
@@ -100,6 +106,9 @@
 	}
 	l := p.rateWorkers(c, now)
 	for _, t := range c.tasks {
+		if p.passOverAtCap(c, now) {
+			return
+		}
 		r := p.findWorker(c, t, l, now)
 		if r == nil {
 			if c.job.Queue.NeedsPermit {
@@ -177,8 +186,9 @@
 	return n
 }
 
+// assign starts an attempt of a task on a worker, unless the account's cap or the job does not allow it.
 func (p *Planner) assign(j *jobs.Job, t *jobs.Task, w *worker, now time.Time) {
-	if !j.Assign(t, w.ID, w.Incarnation, now) {
+	if !p.accounts.fitsTask(j, t.Spec) || !j.Assign(t, w.ID, w.Incarnation, now) {
 		return
 	}
 	p.orderStart(j, t, w, now)
@@ -192,6 +202,7 @@
 		p.reserve.add(w.Pool, t.Spec)
 	}
 	p.dirty[j.ID] = j
+	delete(p.accounts.cappedSince, j.ID)
 	x, _ := p.permitFor(w, j, stepRef(t), now)
 	p.orders = append(p.orders, Order{
 		Ref: t.Ref, Kind: OrderStart, Run: t.Run, Worker: w.ID, Address: w.Address, Payload: j.Payload, Checkpoint: t.Checkpoint, Permit: x,
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -64,6 +64,7 @@
 	// smallest best-effort task for which the plan found no worker.
 	schedulable []*worker
 	unplaceable map[placementClass]jobs.Resources
+	accounts    *accounts
 	// ratings is a buffer for the ratings of one step, reused for every step.
 	ratings      []rating
 	orders       []Order
@@ -109,7 +110,8 @@
 		Config: c, takeoverAt: now,
 		workers: make(map[string]*worker), jobs: make(map[string]*jobs.Job), active: make(map[string]*jobs.Job),
 		drainedDomains: make(map[string]bool), dirty: make(map[string]*jobs.Job),
-		waits: newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
+		accounts: newAccounts(),
+		waits:    newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
 		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
 		aside: make(map[string]bool), recentLosses: make(map[string]loss), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
 	}
@@ -121,6 +123,7 @@
 		return
 	}
 	p.jobs[j.ID] = j
+	p.accounts.addJob(j)
 	if !j.IsTerminal() || j.Assigned() > 0 {
 		p.active[j.ID] = j
 	}
@@ -271,5 +274,5 @@
 
 // isOutdated reports whether a planned start must not be sent, because of its age or of what became known since it was planned.
 func (p *Planner) isOutdated(w *worker, a *attempt, now time.Time) bool {
-	return a.stopping || now.Sub(a.plannedAt) > maxPlanAge || a.incarnation != w.Incarnation || w.isOvercommitted() || p.viewExclusion(w, now) != notExcluded
+	return a.stopping || now.Sub(a.plannedAt) > maxPlanAge || a.incarnation != w.Incarnation || w.isOvercommitted() || p.accounts.isOverCap(a.job) || p.viewExclusion(w, now) != notExcluded
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -48,7 +48,7 @@
 		p.handleFinished(w, e, now)
 		w.ackNumber = max(w.ackNumber, e.Number)
 	}
-	w.orphaned = jobs.Resources{}
+	w.clearOrphans()
 	present := make(map[jobs.Ref]int, len(r.Running))
 	for _, x := range r.Running {
 		present[x.Ref] = x.Run
@@ -138,6 +138,7 @@
 	p.Logger.Info().Str("Job", j.ID).Str("Decision", "JobOver").Str("State", string(j.State())).Dur("Age", now.Sub(j.SubmittedAt)).Msg("job finished")
 	p.waits.removeJob(j)
 	delete(p.overdue.jobs, j.ID)
+	p.accounts.removeJob(j)
 	p.removeRates(j)
 	p.isolation.removeJob(j)
 	j.Compact()
@@ -149,7 +150,7 @@
 	a := w.attempts[x.Ref]
 	if a == nil || a.run != x.Run {
 		if j := p.jobs[x.Job]; j != nil && x.Step < len(j.Steps) {
-			w.orphaned = w.orphaned.Plus(j.Steps[x.Step].Reserved())
+			w.addOrphan(j, &j.Steps[x.Step])
 		}
 		p.stopOrphan(w, x, now)
 		return
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -126,20 +126,24 @@
 }
 
 // requestForWaiting adds the tasks of long-running steps for which the latest plan found no worker, if they had an earlier
-// attempt or the step has waited for reservationDelay.
+// attempt or the step has waited for reservationDelay. It leaves out tasks that their account's cap does not allow to start.
 func (p *Planner) requestForWaiting(m map[jobs.Ref]reservationRequest, l []candidateStep, now time.Time) {
+	requested := make(map[string]jobs.Resources)
 	for _, c := range l {
 		first, ok := p.waits.since[c.tasks[0].Ref]
 		if !ok || !c.step.LongRunning || c.step.Gang {
 			continue
 		}
 		for _, t := range c.tasks {
-			if t.Suspicion.IsSuspect() {
+			if t.Suspicion.IsSuspect() || t.Run == 0 && now.Sub(first) < reservationDelay {
 				continue
 			}
-			if t.Run > 0 || now.Sub(first) >= reservationDelay {
-				m[t.Ref] = reservationRequest{c.job, t, now}
+			n := requested[c.job.Account].Plus(c.step.Size)
+			if !p.accounts.ledger.Fits(c.job.Account, n) {
+				break
 			}
+			requested[c.job.Account] = n
+			m[t.Ref] = reservationRequest{c.job, t, now}
 		}
 	}
 }
--- a/internal/dispatch/views.go
+++ b/internal/dispatch/views.go
@@ -18,12 +18,15 @@
 	DomainDrain time.Duration
 	// Cancellation counts from the cancellation of a job.
 	Cancellation time.Duration
+	// Configuration counts from a change of the accounts' caps. It bounds starts only while the configuration has accounts or a job
+	// belongs to one.
+	Configuration time.Duration
 }
 
 // Views holds, for each thing in the store that a start depends on, the time as of which the planner knows it: the beginning of
 // the latest read that reached the end of what the store held.
 type Views struct {
-	// Workers is for the list of workers, Operators for the drained failure domains and maintenance waves, and Requests for the
+	// Workers is for the list of workers, Operators for the drained failure domains, maintenance waves and configuration, and Requests for the
 	// submissions and cancellations of jobs.
 	Workers   time.Time
 	Operators time.Time
@@ -61,13 +64,14 @@
 	}
 	limit(v.Workers, b.WorkerDrain)
 	limit(v.Operators, b.DomainDrain)
+	limit(v.Operators, b.Configuration)
 	limit(v.Requests, b.Cancellation)
 	return t
 }
 
 // SetViews sets as of when the planner knows what starts depend on. While that is too long ago, the planner starts nothing.
 func (p *Planner) SetViews(v Views, now time.Time) {
-	p.views, p.startsUntil = v, v.startsUntil(p.StartBounds)
+	p.views, p.startsUntil = v, v.startsUntil(p.startBounds())
 	outdated := p.areViewsOutdated(now)
 	if outdated == p.startsHeld {
 		return
@@ -80,6 +84,15 @@
 	v.logAges(p.Logger.Info(), now).Str("Decision", "StartsResumed").Msg("lists are recent enough to start tasks")
 }
 
+// startBounds returns the bounds that are in force.
+func (p *Planner) startBounds() StartBounds {
+	b := p.StartBounds
+	if !p.accounts.inUse() {
+		b.Configuration = 0
+	}
+	return b
+}
+
 // areViewsOutdated reports whether a start that is sent now would rest on views that are too old.
 func (p *Planner) areViewsOutdated(now time.Time) bool {
 	return !p.startsUntil.IsZero() && !now.Before(p.startsUntil)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -142,6 +142,9 @@
 	// orphaned is the sum of the resources that orphans reserve by the latest report. Orphans of jobs that the planner does not
 	// hold any more are not in it, since their sizes are not known.
 	orphaned jobs.Resources
+	// orphans holds what is in orphaned, and accounts is where the planner sums attempts and orphans by account.
+	orphans  []orphan
+	accounts *accounts
 	// longRunningMilliCPU is the CPU that the long-running attempts reserve, in thousandths of a core.
 	longRunningMilliCPU int
 	bestEffortDemand    []imageCPU
@@ -189,8 +192,30 @@
 // hasLabel reports whether the worker has a label; every worker has the empty label.
 func (w *worker) hasLabel(l string) bool { return l == "" || slices.Contains(w.Labels, l) }
 
+// orphan is an attempt that the worker reports as running and that the planner does not hold.
+type orphan struct {
+	job  *jobs.Job
+	step *jobs.Step
+}
+
+// addOrphan records an orphan of the latest report.
+func (w *worker) addOrphan(j *jobs.Job, s *jobs.Step) {
+	w.orphaned = w.orphaned.Plus(s.Reserved())
+	w.orphans = append(w.orphans, orphan{j, s})
+	w.accounts.add(j, s)
+}
+
+// clearOrphans drops the orphans, since a later report tells them or they have certainly ended.
+func (w *worker) clearOrphans() {
+	for _, o := range w.orphans {
+		w.accounts.remove(o.job, o.step)
+	}
+	w.orphaned, w.orphans = jobs.Resources{}, w.orphans[:0]
+}
+
 func (w *worker) add(a *attempt) {
 	clear(w.headroom)
+	w.accounts.add(a.job, a.task.Spec)
 	w.attempts[a.task.Ref] = a
 	w.attemptList = append(w.attemptList, a)
 	w.reserved = w.reserved.Plus(a.task.Spec.Reserved())
@@ -211,6 +236,7 @@
 		return
 	}
 	clear(w.headroom)
+	w.accounts.remove(a.job, a.task.Spec)
 	w.endIsolation(a)
 	delete(w.attempts, a.task.Ref)
 	w.reserved = w.reserved.Minus(a.task.Spec.Reserved())
--- a/internal/jobserve/views.go
+++ b/internal/jobserve/views.go
@@ -8,8 +8,13 @@
 
 // refreshViews passes the latest requests of operators and the present ages of all views to the planner; o.mu is held.
 func (o *Owner) refreshViews(now time.Time) {
+	// The times are read first, so that they are not later than what they are the times of.
+	v := o.views(now)
+	if c := o.State.Configuration(); c != nil {
+		o.planner.SetAccounts(c.Accounts)
+	}
 	o.planner.SetDrainedDomains(o.State.DrainedDomains())
-	o.planner.SetViews(o.views(now), now)
+	o.planner.SetViews(v, now)
 }
 
 // views returns as of when this owner knows what starts depend on; o.mu is held.
