TestDispatchModel has best-effort steps, and workers of the model do not start tasks by speed limits

Cause: the model had no best-effort tasks.

Change: a modelled worker refuses the speed limit of an attempt that it does not run, as real ones do.

--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -164,6 +164,7 @@
 	second := plainStep(rapid.IntRange(1, 2).Draw(m.t, "tasks of the second step"))
 	second.After = []int{0}
 	first := plainStep(rapid.IntRange(1, 3).Draw(m.t, "tasks of the first step"))
+	first.BestEffort = rapid.IntRange(0, 3).Draw(m.t, "best effort") == 0
 	first.LongRunning = rapid.Bool().Draw(m.t, "long-running") && rapid.Bool().Draw(m.t, "long-running, second draw")
 	s := jobs.Spec{ID: id, Queue: testQueue(), Payload: "p", Steps: []jobs.Step{first, second}, SubmittedAt: m.now}
 	s.Account = rapid.SampledFrom(append([]string{""}, modelAccounts...)).Draw(m.t, "account")
--- a/internal/dispatch/modelworker_test.go
+++ b/internal/dispatch/modelworker_test.go
@@ -88,6 +88,9 @@
 	if w.runs[c.Ref] == c.Run {
 		return ResultAccepted
 	}
+	if c.Kind == OrderThrottle {
+		return ResultRefused
+	}
 	if c.Run <= w.highestRun[c.Ref] || w.runs[c.Ref] != 0 || !m.now.Before(c.leaseUntil) {
 		return ResultRefused
 	}
