Jobs beyond the rate of their account come after all others

Cause: an account that submits many jobs at once delayed the jobs of all others of the same or a lower priority.

Change: internal/quota.Rates is a token bucket for each account over SubmittedAt and ID, with the account's weight as rate and one second's worth as burst. Wait lines have BeyondRate.

--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -20,13 +20,14 @@
 	// hasJobs means that a job belongs to an account.
 	hasJobs bool
 	ledger  *quota.Ledger
+	rates   *quota.Rates
 	// cappedSince holds, by job ID, when a step of the job was first passed over since its account was at its cap. A start of a
 	// task of the job ends it.
 	cappedSince map[string]time.Time
 }
 
 func newAccounts() *accounts {
-	return &accounts{ledger: quota.NewLedger(), cappedSince: make(map[string]time.Time)}
+	return &accounts{ledger: quota.NewLedger(), rates: quota.NewRates(), cappedSince: make(map[string]time.Time)}
 }
 
 // SetAccounts sets the accounts of the newest configuration, which the planner keeps and the caller must not change. It costs
@@ -38,6 +39,7 @@
 	}
 	a.configured = l
 	a.ledger.SetCaps(l)
+	a.rates.SetWeights(quota.NewWeights(l))
 	p.Logger.Info().Int("Accounts", len(l)).Str("Decision", "AccountsSet").Msg("caps and weights of a new configuration are in force")
 }
 
@@ -50,10 +52,16 @@
 func (a *accounts) inUse() bool { return a.hasJobs || len(a.configured) > 0 }
 
 // addJob records that the planner holds a job.
-func (a *accounts) addJob(j *jobs.Job) { a.hasJobs = a.hasJobs || j.Account != "" }
+func (a *accounts) addJob(j *jobs.Job) {
+	a.hasJobs = a.hasJobs || j.Account != ""
+	a.rates.Add(j.Account, j.ID, j.SubmittedAt)
+}
+
+// finishJob drops the waits of a finished job, which still counts against the rate of its account.
+func (a *accounts) finishJob(j *jobs.Job) { delete(a.cappedSince, j.ID) }
 
-// removeJob drops what is recorded of a finished job.
-func (a *accounts) removeJob(j *jobs.Job) { delete(a.cappedSince, j.ID) }
+// removeJob drops a job whose record is removed.
+func (a *accounts) removeJob(id string) { a.rates.Remove(id) }
 
 // add adds an attempt or an orphan of a job.
 func (a *accounts) add(j *jobs.Job, s *jobs.Step) { a.ledger.Add(j.Account, s.Size) }
@@ -125,6 +133,9 @@
 	t := c.tasks[0]
 	e := p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Dur("Waited", now.Sub(since)).Dur("Slack", c.slack).Float64("Left", c.remainingFraction).Int("OpenWorkers", len(p.schedulable)).
 		Int("NeedsMilliCPU", c.step.Size.MilliCPU).Int("NeedsMemoryMB", c.step.Size.MemoryMB).Int("Members", gangSize(c.step)).Int(excludedCap.String(), len(p.workerList))
+	if c.beyondRate {
+		e.Bool("BeyondRate", true)
+	}
 	p.logUse(e, c.job.Account).Str("Decision", "Wait").Msg("task waits since its account is at its cap")
 }
 
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -153,6 +153,7 @@
 		return false
 	}
 	delete(p.jobs, id)
+	p.accounts.removeJob(id)
 	delete(p.active, id)
 	return true
 }
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -13,6 +13,8 @@
 	job   *jobs.Job
 	step  *jobs.Step
 	tasks []*jobs.Task
+	// beyondRate means that the job was submitted beyond the rate of its account.
+	beyondRate bool
 	urgency
 }
 
@@ -46,6 +48,9 @@
 //     when the run-to-completion tasks of 2 and 3 use it, and those tasks release
 //     the core when they are done.
 //  5. Steps whose jobs can no longer meet their objective.
+//
+// Jobs that were submitted beyond the rate of their account come after all
+// others, in the same order.
 func (p *Planner) candidateSteps(now time.Time) []candidateStep {
 	var l []candidateStep
 	for _, j := range p.active {
@@ -60,6 +65,7 @@
 	}
 	slices.SortFunc(l, func(a, b candidateStep) int {
 		return cmp.Or(
+			boolOrder(!a.beyondRate, !b.beyondRate),
 			cmp.Compare(a.rank(), b.rank()),
 			cmp.Compare(a.remainingFraction, b.remainingFraction),
 			cmp.Compare(a.slack, b.slack),
@@ -86,7 +92,7 @@
 			u = p.urgency(j, k, now)
 			computed = true
 		}
-		l = append(l, candidateStep{job: j, step: &j.Steps[i], tasks: t, urgency: u})
+		l = append(l, candidateStep{job: j, step: &j.Steps[i], tasks: t, beyondRate: p.accounts.rates.IsBeyond(j.ID), urgency: u})
 	}
 	return l
 }
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -117,6 +117,9 @@
 	if x.skipped {
 		e.Bool("Skipped", true)
 	}
+	if c.beyondRate {
+		e.Str("Account", c.job.Account).Bool("BeyondRate", true)
+	}
 	if x.suspect {
 		e.Bool("Suspect", true).Int("Losses", t.Suspicion.Losses)
 	}
