Relays connect to the incumbent that the claim names; refused connections end the wait for it

Members connected to an owner only once the store listed it, so that one that was killed soon after its takeover had never responded to them; and a killed owner was waited for as long as a silent one (3.5 s). Change: a member also connects to the process of the newest claim. A process whose instance refuses all connections for 1.2 s has ended; the same guards as for silence apply (joins may be executed late, this instance has not owned the jobs lately).

--- a/internal/jobserve/group.go
+++ b/internal/jobserve/group.go
@@ -74,6 +74,14 @@
 	return g
 }
 
+// with returns the group with a further member, unless it is in the group already.
+func (g group) with(x Identity) group {
+	if slices.Contains(g, x) {
+		return g
+	}
+	return append(slices.Clip(g), x)
+}
+
 // hasLaterProcess reports whether a process that started later on the instance of x is a member.
 func (g group) hasLaterProcess(x Identity) bool {
 	return slices.ContainsFunc(g, func(m Identity) bool { return m.isLaterProcessOf(x) })
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -93,13 +93,14 @@
 	i := &Instance{InstanceConfig: c}
 	i.CallerHandler = instrumentHandler(c.Metrics, c.CallerHandler)
 	i.registerGauges()
-	i.member = NewMember(MemberConfig{Store: c.Store, Identity: c.Identity, Logger: c.Logger, RunOwner: i.runOwner, OnGroup: i.updateRelayOwners, SilentSince: c.Relays.SilentSince, Incumbent: i.Replica.RefreshClaim})
+	i.member = NewMember(MemberConfig{Store: c.Store, Identity: c.Identity, Logger: c.Logger, RunOwner: i.runOwner, OnGroup: i.updateRelayOwners, SilentSince: c.Relays.SilentSince, RefusedSince: c.Relays.RefusedSince, Incumbent: i.Replica.RefreshClaim})
 	return i
 }
 
-// updateRelayOwners makes this instance call workers on behalf of the other members of the group, since any may own the jobs.
-func (i *Instance) updateRelayOwners(g group) {
-	i.Relays.SetOwners(g.peerAddresses(i.Identity))
+// updateRelayOwners makes this instance call workers on behalf of the other members of the group, since any may own the jobs, and
+// of the incumbent, which the store may not list yet.
+func (i *Instance) updateRelayOwners(g group, incumbent string) {
+	i.Relays.SetOwners(g.with(parseIdentity(incumbent)).peerAddresses(i.Identity))
 	i.Relays.SetAppender(g.appender(i.Identity))
 }
 
--- a/internal/jobserve/manymembers_test.go
+++ b/internal/jobserve/manymembers_test.go
@@ -155,8 +155,9 @@
 		x := testIdentity(i, n)
 		s := &simulatedMember{simulatedGroup: g, name: x.String()}
 		m := NewMember(MemberConfig{
-			Store: s, Identity: x, Logger: zerolog.Nop(), OnGroup: func(group) {}, RunOwner: s.own, Incumbent: g.newest,
-			SilentSince: func(string) time.Time { return time.Time{} },
+			Store: s, Identity: x, Logger: zerolog.Nop(), OnGroup: func(group, string) {}, RunOwner: s.own, Incumbent: g.newest,
+			SilentSince:  func(string) time.Time { return time.Time{} },
+			RefusedSince: func(string) time.Time { return time.Time{} },
 		})
 		w.Go(func() { m.Run(ctx) })
 	}
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -46,6 +46,9 @@
 	// maxSilence is the time without a response from the incumbent's process after which its membership is not trusted while
 	// the store may execute joins late. It is longer than a renewal gap, so that a lost connection is restored in it.
 	maxSilence = 3500 * time.Millisecond
+	// maxRefusal is the time of refused connections after which the incumbent's process has ended, as maxSilence is for silence. An
+	// instance that runs accepts connections, so that a few refused attempts suffice.
+	maxRefusal = 1200 * time.Millisecond
 	// maxRenewalGap is the time between two responses to renewals after which this instance may have been cut off.
 	maxRenewalGap = 2200 * time.Millisecond
 	// lateMembershipWindow is the time after a join without a response in which the store may list a process that no longer runs.
@@ -61,13 +64,16 @@
 	Logger   zerolog.Logger
 	// RunOwner runs the owner until its context ends, another owner has taken over, or the owner fails.
 	RunOwner func(ctx context.Context, predecessor Claim)
-	// OnGroup is called with the group after each successful read of the group from the store.
-	OnGroup func(group)
+	// OnGroup is called after each successful read of the group from the store, with the group and the identity of the incumbent,
+	// which is empty if it is not known.
+	OnGroup func(g group, incumbent string)
 	// Incumbent reads the newest claim.
 	Incumbent func(ctx context.Context) (Claim, error)
 	// SilentSince returns from when on a process has not responded although this instance tried to reach it, zero if it never
 	// responded.
 	SilentSince func(identity string) time.Time
+	// RefusedSince returns from when on the instance of a process has refused all connections, zero if it has not.
+	RefusedSince func(identity string) time.Time
 }
 
 // Member maintains this instance's membership of the group and runs the owner while this instance is elected.
@@ -208,10 +214,19 @@
 		return nil, false
 	}
 	g := newGroup(names)
-	m.OnGroup(g)
+	m.OnGroup(g, m.currentIncumbent())
 	return g, true
 }
 
+// currentIncumbent returns the identity of the process that the latest claim names. It is empty outside the group, where claims
+// are not read.
+func (m *Member) currentIncumbent() string {
+	if !m.joined || !m.knowsIncumbent {
+		return ""
+	}
+	return m.incumbent.Identity
+}
+
 // renew joins the group or renews the membership, and starts the owner if this instance is elected. After a suspension of the
 // instance, it first stops the owner.
 func (m *Member) renew(ctx context.Context) {
--- a/internal/jobserve/member_test.go
+++ b/internal/jobserve/member_test.go
@@ -79,6 +79,8 @@
 	incumbent string
 	// respondedAt is the time of the latest response of the incumbent, from which on it is silent.
 	respondedAt time.Time
+	// refusedAt is from when on the incumbent's instance refuses connections.
+	refusedAt time.Time
 	// stopOwner makes the running owner return.
 	stopOwner chan struct{}
 }
@@ -87,9 +89,10 @@
 	f := &memberFixture{T: t, group: &fakeGroup{}, stopOwner: make(chan struct{})}
 	x := testIdentity(1, 0.4)
 	f.member = NewMember(MemberConfig{
-		Store: f.group, Identity: x, Logger: zerolog.Nop(), OnGroup: func(group) {},
-		Incumbent:   func(context.Context) (Claim, error) { return Claim{Identity: f.incumbent}, nil },
-		SilentSince: func(string) time.Time { return f.respondedAt },
+		Store: f.group, Identity: x, Logger: zerolog.Nop(), OnGroup: func(group, string) {},
+		Incumbent:    func(context.Context) (Claim, error) { return Claim{Identity: f.incumbent}, nil },
+		SilentSince:  func(string) time.Time { return f.respondedAt },
+		RefusedSince: func(string) time.Time { return f.refusedAt },
 		RunOwner: func(ctx context.Context, _ Claim) {
 			f.incumbent = x.String()
 			select {
@@ -174,6 +177,34 @@
 	})
 }
 
+// A killed owner whose instance refuses connections was waited for as long as one that is only silent.
+func TestOwnerThatRefusesConnectionsIsReplacedSooner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		l := []Identity{testIdentity(1, 0.4), testIdentity(2, 0.4)}
+		f.incumbent, f.respondedAt = l[1].String(), time.Now()
+		f.renewFor(2*maxSilence, l...)
+		f.group.setUnanswered(1)
+		f.respondedAt, f.refusedAt = time.Now(), time.Now()
+		f.renewFor(maxRefusal, l...)
+		require.False(t, f.member.IsOwner())
+		f.renewFor(2*renewInterval, l...)
+		require.True(t, f.member.IsOwner())
+	})
+}
+
+// Relays connected to a new owner only once the store listed it, so that one that was killed before had never responded.
+func TestIncumbentThatTheStoreDoesNotListIsMadeKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemberFixture(t)
+		var known string
+		f.member.OnGroup = func(_ group, incumbent string) { known = incumbent }
+		f.incumbent = testIdentity(2, 0.4).String()
+		f.renew(false, testIdentity(1, 0.4))
+		require.Equal(t, f.incumbent, known)
+	})
+}
+
 func TestInstanceThatWasCutOffTrustsTheStoreAtFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newMemberFixture(t)
--- a/internal/jobserve/ownership.go
+++ b/internal/jobserve/ownership.go
@@ -78,7 +78,7 @@
 	return slices.Contains(g, x) && !g.hasLaterProcess(x) && !m.isSilent(identity)
 }
 
-// isSilent reports whether a process has stopped responding to this instance while the store may list members that no longer
+// isSilent reports whether a process has stopped responding to this instance, or refuses connections, while the store may list members that no longer
 // run. It returns false on an instance that has owned the jobs shortly before, so that two instances without a connection to
 // each other do not take over from each other in turn.
 func (m *Member) isSilent(identity string) bool {
@@ -86,6 +86,6 @@
 	if !m.hasUnansweredSince(lateMembershipWindow) || now.Sub(m.ownedAt) <= lateMembershipWindow || now.Sub(m.renewingSince) <= maxSilence {
 		return false
 	}
-	t := m.SilentSince(identity)
-	return !t.IsZero() && now.Sub(t) > maxSilence
+	silent, refused := m.SilentSince(identity), m.RefusedSince(identity)
+	return !silent.IsZero() && now.Sub(silent) > maxSilence || !refused.IsZero() && now.Sub(refused) > maxRefusal
 }
--- a/internal/jobserve/workers.go
+++ b/internal/jobserve/workers.go
@@ -54,6 +54,9 @@
 	// SilentSince returns from when on a process that may own the jobs has not responded although this instance tried to reach
 	// it, zero if it never responded.
 	SilentSince(identity string) time.Time
+	// RefusedSince returns from when on the instance of such a process has refused all connections, as it does once the process
+	// has ended, zero if it has not.
+	RefusedSince(identity string) time.Time
 	// Leave tells the owners to send no more calls to this instance; calls in flight are completed.
 	Leave()
 	// Count returns the number of instances that call workers for this one.
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -52,6 +53,8 @@
 type heardOwner struct {
 	address string
 	at      time.Time
+	// refusedAt is the first of the attempts to connect since then that were refused, zero if there was none.
+	refusedAt time.Time
 }
 
 // NewAgent returns an agent; Run starts it.
@@ -76,6 +79,26 @@
 	return a.heard[identity].at
 }
 
+// RefusedSince returns from when on all attempts to connect to the process with an identity were refused, zero if it never
+// responded or none was refused since.
+func (a *Agent) RefusedSince(identity string) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.heard[identity].refusedAt
+}
+
+// recordRefusal records that no process listens at an address.
+func (a *Agent) recordRefusal(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, x := range a.heard {
+		if x.address == address && x.refusedAt.IsZero() {
+			x.refusedAt = time.Now()
+			a.heard[id] = x
+		}
+	}
+}
+
 // recordResponse records a response, and forgets processes that have not responded for responseRetention.
 func (s *session) recordResponse() {
 	if s.owner == "" {
@@ -87,14 +110,14 @@
 	if _, ok := s.heard[s.owner]; !ok {
 		maps.DeleteFunc(s.heard, func(_ string, x heardOwner) bool { return now.Sub(x.at) > responseRetention })
 	}
-	s.heard[s.owner] = heardOwner{s.address, now}
+	s.heard[s.owner] = heardOwner{address: s.address, at: now}
 }
 
 // restartSilence makes the silence of the processes at an address begin now; a.mu is held.
 func (a *Agent) restartSilence(address string) {
 	for id, x := range a.heard {
 		if x.address == address {
-			a.heard[id] = heardOwner{address, time.Now()}
+			a.heard[id] = heardOwner{address: address, at: time.Now()}
 		}
 	}
 }
@@ -175,6 +198,9 @@
 
 func (a *Agent) connect(ctx context.Context, address string) error {
 	c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		a.recordRefusal(address)
+	}
 	if err != nil {
 		return fmt.Errorf("connect to owner: %w", err)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -218,7 +218,7 @@
 	h.eventually(func() bool { return !a.SilentSince("owner|1").IsZero() })
 	stop()
 	a.mu.Lock()
-	a.heard["owner|1"] = heardOwner{h.address, time.Now().Add(-time.Minute)}
+	a.heard["owner|1"] = heardOwner{address: h.address, at: time.Now().Add(-time.Minute)}
 	clear(a.cancelByOwner)
 	a.ctx = t.Context()
 	a.mu.Unlock()
