Judge the path to the store; hand over or reject what cannot be appended

Cause: an instance without a path to the store took each submission, held it for 2.9 s and answered 504, although others reached it. Change: internal/storepath is a circuit breaker by responses (Up, Suspect, Down, Probing), over all calls and over appends, and the choice among append, hand over and reject. While the path is Down, the batcher hands records over to a peer whose pongs say that it reaches the store, with no further hop, or rejects those of which nothing was sent (RejectedError with Retry-After). States and counts come from the replica; unknown jobs get 503. Readiness follows the same judgement. StoreSilent is logged at most once a second.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -56,7 +56,8 @@
 // the top-level package platform adapts the one of the jobs command, and internal/platform the one of serve and demo.
 func newJobsInstance(s *platform.Settings, id jobserve.Identity, metricsListen string, platformStore *platform.Store, w *jobserve.LogWriter, l zerolog.Logger) *jobserve.Instance {
 	m := jobserve.NewMetrics()
-	store := jobserve.InstrumentStore(platformStore, m)
+	monitor := jobserve.NewStoreMonitor(m, l)
+	store := monitor.Watch(jobserve.InstrumentStore(platformStore, m))
 	state := &jobserve.OperatorState{}
 	replica := jobserve.NewReplica(store, l)
 	workers := platform.NewWorkers()
@@ -64,13 +65,15 @@
 		Listen: s.RelayListen, Pool: relay.NewPool(workers, s.Processors, l),
 		Agent: relay.NewAgent(relay.Hello{Name: s.Name, FailureDomain: s.FailureDomain}, jobserve.InstrumentWorkers(workers, m), l),
 	}
-	node.Identity = id.String()
+	node.Identity, node.Reach = id.String(), monitor.Reach
+	monitor.SetPeers(node)
 	service := jobserve.NewService(store, replica, node, l)
+	service.SetMonitor(monitor)
 	node.Append = service.AppendFor
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, ShutdownTimeout: s.ShutdownTimeout,
 		Lease: min(s.MaxLease, maxLease), FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, StartBounds: s.StartBounds, AppendLimits: s.AppendLimits, Identity: id,
-		Store: store, Replica: replica, State: state,
+		Store: store, Replica: replica, Monitor: monitor, State: state,
 		Workers: jobserve.InstrumentWorkers(node, m), Relays: node, Directory: platform.NewDirectory(platformStore, l),
 		Advisor: platform.NewPlacementAdvisor(s.PlacementAdvisorAddress), Maintenance: platform.NewMaintenanceClient(s.MaintenanceAddress, s.Name, platformStore),
 		Operators: platform.NewOperatorWatcher(platformStore, l), CallerHandler: platform.NewCallerHandler(state, service, l),
--- a/internal/jobserve/batcher.go
+++ b/internal/jobserve/batcher.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"currantknot.dev/currantknot/internal/storepath"
 )
 
 const (
@@ -23,6 +25,8 @@
 	congestedLatency = 150 * time.Millisecond
 	// congestionPeriod is the time after a slow or failed append in which records go through another instance.
 	congestionPeriod = 3 * time.Second
+	// maxHandedOver is the maximum number of records that are handed over to a peer together.
+	maxHandedOver = 128
 	// forwardTimeout bounds an append through another instance, which is longer than the store lets appends wait.
 	forwardTimeout = 2600 * time.Millisecond
 )
@@ -43,12 +47,20 @@
 // The store serializes the appends of all instances, so that many instances with
 // few records each wait for each other once an append takes long. While it does,
 // the records go to one instance, which appends those of all others together.
+//
+// While this instance does not reach the store, records go to a peer that does, or
+// are rejected. A record is rejected only if nothing of it was sent, or if all that
+// was sent was refused.
 type batcher struct {
 	store  Store
 	logger zerolog.Logger
 	// forwarder is nil if records are always appended directly.
 	forwarder Forwarder
-	latency   latencyEstimator
+	// monitor judges whether this instance reaches the store; it may be nil.
+	monitor *StoreMonitor
+	// lastHop means that records are not handed over, since another instance has handed them over to this one.
+	lastHop bool
+	latency latencyEstimator
 	// congestedUntil is the time until which records are forwarded; only the goroutine of run uses it.
 	congestedUntil time.Time
 
@@ -65,7 +77,11 @@
 	// append may have had an effect.
 	rejections   int
 	maybeApplied bool
-	result       chan error
+	// taken means that the record is being sent or was sent, and withdrawn that its caller has left before that. The mutex of the
+	// batcher guards both.
+	taken     bool
+	withdrawn bool
+	result    chan error
 }
 
 // append adds a record and waits until it is stored, is known not to be stored, or the context ends.
@@ -115,34 +131,122 @@
 	case err := <-p.result:
 		return err
 	case <-ctx.Done():
-		return ErrOutcomeUnknown
+		return b.withdraw(p)
 	}
 }
 
+// withdraw gives a record up whose caller has waited for too long, and returns the outcome: a record of which nothing was sent is
+// rejected.
+func (b *batcher) withdraw(p *pendingRecord) error {
+	b.mu.Lock()
+	p.withdrawn = !p.taken
+	b.mu.Unlock()
+	if p.withdrawn {
+		return b.monitor.rejection(storepath.Decision{Elsewhere: true})
+	}
+	b.monitor.countRecords("unknown", 1)
+	return ErrOutcomeUnknown
+}
+
 // run appends batches until no caller waits.
 func (b *batcher) run() {
 	for {
-		l := b.nextBatch()
-		if len(l) == 0 {
+		b.monitor.awaitTurn()
+		d := b.choose()
+		limit := maxBatchRecords
+		if d.Choice == storepath.HandOver {
+			limit = maxHandedOver
+		}
+		l := b.nextBatch(limit)
+		switch {
+		case len(l) == 0:
 			return
+		case d.Choice == storepath.HandOver:
+			b.handOver(l, d.Peer)
+		case d.Choice == storepath.Reject:
+			b.reject(l, d)
+		default:
+			err := b.appendBatch(l)
+			if b.completeAppends(l, err) && b.monitor.appendState().IsUsable() {
+				time.Sleep(appendBackoff)
+			}
 		}
-		err := b.appendBatch(l)
-		if b.completeAppends(l, err) {
-			time.Sleep(appendBackoff)
+	}
+}
+
+// choose chooses what becomes of the next batch.
+func (b *batcher) choose() storepath.Decision {
+	d := b.monitor.choose()
+	if b.lastHop && d.Choice == storepath.HandOver {
+		return storepath.Decision{Choice: storepath.Reject, Elsewhere: true}
+	}
+	return d
+}
+
+// handOver appends a batch through a peer. Records that the peer has not appended go into the next batch.
+func (b *batcher) handOver(l []*pendingRecord, peer string) {
+	start := time.Now()
+	c, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	sent, err := b.monitor.peers.HandOver(c, peer, recordsOf(l))
+	b.logger.Info().Err(err).Bool("Sent", sent).Str("Peer", peer).Int("Records", len(l)).Dur("Took", time.Since(start)).Str("Decision", "HandOver").Msg("records were handed over to a peer that reaches the store")
+	if sent && err == nil {
+		b.monitor.countRecords("handed_over", len(l))
+		for _, p := range l {
+			p.result <- nil
+		}
+		return
+	}
+	b.requeue(l, sent && !isNotApplied(err))
+}
+
+// reject rejects the records of a batch of which nothing can have been applied; the others wait for the store or a peer.
+func (b *batcher) reject(l []*pendingRecord, d storepath.Decision) {
+	var keep []*pendingRecord
+	for _, p := range l {
+		if p.maybeApplied {
+			keep = append(keep, p)
+			continue
 		}
+		p.result <- b.monitor.rejection(d)
+	}
+	b.monitor.countRecords("rejected", len(l)-len(keep))
+	b.requeue(keep, true)
+	if len(keep) > 0 {
+		time.Sleep(appendBackoff)
 	}
 }
 
-// nextBatch removes records from the queue and returns those whose callers still wait, within maxBatchRecords and maxBatchBytes.
-func (b *batcher) nextBatch() []*pendingRecord {
+// requeue puts records at the head of the queue; sent means that they may have been applied.
+func (b *batcher) requeue(l []*pendingRecord, sent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range l {
+		p.maybeApplied = p.maybeApplied || sent
+		p.taken = p.maybeApplied || p.rejections > 0
+	}
+	b.waiting = append(l, b.waiting...)
+}
+
+func recordsOf(l []*pendingRecord) []Record {
+	r := make([]Record, len(l))
+	for i, p := range l {
+		r[i] = p.record
+	}
+	return r
+}
+
+// nextBatch removes records from the queue and returns those whose callers still wait, within the given number and maxBatchBytes.
+func (b *batcher) nextBatch(limit int) []*pendingRecord {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var l []*pendingRecord
 	size := 0
-	for len(b.waiting) > 0 && len(l) < maxBatchRecords && size < maxBatchBytes {
+	for len(b.waiting) > 0 && len(l) < limit && size < maxBatchBytes {
 		p := b.waiting[0]
 		b.waiting = b.waiting[1:]
-		if p.ctx.Err() == nil {
+		if p.ctx.Err() == nil && !p.withdrawn {
+			p.taken = true
 			l = append(l, p)
 			size += len(p.record.Value)
 		}
@@ -155,10 +259,7 @@
 
 // appendBatch appends a batch to the store, through another instance while the store is congested.
 func (b *batcher) appendBatch(l []*pendingRecord) error {
-	r := make([]Record, len(l))
-	for i, p := range l {
-		r[i] = p.record
-	}
+	r := recordsOf(l)
 	start := time.Now()
 	sent, err := b.forward(r)
 	if !sent {
@@ -187,12 +288,16 @@
 	}
 	c, cancel := context.WithTimeout(context.Background(), forwardTimeout)
 	defer cancel()
+	c, stop := b.monitor.whileUsable(c, true)
+	defer stop()
 	return b.forwarder.Forward(c, l)
 }
 
 func (b *batcher) appendDirectly(l []Record) error {
 	c, cancel := context.WithTimeout(context.Background(), b.latency.timeout())
 	defer cancel()
+	c, stop := b.monitor.whileUsable(c, true)
+	defer stop()
 	start := time.Now()
 	_, err := b.store.Append(c, PartitionRequests, l, nil)
 	if !isNotApplied(err) {
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -23,6 +23,8 @@
 	replicaRefreshInterval = 2500 * time.Millisecond
 	// maxReadyStoreAge is the time since the last response of the store after which an instance is not ready.
 	maxReadyStoreAge = 2200 * time.Millisecond
+	// silentLogInterval is the time between two lines about a store that does not respond.
+	silentLogInterval = time.Second
 	// balancerDrainDuration is the time that the load balancer takes to stop sending requests to an instance that is not ready.
 	balancerDrainDuration = 2500 * time.Millisecond
 	// shutdownMargin is the time at the end of the shutdown timeout that is reserved for flushing the log and exiting.
@@ -66,7 +68,9 @@
 	Operators        Operators
 	State            *OperatorState
 	Replica          *Replica
-	CallerHandler    http.Handler
+	// Monitor judges whether this instance reaches the store; without it, the age of the latest response does.
+	Monitor       *StoreMonitor
+	CallerHandler http.Handler
 	// MetricsListen is the listen address for metrics; if it is empty, none are served.
 	MetricsListen string
 	Metrics       *Metrics
@@ -169,6 +173,7 @@
 	go i.runRelays(background)
 	go i.followOperators(background)
 	go i.refreshReplica(background)
+	go i.Monitor.Run(background, i.Store)
 	go i.watchCommits(background)
 	<-ctx.Done()
 	i.shutDown(callers, leaveGroup, &o)
@@ -241,25 +246,36 @@
 // isReady reports whether callers are better served here than elsewhere: until the jobs are loaded, this instance can only let
 // queries wait.
 func (i *Instance) isReady() bool {
-	return !i.stopping.Load() && i.State.Configuration() != nil && i.storeAge() < maxReadyStoreAge && i.Replica.IsLoaded()
+	return !i.stopping.Load() && i.State.Configuration() != nil && i.reachesStore() && i.Replica.IsLoaded()
+}
+
+// reachesStore reports whether callers are not better served elsewhere as far as the store is concerned.
+func (i *Instance) reachesStore() bool {
+	if i.Monitor == nil {
+		return i.storeAge() < maxReadyStoreAge
+	}
+	return i.Monitor.isReady()
 }
 
 // followOperators applies changes by operators until the context ends. The first read and the one after a failed read don't wait
 // for a change, so that it is soon known again that there is none.
 func (i *Instance) followOperators(ctx context.Context) {
 	wait := time.Duration(0)
+	silent := i.Logger.Sample(&zerolog.BurstSampler{Burst: 1, Period: silentLogInterval})
 	for ctx.Err() == nil {
 		u := time.Now().Add(wait)
 		wait = operatorsPollTimeout
 		c, end := i.State.read.begin(ctx, u, pollResponseTimeout)
+		answered := i.Monitor.begin(false, u)
 		err := i.Operators.Follow(c, i.State, u)
+		answered(err)
 		end(err)
 		switch {
 		case err == nil:
 			i.recordStoreResponse()
 		case ctx.Err() == nil:
 			wait = 0
-			i.Logger.Warn().Err(err).Dur("StoreAge", i.storeAge()).Str("Decision", "StoreSilent").Msg("changes by operators were not read")
+			silent.Warn().Err(err).Dur("StoreAge", i.storeAge()).Str("Decision", "StoreSilent").Msg("changes by operators were not read")
 			sleep(ctx, storeBackoff)
 		}
 	}
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -36,6 +36,9 @@
 	metricWorkersAge       = "currantknot_worker_list_age_seconds"
 	metricOperatorsAge     = "currantknot_operators_age_seconds"
 	metricRequestsAge      = "currantknot_requests_age_seconds"
+	metricStorePath        = "currantknot_store_path_state"
+	metricStorePathChanges = "currantknot_store_path_changes_total"
+	metricStorePathRecords = "currantknot_store_path_records_total"
 	metricLinesDropped     = "currantknot_log_lines_dropped_total"
 )
 
--- a/internal/jobserve/service.go
+++ b/internal/jobserve/service.go
@@ -29,13 +29,20 @@
 	// appends would wait for each other.
 	forwarded *batcher
 	replica   *Replica
-	logger    zerolog.Logger
+	// monitor judges whether this instance reaches the store; it may be nil.
+	monitor *StoreMonitor
+	logger  zerolog.Logger
 }
 
 // NewService returns a service that writes to a store, through the forwarder while the store is congested, and reads from its
 // replica.
 func NewService(s Store, r *Replica, f Forwarder, l zerolog.Logger) *Service {
-	return &Service{batcher: &batcher{store: s, forwarder: f, logger: l}, forwarded: &batcher{store: s, logger: l}, replica: r, logger: l}
+	return &Service{batcher: &batcher{store: s, forwarder: f, logger: l}, forwarded: &batcher{store: s, logger: l, lastHop: true}, replica: r, logger: l}
+}
+
+// SetMonitor makes the service follow the judgement of a monitor; it is called before any request.
+func (s *Service) SetMonitor(m *StoreMonitor) {
+	s.monitor, s.batcher.monitor, s.forwarded.monitor = m, m, m
 }
 
 // AppendFor stores records of requests that other instances have forwarded, those of all of them together. It returns
@@ -83,12 +90,13 @@
 }
 
 // State returns the state of a job as callers see it, and whether the job is known. If the store cannot be read, State returns
-// the latest known state, or an error for an unknown job.
+// the latest known state, or an error for an unknown job. States only advance, so that a state that was published stays true or
+// is older.
 func (s *Service) State(ctx context.Context, id string) (jobs.State, bool, error) {
 	if x, ok := s.replica.State(id); ok && x.IsTerminal() {
 		return x, true, nil
 	}
-	err := s.replica.Refresh(ctx, time.Now().Add(-maxStateAge))
+	err := s.refresh(ctx)
 	x, ok := s.replica.State(id)
 	if ok {
 		return x, true, nil
@@ -99,12 +107,27 @@
 	return "", false, nil
 }
 
+// refresh reads what the store has beyond the replica. It returns a RejectedError at once while the store cannot be read.
+func (s *Service) refresh(ctx context.Context) error {
+	c, cancel := s.monitor.whileUsable(ctx, false)
+	defer cancel()
+	err := c.Err()
+	if s.monitor.canRead() {
+		err = s.replica.Refresh(c, time.Now().Add(-maxStateAge))
+	}
+	if !s.monitor.canRead() {
+		return s.monitor.rejection(s.monitor.choose())
+	}
+	return err
+}
+
 // FailureReason returns why a job failed, empty if it has not or the reason is not known.
 func (s *Service) FailureReason(id string) string { return s.replica.FailureReason(id) }
 
 // PendingCount returns the number of accepted jobs of a queue of which no task has started.
 func (s *Service) PendingCount(ctx context.Context, queue string) (int, error) {
-	if err := s.replica.Refresh(ctx, time.Now().Add(-maxStateAge)); err != nil {
+	err := s.refresh(ctx)
+	if err != nil && (s.monitor.canRead() || !s.replica.IsLoaded()) {
 		return 0, err
 	}
 	return s.replica.PendingCount(queue), nil
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -16,6 +16,7 @@
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/frame"
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/storepath"
 )
 
 const (
@@ -42,7 +43,9 @@
 	// instance that appends for others.
 	sessions map[string]*session
 	appender string
-	ctx      context.Context //nolint:containedctx // SetOwners opens connections while Run serves
+	// avoidUntil holds, by address, the instant up to which no records are handed over to an instance.
+	avoidUntil map[string]time.Time
+	ctx        context.Context //nolint:containedctx // SetOwners opens connections while Run serves
 	// leaving is closed by Leave.
 	leaving    chan struct{}
 	goroutines sync.WaitGroup
@@ -59,7 +62,7 @@
 
 // NewAgent returns an agent; Run starts it.
 func NewAgent(h Hello, w jobserve.Workers, l zerolog.Logger) *Agent {
-	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), heard: make(map[string]heardOwner), sessions: make(map[string]*session), leaving: make(chan struct{})}
+	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), heard: make(map[string]heardOwner), sessions: make(map[string]*session), avoidUntil: make(map[string]time.Time), leaving: make(chan struct{})}
 }
 
 // Run maintains the connections to owners until the context is cancelled, and waits until they are closed.
@@ -180,7 +183,9 @@
 	conn    net.Conn
 	address string
 	// owner is the owner's identity, once known.
-	owner     string
+	owner string
+	// reach is what the owner said last about its path to the store; the mutex of the agent guards it.
+	reach     storepath.Reach
 	clock     clock
 	responses chan response
 	// clockKnown receives a value after the first reading of the owner's clock; only then does writeLoop send the
@@ -247,7 +252,7 @@
 		}
 		if m.Echo != 0 {
 			s.recordResponse()
-			s.handlePong(m.Echo, m.OwnerTime)
+			s.handlePong(m.Echo, m.OwnerTime, m.Reach)
 		}
 		s.deliverAppended(m.Appended)
 		for i := range m.Calls {
@@ -257,15 +262,18 @@
 }
 
 // handlePong records the owner's response to a ping.
-func (s *session) handlePong(sentAt, ownerAt time.Duration) {
+func (s *session) handlePong(sentAt, ownerAt time.Duration, r storepath.Reach) {
 	first := !s.clock.isKnown()
 	s.clock.observe(sentAt, ownerAt)
-	if !first {
-		return
+	if first {
+		s.clockKnown <- struct{}{}
 	}
-	s.clockKnown <- struct{}{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reach = r
+	if !first {
+		return
+	}
 	s.sessions[s.address] = s
 }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -4,9 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/storepath"
 )
 
 const (
@@ -14,6 +18,8 @@
 	maxForwardedRecords = 128
 	// appendTimeout bounds the append of forwarded records.
 	appendTimeout = 2500 * time.Millisecond
+	// avoidPeriod is the time after a failed append through an instance in which no records are handed over to it.
+	avoidPeriod = 2 * time.Second
 	// maxQueuedAppends bounds the forwarded appends, or their results, queued for one connection.
 	maxQueuedAppends = 64
 )
@@ -68,13 +74,50 @@
 func (a *Agent) Forward(ctx context.Context, l []jobserve.Record) (bool, error) {
 	a.mu.Lock()
 	s := a.sessions[a.appender]
+	away := s != nil && s.reach == storepath.ReachesNothing
 	a.mu.Unlock()
-	if s == nil || len(l) > maxForwardedRecords {
+	if s == nil || away || len(l) > maxForwardedRecords {
 		return false, nil
 	}
 	return s.forward(ctx, l)
 }
 
+// Peers implements jobserve.Peers with the instances to which this one is connected.
+func (a *Agent) Peers() []storepath.Peer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := make([]storepath.Peer, 0, len(a.sessions))
+	for address, s := range a.sessions {
+		l = append(l, storepath.Peer{Address: address, Reach: s.reach, AvoidUntil: a.avoidUntil[address], Rank: xxhash.Sum64String(a.Name + " " + address)})
+	}
+	return l
+}
+
+// HandOver implements jobserve.Peers.
+func (a *Agent) HandOver(ctx context.Context, address string, l []jobserve.Record) (bool, error) {
+	a.mu.Lock()
+	s := a.sessions[address]
+	a.mu.Unlock()
+	sent := false
+	var err error
+	if s != nil && len(l) <= maxForwardedRecords {
+		sent, err = s.forward(ctx, l)
+	}
+	if !sent || err != nil {
+		a.avoid(address)
+	}
+	return sent, err
+}
+
+// avoid keeps records from being handed over to an instance for avoidPeriod.
+func (a *Agent) avoid(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(a.avoidUntil, func(_ string, t time.Time) bool { return !now.Before(t) })
+	a.avoidUntil[address] = now.Add(avoidPeriod)
+}
+
 // forward sends records over the connection and waits for the outcome. It returns false if they were not sent.
 func (s *session) forward(ctx context.Context, l []jobserve.Record) (bool, error) {
 	m := appendRequest{Records: make([]record, len(l))}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantknot.dev/currantknot/internal/frame"
+	"currantknot.dev/currantknot/internal/storepath"
 )
 
 const (
@@ -28,6 +29,8 @@
 	conn net.Conn
 	// identity is the owner's identity.
 	identity string
+	// reach returns whether the owner's instance reaches the store; nil if that is not known.
+	reach    func() storepath.Reach
 	calls    chan call
 	appended chan appendResult
 	pongs    chan time.Duration
@@ -132,6 +135,9 @@
 		case m.Echo = <-l.pongs:
 			m.OwnerTime = bootTime(time.Now())
 			m.Owner, identity = identity, ""
+			if l.reach != nil {
+				m.Reach = l.reach()
+			}
 		case c := <-l.calls:
 			m.Calls = collectBatch(l.calls, c)
 		case r := <-l.appended:
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -7,6 +7,7 @@
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobs"
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/storepath"
 )
 
 // Hello introduces a relay to an owner.
@@ -21,6 +22,8 @@
 	// this frame, by the owner's boot clock. Both are 0 in a frame that responds to no ping.
 	Echo      time.Duration `msgpack:",omitempty"`
 	OwnerTime time.Duration `msgpack:"At,omitempty"`
+	// Reach is in a response to a ping whether the sender reaches the store; earlier versions neither send nor read it.
+	Reach storepath.Reach `msgpack:",omitempty"`
 	// Owner is the owner's identity in the first response of a connection, and empty later.
 	Owner    string         `msgpack:",omitempty"`
 	Calls    []call         `msgpack:",omitempty"`
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -12,6 +12,7 @@
 
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/storepath"
 )
 
 const (
@@ -36,6 +37,9 @@
 	Identity string
 	// Append stores records that another instance forwards; it is set before Run, and nil if none may be forwarded.
 	Append func(ctx context.Context, l []jobserve.Record) error
+	// Reach returns whether this instance reaches the store, which relays learn; it is set before Run, and nil if that is not
+	// known.
+	Reach  func() storepath.Reach
 	local  jobserve.Workers
 	logger zerolog.Logger
 	// directLimit is the number of workers up to which this instance calls all of them directly.
@@ -86,6 +90,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	l := newLink(c, p.Identity)
+	l.reach = p.Reach
 	var w sync.WaitGroup
 	w.Go(func() {
 		if err := l.writeLoop(); err != nil {
