Probe reads and appends apart; tests of the path to the store

Cause: a store that answers reads and no appends made the path for all calls Down and Up in turn, as the probe was an append; an append on a dead connection made the path of an idle instance Down. Change: a path that is Suspect is probed too; reads are probed first, and appends only once reads are answered. Appends that are expected to get no response are no evidence about reads. Limits: an early response to a poll tells no latency.

--- a/internal/jobserve/storemonitor.go
+++ b/internal/jobserve/storemonitor.go
@@ -157,8 +157,8 @@
 	}
 }
 
-// probe makes one call at a time unless the path is Up. The call is an append without records, at an offset that the partition
-// has left, so that it has no effect. While the path is Suspect, it tells a dead connection from a store that is away.
+// probe makes one call at a time unless the paths are Up. While a path is Suspect, it tells a dead connection from a store that is
+// away.
 func (m *StoreMonitor) probe(ctx context.Context, s Store) {
 	b := &backoff.ExponentialBackOff{InitialInterval: minProbeInterval, RandomizationFactor: backoff.DefaultRandomizationFactor, Multiplier: backoff.DefaultMultiplier, MaxInterval: maxProbeInterval}
 	for ctx.Err() == nil {
@@ -171,13 +171,31 @@
 		if state == storepath.Probing {
 			b.Reset()
 		}
-		c, cancel := context.WithTimeout(ctx, probeTimeout)
-		_ = s.AppendAt(c, PartitionRequests, 0, nil) // the monitor has the outcome, which is a conflict if the store responds
-		cancel()
+		if m.readState() != storepath.Up {
+			probeRead(ctx, s)
+		}
+		if m.readState() != storepath.Down {
+			probeAppend(ctx, s)
+		}
 		sleep(ctx, b.NextBackOff())
 	}
 }
 
+// probeRead makes a call that reads nothing; the monitor has the outcome.
+func probeRead(ctx context.Context, s Store) {
+	c, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, _ = s.NewestByKey(c, PartitionProgress, afterAllProgress)
+}
+
+// probeAppend makes an append without records, at an offset that the partition has left, so that it has no effect. The monitor has
+// the outcome, which is a conflict if the store responds.
+func probeAppend(ctx context.Context, s Store) {
+	c, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_ = s.AppendAt(c, PartitionRequests, 0, nil)
+}
+
 func (m *StoreMonitor) listPeers() []storepath.Peer {
 	if m == nil || m.peers == nil {
 		return nil
@@ -195,7 +213,11 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	paths := []*monitoredPath{m.all}
-	if isAppend {
+	switch {
+	case isAppend && !m.appends.State().IsUsable():
+		// An append that is expected to get no response tells nothing about other calls.
+		paths = []*monitoredPath{m.appends}
+	case isAppend:
 		paths = append(paths, m.appends)
 	}
 	ids := make([]uint64, len(paths))
@@ -265,16 +287,19 @@
 	return m.worst()
 }
 
-// canRead reports whether reads of the store are worth waiting for.
-func (m *StoreMonitor) canRead() bool {
+// readState returns the state of the path for reads.
+func (m *StoreMonitor) readState() storepath.State {
 	if m == nil {
-		return true
+		return storepath.Up
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.all.State().IsUsable()
+	return m.all.State()
 }
 
+// canRead reports whether reads of the store are worth waiting for.
+func (m *StoreMonitor) canRead() bool { return m.readState().IsUsable() }
+
 // isReady reports whether the load balancer should send callers to this instance, as far as the store is concerned.
 func (m *StoreMonitor) isReady() bool {
 	m.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobs"
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/storepath"
 )
 
 // waitTimeout bounds the wait for an expected event; it is not a latency requirement.
@@ -94,6 +96,8 @@
 	pool    *Pool
 	address string
 	local   *fakeWorkers
+	// reach is what the owner says about its path to the store.
+	reach atomic.Int64
 }
 
 func newHarness(t *testing.T) *harness {
@@ -101,6 +105,7 @@
 	h := &harness{T: t, local: &fakeWorkers{}}
 	h.pool = NewPool(h.local, 1.0/directWorkersPerCore, zerolog.Nop())
 	h.pool.Identity = "owner|1"
+	h.pool.Reach = func() storepath.Reach { return storepath.Reach(h.reach.Load()) }
 	h.pool.SetWorkerCount(2)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -211,6 +216,25 @@
 	require.Zero(t, a.SilentSince("owner|2"), "another process on the same instance")
 }
 
+// A killed process was told from one that is only silent by nothing.
+func TestRelayKnowsThatTheProcessOfAnOwnerHasEnded(t *testing.T) {
+	h := newHarness(t)
+	_, a, stop := h.connectRelay("r", "north")
+	h.eventually(func() bool { return !a.SilentSince("owner|1").IsZero() })
+	require.Zero(t, a.RefusedSince("owner|1"))
+	stop()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	free := l.Addr().String()
+	require.NoError(t, l.Close())
+	a.mu.Lock()
+	a.heard["owner|1"] = heardOwner{address: free, at: time.Now()}
+	a.mu.Unlock()
+	require.Error(t, a.connect(t.Context(), free))
+	require.NotZero(t, a.RefusedSince("owner|1"))
+	require.Zero(t, a.RefusedSince("owner|2"))
+}
+
 // A relay closed its connection while the owner was outside the group, and then counted the owner's silence from before.
 func TestSilenceBeginsAnewWithNewAttemptsToConnect(t *testing.T) {
 	h := newHarness(t)
--- a/internal/storepath/path.go
+++ b/internal/storepath/path.go
@@ -133,7 +133,7 @@
 	delete(p.outlived, id)
 	switch {
 	case o == Answered:
-		p.observeResponse(now, max(0, now.Sub(due)))
+		p.observeResponse(now, due)
 	case o == Refused:
 		p.observeRefusal(now)
 	case now.After(due) && !outlived:
@@ -188,8 +188,12 @@
 	}
 }
 
-func (p *Path) observeResponse(now time.Time, latency time.Duration) {
-	p.latency += time.Duration(latencySmoothing * float64(latency-p.latency))
+// observeResponse records the response to a call that was due at the given instant. A response before that tells no latency, as a
+// long poll may end early.
+func (p *Path) observeResponse(now, due time.Time) {
+	if l := now.Sub(due); l >= 0 {
+		p.latency += time.Duration(latencySmoothing * float64(l-p.latency))
+	}
 	p.respondedAt = now
 	p.lostDue, p.lost, p.refused = time.Time{}, 0, 0
 	for id, due := range p.due {
