--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -37,6 +37,9 @@
 	metricOperatorsAge     = "currantknot_operators_age_seconds"
 	metricRequestsAge      = "currantknot_requests_age_seconds"
 	metricRefusedCalls     = "currantknot_refused_calls_total"
+	metricStorePath        = "currantknot_store_path_state"
+	metricStorePathChanges = "currantknot_store_path_changes_total"
+	metricStorePathRecords = "currantknot_store_path_records_total"
 	metricLinesDropped     = "currantknot_log_lines_dropped_total"
 )
 
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +16,7 @@
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/frame"
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/storepath"
 )
 
 const (
@@ -41,7 +43,9 @@
 	// instance that appends for others.
 	sessions map[string]*session
 	appender string
-	ctx      context.Context //nolint:containedctx // SetOwners opens connections while Run serves
+	// avoidUntil holds, by address, the instant up to which no records are handed over to an instance.
+	avoidUntil map[string]time.Time
+	ctx        context.Context //nolint:containedctx // SetOwners opens connections while Run serves
 	// leaving is closed by Leave.
 	leaving    chan struct{}
 	goroutines sync.WaitGroup
@@ -52,11 +56,13 @@
 type heardOwner struct {
 	address string
 	at      time.Time
+	// refusedAt is the first of the attempts to connect since then that were refused, zero if there was none.
+	refusedAt time.Time
 }
 
 // NewAgent returns an agent; Run starts it.
 func NewAgent(h Hello, w jobserve.Workers, l zerolog.Logger) *Agent {
-	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), heard: make(map[string]heardOwner), sessions: make(map[string]*session), leaving: make(chan struct{})}
+	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), heard: make(map[string]heardOwner), sessions: make(map[string]*session), avoidUntil: make(map[string]time.Time), leaving: make(chan struct{})}
 }
 
 // Run maintains the connections to owners until the context is cancelled, and waits until they are closed.
@@ -76,6 +82,26 @@
 	return a.heard[identity].at
 }
 
+// RefusedSince returns from when on all attempts to connect to the process with an identity were refused, zero if it never
+// responded or none was refused since.
+func (a *Agent) RefusedSince(identity string) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.heard[identity].refusedAt
+}
+
+// recordRefusal records that no process listens at an address.
+func (a *Agent) recordRefusal(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, x := range a.heard {
+		if x.address == address && x.refusedAt.IsZero() {
+			x.refusedAt = time.Now()
+			a.heard[id] = x
+		}
+	}
+}
+
 // recordResponse records a response, and forgets processes that have not responded for responseRetention.
 func (s *session) recordResponse() {
 	if s.owner == "" {
@@ -87,14 +113,14 @@
 	if _, ok := s.heard[s.owner]; !ok {
 		maps.DeleteFunc(s.heard, func(_ string, x heardOwner) bool { return now.Sub(x.at) > responseRetention })
 	}
-	s.heard[s.owner] = heardOwner{s.address, now}
+	s.heard[s.owner] = heardOwner{address: s.address, at: now}
 }
 
 // restartSilence makes the silence of the processes at an address begin now; a.mu is held.
 func (a *Agent) restartSilence(address string) {
 	for id, x := range a.heard {
 		if x.address == address {
-			a.heard[id] = heardOwner{address, time.Now()}
+			a.heard[id] = heardOwner{address: address, at: time.Now()}
 		}
 	}
 }
@@ -157,7 +183,9 @@
 	conn    net.Conn
 	address string
 	// owner is the owner's identity, once known.
-	owner     string
+	owner string
+	// reach is what the owner said last about its path to the store; the mutex of the agent guards it.
+	reach     storepath.Reach
 	clock     clock
 	responses chan response
 	// clockKnown receives a value after the first reading of the owner's clock; only then does writeLoop send the
@@ -175,6 +203,9 @@
 
 func (a *Agent) connect(ctx context.Context, address string) error {
 	c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		a.recordRefusal(address)
+	}
 	if err != nil {
 		return fmt.Errorf("connect to owner: %w", err)
 	}
@@ -221,7 +252,7 @@
 		}
 		if m.Echo != 0 {
 			s.recordResponse()
-			s.handlePong(m.Echo, m.OwnerTime)
+			s.handlePong(m.Echo, m.OwnerTime, m.Reach)
 		}
 		s.deliverAppended(m.Appended)
 		for i := range m.Calls {
@@ -231,15 +262,18 @@
 }
 
 // handlePong records the owner's response to a ping.
-func (s *session) handlePong(sentAt, ownerAt time.Duration) {
+func (s *session) handlePong(sentAt, ownerAt time.Duration, r storepath.Reach) {
 	first := !s.clock.isKnown()
 	s.clock.observe(sentAt, ownerAt)
-	if !first {
-		return
+	if first {
+		s.clockKnown <- struct{}{}
 	}
-	s.clockKnown <- struct{}{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reach = r
+	if !first {
+		return
+	}
 	s.sessions[s.address] = s
 }
 
