A success of a released attempt completes its task

Cause: ends of attempts that the owner does not hold were acknowledged and dropped. Change: such an end completes its task. If another attempt is assigned by then, it is stopped first, and the end is acknowledged only once that one has ended, since it could still start after the task is done; the worker repeats the end, so that a later owner gets it too. Ends of unknown jobs, tasks and attempts, and of terminal jobs and long-running tasks, change nothing. TestDispatchModel now requires that no task starts after any acknowledged success, also one of an attempt that ended before the lease of its worker lapsed, where it left such successes out before.

--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -336,7 +336,7 @@
 		return
 	}
 	for len(w.finished) > 0 && w.finished[0].Number <= n {
-		if w.finished[0].Number > w.lapsedNumber {
+		if w.finished[0].Number > w.lapsedNumber || w.finished[0].Outcome == jobs.OutcomeDone {
 			m.acknowledge(w.finished[0])
 		}
 		w.finished = w.finished[1:]
--- a/internal/dispatch/modelworker_test.go
+++ b/internal/dispatch/modelworker_test.go
@@ -24,8 +24,8 @@
 	highestRun map[jobs.Ref]int
 	finished   []FinishedAttempt
 	lastNumber int64
-	// lapsedNumber is the highest number of an attempt that finished before the worker's lease last lapsed. To acknowledge such
-	// an attempt later doesn't count, since an owner may have started the task again in between.
+	// lapsedNumber is the highest number of an attempt that finished before the worker's lease last lapsed. To acknowledge a failure
+	// of such an attempt later doesn't count, since an owner may have started the task again in between.
 	lapsedNumber int64
 	partitioned  bool
 	// unlisted means that the platform does not list the worker, which runs on.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -85,6 +85,8 @@
 	unresponsive        map[string]int64
 	unresponsiveChanged bool
 	isolation           isolation
+	// releasedEnds holds, by task, the number of a released attempt that succeeded, until no later attempt is assigned.
+	releasedEnds map[jobs.Ref]int
 	// recentLosses holds the losses of workers with attempts, by worker ID and for lossRetention, and counts the events since
 	// TakeCounts.
 	recentLosses map[string]loss
@@ -111,7 +113,7 @@
 		drainedDomains: make(map[string]bool), dirty: make(map[string]*jobs.Job),
 		waits: newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
 		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
-		aside: make(map[string]bool), recentLosses: make(map[string]loss), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
+		aside: make(map[string]bool), releasedEnds: make(map[jobs.Ref]int), recentLosses: make(map[string]loss), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
 	}
 }
 
@@ -204,6 +206,7 @@
 func (p *Planner) release(w *worker, a *attempt, reason string, now time.Time) {
 	w.remove(a)
 	a.job.Release(a.task)
+	p.completeReleased(a.job, a.task)
 	p.dirty[a.job.ID] = a.job
 	p.Logger.Info().Str("Task", a.task.String()).Int("Run", a.run).Str("Worker", w.ID).Str("Decision", "Release").Str("Reason", reason).Dur("HeldFor", p.heldFor(w, now)).Dur("RanFor", w.provenRun(a)).Msg("attempt released")
 }
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -452,3 +452,86 @@
 		s.advance(100 * time.Millisecond)
 	}
 }
+
+// A start without a response was executed late and succeeded, after a stop that its worker had accepted and a report without it
+// had released the task. Its end was acknowledged, and the task ran again.
+func TestSuccessOfReleasedAttemptCompletesTheTask(t *testing.T) {
+	s := newSimulation(t, 2)
+	j := testJob(testID(1), s.now, plainStep(1))
+	s.p.AddJob(j, s.now)
+	o := s.plan()[OrderStart][0]
+	s.releaseUnanswered(o)
+	s.report(o.Worker, nil, FinishedAttempt{Ref: o.Ref, Number: 1, Run: o.Run, Outcome: jobs.OutcomeDone})
+	require.Equal(t, jobs.StateCompleted, j.State())
+	require.Empty(t, s.plan()[OrderStart])
+	_, n := s.p.AckNumber(o.Worker)
+	require.Equal(t, int64(1), n)
+}
+
+// releaseUnanswered lets a start get no response, and the owner stop and release it.
+func (s *simulation) releaseUnanswered(o Order) {
+	s.p.HandleStartResult(o, ResultUnknown, s.now)
+	_, l := s.p.TakeChanges()
+	require.Len(s, l, 1)
+	s.p.HandleStopResult(l[0], ResultAccepted, s.now)
+	s.advance(100 * time.Millisecond)
+	s.report(o.Worker, nil)
+}
+
+// If the success of a released attempt were acknowledged while a later attempt may still start, the task could start after it
+// is done, and a new owner would not know of the success.
+func TestSuccessOfReleasedAttemptIsAcknowledgedOnceNoOtherIsAssigned(t *testing.T) {
+	for name, outcome := range map[string]jobs.AttemptOutcome{"stopped": jobs.OutcomeStopped, "failed": jobs.OutcomeFailed, "done": jobs.OutcomeDone} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, 2)
+			j := testJob(testID(1), s.now, plainStep(1))
+			s.p.AddJob(j, s.now)
+			first := s.plan()[OrderStart][0]
+			s.releaseUnanswered(first)
+			second := s.plan()[OrderStart][0]
+			s.p.HandleStartResult(second, ResultAccepted, s.now)
+			end := FinishedAttempt{Ref: first.Ref, Number: 1, Run: first.Run, Outcome: jobs.OutcomeDone}
+			running := []RunningAttempt{{Ref: second.Ref, Run: second.Run}}
+			if second.Worker != first.Worker {
+				running = nil
+			}
+			s.report(first.Worker, running, end)
+			_, n := s.p.AckNumber(first.Worker)
+			require.Zero(t, n, "the second attempt is not stopped yet")
+			require.Len(t, s.plan()[OrderStop], 1)
+			s.advance(100 * time.Millisecond)
+			ends := []FinishedAttempt{{Ref: second.Ref, Number: 2, Run: second.Run, Outcome: outcome}}
+			if second.Worker == first.Worker {
+				ends = append([]FinishedAttempt{end}, ends...)
+			}
+			s.report(second.Worker, nil, ends...)
+			require.Equal(t, jobs.StateCompleted, j.State())
+			s.report(first.Worker, nil, end)
+			_, n = s.p.AckNumber(first.Worker)
+			require.Positive(t, n)
+			require.Empty(t, s.plan()[OrderStart])
+			require.Empty(t, s.p.releasedEnds)
+		})
+	}
+}
+
+// Ends that workers report of jobs, tasks and attempts that never were must change nothing.
+func TestEndsOfUnknownAttemptsAreIgnored(t *testing.T) {
+	s := newSimulation(t, 1)
+	j := testJob(testID(1), s.now, plainStep(1))
+	s.p.AddJob(j, s.now)
+	for n, e := range []FinishedAttempt{
+		{Ref: jobs.Ref{Job: testID(1)}, Run: 1},
+		{Ref: jobs.Ref{Job: testID(1)}, Run: 0},
+		{Ref: jobs.Ref{Job: testID(1), Index: 7}, Run: 1},
+		{Ref: jobs.Ref{Job: testID(2)}, Run: 1},
+		{Ref: jobs.Ref{Job: testID(1), Step: -1}, Run: 1},
+	} {
+		e.Number, e.Outcome = int64(n+1), jobs.OutcomeDone
+		s.report("i-00", nil, e)
+		_, acknowledged := s.p.AckNumber("i-00")
+		require.Equal(t, e.Number, acknowledged)
+	}
+	require.Equal(t, jobs.StatePending, j.State())
+	require.Len(t, s.plan()[OrderStart], 1)
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -44,10 +45,7 @@
 		w.leaseUntil = earlier(w.leaseUntil, p.leaseExpiry(now))
 	}
 	w.synced, w.failedCalls, w.lastResponseAt = true, 0, now
-	for _, e := range r.Finished {
-		p.handleFinished(w, e, now)
-		w.ackNumber = max(w.ackNumber, e.Number)
-	}
+	p.handleEnds(w, r.Finished, now)
 	w.orphaned = jobs.Resources{}
 	present := make(map[jobs.Ref]int, len(r.Running))
 	for _, x := range r.Running {
@@ -68,14 +66,30 @@
 	return b
 }
 
-// handleFinished applies a finished attempt; it ignores an attempt that the planner does not hold.
-func (p *Planner) handleFinished(w *worker, e FinishedAttempt, now time.Time) {
+// handleEnds applies the finished attempts of a report, and acknowledges those up to the first that is to be repeated.
+func (p *Planner) handleEnds(w *worker, l []FinishedAttempt, now time.Time) {
+	repeatFrom := int64(math.MaxInt64)
+	for _, e := range l {
+		if !p.handleFinished(w, e, now) {
+			repeatFrom = min(repeatFrom, e.Number)
+		}
+	}
+	for _, e := range l {
+		if e.Number < repeatFrom {
+			w.ackNumber = max(w.ackNumber, e.Number)
+		}
+	}
+}
+
+// handleFinished applies a finished attempt, and reports whether it may be acknowledged.
+func (p *Planner) handleFinished(w *worker, e FinishedAttempt, now time.Time) bool {
 	a := w.attempts[e.Ref]
 	if a == nil || a.run != e.Run {
-		return
+		return p.handleReleasedEnd(w, e, now)
 	}
 	w.remove(a)
 	p.guard(a.job, func() { p.finishAttempt(w, a, e, now) })
+	return true
 }
 
 // finishAttempt records the outcome of an attempt that was removed from its worker.
@@ -83,11 +97,16 @@
 	if e.Checkpoint == "" && e.Outcome == jobs.OutcomeStopped {
 		e.Checkpoint = a.task.Checkpoint
 	}
-	a.job.FinishAttempt(a.task, e.Run, e.Outcome, e.Checkpoint)
+	outcome := e.Outcome
+	if _, ok := p.releasedEnd(a.job, a.task); ok {
+		outcome = jobs.OutcomeDone
+	}
+	a.job.FinishAttempt(a.task, e.Run, outcome, e.Checkpoint)
+	p.dropReleasedEnds(a.job, a.task)
 	p.dirty[a.job.ID] = a.job
 	p.Logger.Info().Str("Task", e.String()).Int("Run", e.Run).Str("Worker", w.ID).Int64("End", e.Number).Str("Decision", "End").Str("How", string(e.Outcome)).Int("Failures", a.task.Failures).Msg("attempt finished")
 	p.recordOutcome(w, a, e.Outcome, now)
-	if a.task.Spec.Gang && e.Outcome == jobs.OutcomeDone {
+	if a.task.Spec.Gang && outcome == jobs.OutcomeDone {
 		p.removeFinishedGang(a)
 	}
 	p.finalizeJob(a.job, now)
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -254,11 +254,7 @@
 
 // completeTask marks a task as done; the success of a gang member completes the whole gang.
 func (j *Job) completeTask(t *Task) {
-	a := []*Task{t}
-	if t.Spec.Gang {
-		a = j.Tasks[t.Occurrence][t.Step]
-	}
-	for _, o := range a {
+	for _, o := range j.Members(t) {
 		if o.State == TaskDone {
 			continue
 		}
