Run times as distributions; attempts from checkpoints are no samples

Cause: one mean ratio of run time to estimate for each queue is moved by a tail of few tasks for all, and says nothing of a task that is late, which was always expected to end within 500 ms. FinishAttempt clears the checkpoint before the planner looked at it, so that attempts that had resumed, and inherited ones, counted as whole runs. Change: package runtimes keeps the distribution by queue, and by magnitude of the estimate once known, in HdrHistograms with forward decay. Order and slack use the median, or the measured rate of the step once known, within a factor of 20; expectedEnd uses the progress of the attempt or its step, else the conditional mean of the queue. Attempts carry whether they resumed. Reported progress is kept within 0 and 100.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -186,7 +186,7 @@
 
 // orderStart adds the attempt of an assigned task and the order to start it.
 func (p *Planner) orderStart(j *jobs.Job, t *jobs.Task, w *worker, now time.Time) {
-	a := &attempt{job: j, task: t, run: t.Run, incarnation: w.Incarnation, plannedAt: now, speedPercent: fullSpeed}
+	a := &attempt{job: j, task: t, run: t.Run, incarnation: w.Incarnation, plannedAt: now, resumed: t.Checkpoint != "", speedPercent: fullSpeed}
 	w.add(a)
 	if t.Spec.LongRunning {
 		p.reserve.add(w.Pool, t.Spec)
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/runtimes"
 )
 
 const (
@@ -68,7 +69,7 @@
 	ratings      []rating
 	orders       []Order
 	takeoverAt   time.Time
-	runTimes     *runTimeEstimates
+	runTimes     *runtimes.Estimator
 	interference *interferenceModel
 	reserve      reserve
 	reservations reservations
@@ -111,7 +112,7 @@
 		Config: c, takeoverAt: now,
 		workers: make(map[string]*worker), jobs: make(map[string]*jobs.Job), active: make(map[string]*jobs.Job),
 		drainedDomains: make(map[string]bool), dirty: make(map[string]*jobs.Job),
-		waits: newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
+		waits: newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: runtimes.New(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
 		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
 		aside: make(map[string]bool), releasedEnds: make(map[jobs.Ref]int), recentLosses: make(map[string]loss), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -123,16 +123,14 @@
 	}
 }
 
-// recordOutcome updates the worker's failure count, the step's progress rate and the queue's run time estimate by the
+// recordOutcome updates the worker's failure count, the step's progress rate and the queue's run times by the
 // outcome of an attempt.
 func (p *Planner) recordOutcome(w *worker, a *attempt, outcome jobs.AttemptOutcome, now time.Time) {
 	switch outcome {
 	case jobs.OutcomeDone:
 		w.failedAttempts = 0
 		p.recordCompletion(a, now)
-		if a.task.Checkpoint == "" && a.phase == phaseRunning && !w.speed.straggler {
-			p.runTimes.observe(a.job.Queue.Name, a.task.Spec, now.Sub(a.confirmedAt))
-		}
+		p.recordRunTime(w, a, now)
 	case jobs.OutcomeFailed:
 		w.failedAttempts++
 		if w.failedAttempts >= maxFailedAttempts {
@@ -182,7 +180,7 @@
 	if x.Checkpoint != "" && x.Checkpoint != a.task.Checkpoint {
 		a.task.Checkpoint = x.Checkpoint
 	}
-	a.sample, a.progressPercent, a.sampledAt = x.Sample, x.ProgressPercent, now
+	a.sample, a.progressPercent, a.sampledAt = x.Sample, min(max(x.ProgressPercent, 0), fullSpeed), now
 	p.clearSuspicion(w, a)
 }
 
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -18,8 +18,6 @@
 	maxReservationsForNew = 0.05
 	// maxNewReservationsPerPlan bounds the search for workers in one plan.
 	maxNewReservationsPerPlan = 64
-	// unknownRemaining is the time that a task is assumed to run on once it has exceeded its estimate, or without an estimate.
-	unknownRemaining = 500 * time.Millisecond
 )
 
 // reservation keeps the capacity of a worker for a long-running task that fits on no worker now.
@@ -236,16 +234,6 @@
 	return time.Time{}, false
 }
 
-// expectedEnd returns when the attempt of a run-to-completion task is expected to end.
-func (p *Planner) expectedEnd(a *attempt, now time.Time) time.Time {
-	begin := a.confirmedAt
-	if begin.IsZero() {
-		begin = a.plannedAt
-	}
-	e := p.runTimes.estimate(a.job.Queue.Name, a.task.Spec)
-	return laterOf(begin.Add(e), now.Add(unknownRemaining))
-}
-
 // isReservedFor reports whether a worker is reserved for a task.
 func (p *Planner) isReservedFor(w *worker, t *jobs.Task) bool {
 	_, ok := p.reservations.of(w.ID, t.Ref)
@@ -262,7 +250,7 @@
 	if free.CanFit(reserved) || size.MilliCPU == 0 && size.Accelerators == 0 && free.MemoryMB >= reserved.MemoryMB {
 		return true
 	}
-	return !c.step.LongRunning && !now.Add(p.runTimes.estimate(c.job.Queue.Name, c.step)).After(first)
+	return !c.step.LongRunning && !now.Add(p.runTimes.Remaining(c.job.Queue.Name, c.step, 0)).After(first)
 }
 
 // boolOrder compares two booleans so that true comes first.
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -28,7 +28,8 @@
 type snapshotRecord struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Images   []imageRecord
-	// RunTimes holds the expected ratio of a run time to its estimate, by queue.
+	// RunTimes holds the expected ratio of a run time to its estimate, by queue, for versions that don't read the record of
+	// the run times.
 	RunTimes map[string]float64
 	// Demand is the demand that determines the reserve, 0 if it is not known.
 	Demand float64
@@ -47,7 +48,7 @@
 // names these workers. It returns nil if there is nothing to store. The caller calls SnapshotCommitted once the snapshot
 // is stored.
 func (p *Planner) PrepareSnapshot(now time.Time) ([]byte, error) {
-	r := snapshotRecord{RunTimes: p.runTimes.factors, Maintained: p.maintained, Unresponsive: p.withholdLeases(now)}
+	r := snapshotRecord{RunTimes: p.runTimes.Factors(), Maintained: p.maintained, Unresponsive: p.withholdLeases(now)}
 	if p.reserve.initialized {
 		r.Demand = p.reserve.demand
 	}
@@ -128,8 +129,8 @@
 	if err := msgpack.Unmarshal(b, &r); err != nil {
 		return fmt.Errorf("decode planner snapshot: %w", err)
 	}
-	if r.RunTimes != nil {
-		p.runTimes.factors = r.RunTimes
+	for q, x := range r.RunTimes {
+		p.runTimes.RestoreFactor(q, x)
 	}
 	if r.Maintained != nil {
 		p.maintained = r.Maintained
--- a/internal/dispatch/stragglers.go
+++ b/internal/dispatch/stragglers.go
@@ -92,6 +92,9 @@
 			continue
 		}
 		d := now.Sub(a.measuredAt).Seconds() * float64(a.effectiveSpeedPercent()) / fullSpeed
+		if a.firstMeasuredAt.IsZero() || a.progressPercent < a.firstPercent {
+			a.firstPercent, a.firstMeasuredAt = a.progressPercent, now
+		}
 		if a.measuredAt.IsZero() || a.progressPercent < a.measuredPercent {
 			a.measuredPercent, a.measuredAt = a.progressPercent, now
 			continue
@@ -114,14 +117,18 @@
 }
 
 // recordCompletion adds the progress of a finished task since the latest report of its attempt to the rate of its step, since
-// short tasks are seldom reported while they run.
+// short tasks are seldom reported while they run. Where an attempt that did not run the whole task began is known only from
+// a report.
 func (p *Planner) recordCompletion(a *attempt, now time.Time) {
-	if a.phase != phaseRunning || a.task.Checkpoint != "" {
+	if a.phase != phaseRunning {
 		return
 	}
 	from := a.confirmedAt
-	if a.measuredPercent > 0 {
+	switch {
+	case a.measuredPercent > 0:
 		from = a.measuredAt
+	case !a.isWholeRun():
+		return
 	}
 	r := p.progressRate(a.task)
 	// The value of fullSpeed also stands for 100 percent of progress.
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -92,7 +92,7 @@
 }
 
 func (p *Planner) urgency(j *jobs.Job, k int, now time.Time) urgency {
-	e := func(s *jobs.Step) time.Duration { return p.runTimes.estimate(j.Queue.Name, s) }
+	e := p.runTimesOf(j, k)
 	from := j.SubmittedAt
 	if d := j.EarliestStart(k); !d.IsZero() {
 		from = d
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -78,6 +78,8 @@
 	phase       phase
 	// restored means that an earlier owner planned the start.
 	restored bool
+	// resumed means that the attempt began at a checkpoint.
+	resumed bool
 	// reported means that the worker has reported the attempt as running.
 	reported  bool
 	plannedAt time.Time
@@ -106,6 +108,9 @@
 	// added to the rate of the step at the next report is the difference from measuredPercent.
 	measuredPercent int
 	measuredAt      time.Time
+	// firstPercent is the progress in the first report that was measured, at firstMeasuredAt.
+	firstPercent    int
+	firstMeasuredAt time.Time
 	// sensitivity and jobLoad cache the entries of cachedModel for the image and the job of a service; all three are nil until
 	// first used.
 	cachedModel *interferenceModel
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -41,6 +41,10 @@
 	leaseSnapshotInterval = time.Second
 	// snapshotKey is the key of the snapshot record; it is not a valid job ID.
 	snapshotKey = "knowledge"
+	// runTimesKey is the key of the record of the run times, which is made every runTimesInterval if there are new ones; it is
+	// not a valid job ID.
+	runTimesKey      = "run-times"
+	runTimesInterval = 10 * time.Second
 	// keepAliveKey is the key of the record that an owner commits if it has committed nothing else for keepAliveInterval; it is
 	// not a valid job ID.
 	keepAliveKey      = "owner-alive"
@@ -95,7 +99,9 @@
 	// restoredStates holds the job states that were read at the takeover; the former owner may have left them unpublished.
 	restoredStates []jobState
 	// snapshotAt is the time of the latest snapshot, and committedAt that of the latest successful commit.
-	snapshotAt  time.Time
+	snapshotAt time.Time
+	// runTimesAt is the time of the latest record of the run times.
+	runTimesAt  time.Time
 	committedAt time.Time
 	// listRead is the read of the worker list in progress.
 	listRead pendingRead
@@ -272,6 +278,11 @@
 			r = append(r, Record{Key: suspicionPrefix + j.ID, Value: s})
 		}
 	}
+	x, err := o.runTimesRecords(len(r) > 0, now)
+	if err != nil {
+		return nil, err
+	}
+	r = append(r, x...)
 	if o.isSnapshotDue(len(r) > 0, now) {
 		o.snapshotAt = now
 		b, err := o.planner.PrepareSnapshot(now)
@@ -298,6 +309,23 @@
 	return r
 }
 
+// runTimesRecords returns the record of the run times if one is due; o.mu is held. It is committed only together with other
+// records, and left out if it is too large for the store.
+func (o *Owner) runTimesRecords(hasRecords bool, now time.Time) ([]Record, error) {
+	if !hasRecords || now.Sub(o.runTimesAt) < runTimesInterval {
+		return nil, nil
+	}
+	b, err := o.planner.EncodeRunTimes()
+	if err != nil || b == nil {
+		return nil, err
+	}
+	o.runTimesAt = now
+	if len(b)+maxKeyBytes+recordOverheadBytes > o.AppendLimits.recordBytes() {
+		return nil, nil
+	}
+	return []Record{{Key: runTimesKey, Value: b}}, nil
+}
+
 // isSnapshotDue reports whether a snapshot is due; o.mu is held. Regular snapshots are committed only together with other
 // records.
 func (o *Owner) isSnapshotDue(hasRecords bool, now time.Time) bool {
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -115,6 +115,11 @@
 	p := dispatch.New(dispatch.Config{
 		Lease: o.Lease, StoreLossGrace: o.StoreLossGrace, LastCommitAt: o.lastCommitAt(end, now), MaintenanceDelay: o.MaintenanceDelay, StartBounds: o.StartBounds, Logger: o.Logger,
 	}, now)
+	if b := o.Replica.Progress(runTimesKey); b != nil {
+		if err := p.RestoreRunTimes(b); err != nil {
+			o.Logger.Warn().Err(err).Msg("run times were not restored; their means are taken from the snapshot")
+		}
+	}
 	if b := o.Replica.Progress(snapshotKey); b != nil {
 		if err := p.RestoreSnapshot(b); err != nil {
 			o.Logger.Warn().Err(err).Msg("snapshot was not restored; learned estimates are lost")
