--- a/internal/jobs/account_test.go
+++ b/internal/jobs/account_test.go
@@ -24,6 +24,20 @@
 	require.Equal(t, "scouts", s.Account)
 }
 
+// A confirmation that got lost would leave the job to the account that submitted its ID later.
+func TestConfirmationIsStoredWithTheSubmission(t *testing.T) {
+	for _, account := range []string{"", "scouts"} {
+		x := accountSpec(account)
+		x.Confirmed = true
+		b, err := jobs.EncodeSpec(x)
+		require.NoError(t, err)
+		s, err := jobs.DecodeSpec(b)
+		require.NoError(t, err)
+		require.True(t, s.Confirmed)
+		require.Equal(t, account, s.Account)
+	}
+}
+
 // Instances of the earlier version read only the spec at the start of a record, and write nothing after it.
 func TestSubmissionsOfBothVersionsAreReadable(t *testing.T) {
 	without, err := jobs.EncodeSpec(accountSpec(""))
