--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -65,11 +65,12 @@
 		Listen: s.RelayListen, Pool: relay.NewPool(workers, s.Processors, l),
 		Agent: relay.NewAgent(relay.Hello{Name: s.Name, FailureDomain: s.FailureDomain}, jobserve.InstrumentWorkers(workers, m), l),
 	}
-	node.Identity, node.Reach = id.String(), monitor.Reach
+	node.Identity = id.String()
+	node.Pool.Reach, node.Agent.Reach = monitor.Reach, monitor.Reach
 	monitor.SetPeers(node)
 	service := jobserve.NewService(store, replica, node, l)
 	service.SetMonitor(monitor)
-	node.Append = service.AppendFor
+	node.Pool.Append, node.Agent.Append = service.AppendFor, service.AppendFor
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, ShutdownTimeout: s.ShutdownTimeout,
 		Lease: min(s.MaxLease, maxLease), FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, StartBounds: s.StartBounds, AppendLimits: s.AppendLimits, Identity: id,
--- a/internal/jobserve/storemonitor.go
+++ b/internal/jobserve/storemonitor.go
@@ -74,9 +74,9 @@
 // Peers are the instances to which records can be handed over.
 type Peers interface {
 	Peers() []storepath.Peer
-	// HandOver appends records through the peer with the given address, as Forwarder.Forward does. It avoids the peer for a while
-	// if that fails.
-	HandOver(ctx context.Context, address string, l []Record) (bool, error)
+	// HandOver appends records through the peer with the given name, as Forwarder.Forward does. It avoids the peer for a while if
+	// that fails.
+	HandOver(ctx context.Context, peer string, l []Record) (bool, error)
 }
 
 // monitoredPath is a path with a context that is cancelled when the path stops being usable.
--- a/internal/jobserve/storemonitor_test.go
+++ b/internal/jobserve/storemonitor_test.go
@@ -122,7 +122,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range f.peers {
-		if f.peers[i].Address == address {
+		if f.peers[i].Name == address {
 			f.peers[i].AvoidUntil = time.Now().Add(time.Minute)
 		}
 	}
@@ -133,7 +133,7 @@
 func (f *fakePeers) add(address string, handOver func(ctx context.Context, l []Record) (bool, error)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers = append(f.peers, storepath.Peer{Address: address, Reach: storepath.ReachesStore, Rank: uint64(len(f.peers))})
+	f.peers = append(f.peers, storepath.Peer{Name: address, Reach: storepath.ReachesStore, Rank: uint64(len(f.peers))})
 	f.handOver[address] = handOver
 }
 
@@ -474,7 +474,7 @@
 func TestReadinessDoesNotFlapWhileTheStoreIsAwayForAll(t *testing.T) {
 	withPath(t, func(f *pathFixture) {
 		f.peers.mu.Lock()
-		f.peers.peers = []storepath.Peer{{Address: "a", Reach: storepath.ReachesNothing}}
+		f.peers.peers = []storepath.Peer{{Name: "a", Reach: storepath.ReachesNothing}}
 		f.peers.mu.Unlock()
 		f.store.silent.Store(true)
 		for range 300 {
@@ -482,7 +482,7 @@
 			require.True(f, f.monitor.isReady())
 		}
 		f.peers.mu.Lock()
-		f.peers.peers[0] = storepath.Peer{Address: "a", Reach: storepath.ReachesStore, AvoidUntil: time.Now().Add(time.Hour)}
+		f.peers.peers[0] = storepath.Peer{Name: "a", Reach: storepath.ReachesStore, AvoidUntil: time.Now().Add(time.Hour)}
 		f.peers.mu.Unlock()
 		time.Sleep(unreadyAfter + 2*monitorInterval)
 		require.False(f, f.monitor.isReady(), "another instance serves callers better")
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -31,6 +31,10 @@
 // Agent calls workers on behalf of the instances that may own the jobs.
 type Agent struct {
 	Hello
+	// Append stores records that an owner hands over; it is set before Run, and nil if none may be handed over.
+	Append func(ctx context.Context, l []jobserve.Record) error
+	// Reach returns whether this instance reaches the store, which owners learn; it is set before Run, and nil if that is not known.
+	Reach   func() storepath.Reach
 	workers jobserve.Workers
 	logger  zerolog.Logger
 
@@ -43,9 +47,7 @@
 	// instance that appends for others.
 	sessions map[string]*session
 	appender string
-	// avoidUntil holds, by address, the instant up to which no records are handed over to an instance.
-	avoidUntil map[string]time.Time
-	ctx        context.Context //nolint:containedctx // SetOwners opens connections while Run serves
+	ctx      context.Context //nolint:containedctx // SetOwners opens connections while Run serves
 	// leaving is closed by Leave.
 	leaving    chan struct{}
 	goroutines sync.WaitGroup
@@ -62,7 +64,7 @@
 
 // NewAgent returns an agent; Run starts it.
 func NewAgent(h Hello, w jobserve.Workers, l zerolog.Logger) *Agent {
-	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), heard: make(map[string]heardOwner), sessions: make(map[string]*session), avoidUntil: make(map[string]time.Time), leaving: make(chan struct{})}
+	return &Agent{Hello: h, workers: w, logger: l, cancelByOwner: make(map[string]context.CancelFunc), heard: make(map[string]heardOwner), sessions: make(map[string]*session), leaving: make(chan struct{})}
 }
 
 // Run maintains the connections to owners until the context is cancelled, and waits until they are closed.
@@ -180,6 +182,7 @@
 // session is the relay's side of one connection to an owner.
 type session struct {
 	*Agent
+	*appendClient
 	conn    net.Conn
 	address string
 	// owner is the owner's identity, once known.
@@ -191,14 +194,8 @@
 	// clockKnown receives a value after the first reading of the owner's clock; only then does writeLoop send the
 	// Hello, after which the owner sends calls.
 	clockKnown chan struct{}
-	// appends holds the forwarded appends to be sent; closed is closed when the connection has ended.
-	appends chan appendRequest
-	closed  chan struct{}
-
-	appendsMu  sync.Mutex
-	lastAppend uint64
-	// pendingAppends holds, by ID, the channel that gets the result.
-	pendingAppends map[uint64]chan appendResult
+	// appended holds the results of the appends of the owner.
+	appended chan appendResult
 }
 
 func (a *Agent) connect(ctx context.Context, address string) error {
@@ -214,8 +211,8 @@
 	defer cancel()
 	context.AfterFunc(ctx, func() { _ = c.Close() })
 	s := &session{
-		Agent: a, conn: c, address: address, responses: make(chan response, maxQueuedCalls), clockKnown: make(chan struct{}, 1),
-		appends: make(chan appendRequest, maxQueuedAppends), closed: make(chan struct{}), pendingAppends: make(map[uint64]chan appendResult),
+		Agent: a, appendClient: newAppendClient(), conn: c, address: address, responses: make(chan response, maxQueuedCalls), clockKnown: make(chan struct{}, 1),
+		appended: make(chan appendResult, maxQueuedAppends),
 	}
 	defer s.end()
 	a.goroutines.Go(func() {
@@ -255,6 +252,9 @@
 			s.handlePong(m.Echo, m.OwnerTime, m.Reach)
 		}
 		s.deliverAppended(m.Appended)
+		for i := range m.Appends {
+			go appendServer(s.Append).serve(ctx, &m.Appends[i], s.appended, s.closed)
+		}
 		for i := range m.Calls {
 			go s.serveCall(ctx, &m.Calls[i])
 		}
@@ -282,7 +282,7 @@
 	t := time.NewTicker(pingInterval)
 	defer t.Stop()
 	leaving := s.leaving
-	m := &toOwner{Ping: bootclock.Now()}
+	m := s.ping()
 	for {
 		if err := writeFrame(s.conn, m); err != nil {
 			return err
@@ -292,7 +292,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			m.Ping = bootclock.Now()
+			m = s.ping()
 		case <-s.clockKnown:
 			m.Hello = &s.Hello
 		case <-leaving:
@@ -302,10 +302,21 @@
 			m.Responses = collectBatch(s.responses, x)
 		case x := <-s.appends:
 			m.Appends = collectBatch(s.appends, x)
+		case x := <-s.appended:
+			m.Appended = collectBatch(s.appended, x)
 		}
 	}
 }
 
+// ping returns a frame that requests a pong.
+func (s *session) ping() *toOwner {
+	m := &toOwner{Ping: bootclock.Now()}
+	if s.Reach != nil {
+		m.Reach = s.Reach()
+	}
+	return m
+}
+
 // serveCall executes a call and queues its response.
 func (s *session) serveCall(ctx context.Context, c *call) {
 	x := s.execute(ctx, c)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
+	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"currantknot.dev/currantknot/internal/jobserve"
 	"currantknot.dev/currantknot/internal/storepath"
 )
@@ -18,8 +16,6 @@
 	maxForwardedRecords = 128
 	// appendTimeout bounds the append of forwarded records.
 	appendTimeout = 2500 * time.Millisecond
-	// avoidPeriod is the time after a failed append through an instance in which no records are handed over to it.
-	avoidPeriod = 2 * time.Second
 	// maxQueuedAppends bounds the forwarded appends, or their results, queued for one connection.
 	maxQueuedAppends = 64
 )
@@ -82,116 +78,99 @@
 	return s.forward(ctx, l)
 }
 
-// Peers implements jobserve.Peers with the instances to which this one is connected.
-func (a *Agent) Peers() []storepath.Peer {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	l := make([]storepath.Peer, 0, len(a.sessions))
-	for address, s := range a.sessions {
-		l = append(l, storepath.Peer{Address: address, Reach: s.reach, AvoidUntil: a.avoidUntil[address], Rank: xxhash.Sum64String(a.Name + " " + address)})
-	}
-	return l
-}
+// appendClient appends records through the instance at the other end of a connection.
+type appendClient struct {
+	// appends holds the appends to be sent; closed is closed when the connection has ended.
+	appends chan appendRequest
+	closed  chan struct{}
 
-// HandOver implements jobserve.Peers.
-func (a *Agent) HandOver(ctx context.Context, address string, l []jobserve.Record) (bool, error) {
-	a.mu.Lock()
-	s := a.sessions[address]
-	a.mu.Unlock()
-	sent := false
-	var err error
-	if s != nil && len(l) <= maxForwardedRecords {
-		sent, err = s.forward(ctx, l)
-	}
-	if !sent || err != nil {
-		a.avoid(address)
-	}
-	return sent, err
+	appendsMu  sync.Mutex
+	lastAppend uint64
+	// pendingAppends holds, by ID, the channel that gets the result.
+	pendingAppends map[uint64]chan appendResult
 }
 
-// avoid keeps records from being handed over to an instance for avoidPeriod.
-func (a *Agent) avoid(address string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := time.Now()
-	maps.DeleteFunc(a.avoidUntil, func(_ string, t time.Time) bool { return !now.Before(t) })
-	a.avoidUntil[address] = now.Add(avoidPeriod)
+func newAppendClient() *appendClient {
+	return &appendClient{appends: make(chan appendRequest, maxQueuedAppends), closed: make(chan struct{}), pendingAppends: make(map[uint64]chan appendResult)}
 }
 
 // forward sends records over the connection and waits for the outcome. It returns false if they were not sent.
-func (s *session) forward(ctx context.Context, l []jobserve.Record) (bool, error) {
+func (c *appendClient) forward(ctx context.Context, l []jobserve.Record) (bool, error) {
 	m := appendRequest{Records: make([]record, len(l))}
 	for i, r := range l {
 		m.Records[i] = record{Key: r.Key, Value: r.Value}
 	}
 	w := make(chan appendResult, 1)
-	m.ID = s.addPending(w)
-	defer s.removePending(m.ID)
+	m.ID = c.addPending(w)
+	defer c.removePending(m.ID)
 	select {
-	case s.appends <- m:
+	case c.appends <- m:
 	default:
 		return false, nil
 	}
 	select {
 	case r := <-w:
 		return true, r.err()
-	case <-s.closed:
+	case <-c.closed:
 		return true, &jobserve.StoreError{Call: "forwarded append", Cause: &ForwardError{Reason: "connection lost"}}
 	case <-ctx.Done():
 		return true, &jobserve.StoreError{Call: "forwarded append", Cause: ctx.Err()}
 	}
 }
 
-func (s *session) addPending(w chan appendResult) uint64 {
-	s.appendsMu.Lock()
-	defer s.appendsMu.Unlock()
-	s.lastAppend++
-	s.pendingAppends[s.lastAppend] = w
-	return s.lastAppend
+func (c *appendClient) addPending(w chan appendResult) uint64 {
+	c.appendsMu.Lock()
+	defer c.appendsMu.Unlock()
+	c.lastAppend++
+	c.pendingAppends[c.lastAppend] = w
+	return c.lastAppend
 }
 
-func (s *session) removePending(id uint64) {
-	s.appendsMu.Lock()
-	defer s.appendsMu.Unlock()
-	delete(s.pendingAppends, id)
+func (c *appendClient) removePending(id uint64) {
+	c.appendsMu.Lock()
+	defer c.appendsMu.Unlock()
+	delete(c.pendingAppends, id)
 }
 
 // deliverAppended passes results to the appends that wait for them.
-func (s *session) deliverAppended(l []appendResult) {
-	s.appendsMu.Lock()
-	defer s.appendsMu.Unlock()
+func (c *appendClient) deliverAppended(l []appendResult) {
+	c.appendsMu.Lock()
+	defer c.appendsMu.Unlock()
 	for _, r := range l {
-		if w := s.pendingAppends[r.ID]; w != nil {
+		if w := c.pendingAppends[r.ID]; w != nil {
 			w <- r
-			delete(s.pendingAppends, r.ID)
+			delete(c.pendingAppends, r.ID)
 		}
 	}
 }
 
-// serveAppend appends the records of another instance and queues the result. Without a response the other instance appends the
-// records by itself, which has no further effect.
-func (p *Pool) serveAppend(ctx context.Context, l *link, m *appendRequest) {
+// appendServer appends the records of other instances.
+type appendServer func(ctx context.Context, l []jobserve.Record) error
+
+// serve appends the records of another instance and queues the result. Without a response the other instance appends the records by
+// itself, which has no further effect.
+func (f appendServer) serve(ctx context.Context, m *appendRequest, results chan<- appendResult, closed <-chan struct{}) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	r := appendResult{ID: m.ID}
-	if err := p.appendRecords(ctx, m.Records); err != nil {
+	if err := f.appendRecords(ctx, m.Records); err != nil {
 		r.Failure, r.Rejected = err.Error(), errors.Is(err, jobserve.ErrNotAccepted)
 	}
 	select {
-	case l.appended <- r:
-	case <-l.closed:
+	case results <- r:
+	case <-closed:
 	case <-ctx.Done():
 	}
 }
 
 // appendRecords appends records, at most maxForwardedRecords.
-func (p *Pool) appendRecords(ctx context.Context, l []record) error {
-	if p.Append == nil || len(l) > maxForwardedRecords {
+func (f appendServer) appendRecords(ctx context.Context, l []record) error {
+	if f == nil || len(l) > maxForwardedRecords {
 		return fmt.Errorf("%d records of another instance: %w", len(l), jobserve.ErrNotAccepted)
 	}
 	r := make([]jobserve.Record, len(l))
 	for i, x := range l {
 		r[i] = jobserve.Record{Key: x.Key, Value: x.Value}
 	}
-	return p.Append(ctx, r)
+	return f(ctx, r)
 }
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -7,10 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"currantknot.dev/currantknot/internal/jobserve"
-	"currantknot.dev/currantknot/internal/storepath"
 )
 
 // fakeAppender records forwarded appends and fails with err; if release is set, appends wait for it.
@@ -106,68 +104,3 @@
 	require.False(t, sent)
 	require.NoError(t, err)
 }
-
-// reachOf returns what the harness' owner has said to a relay about its path to the store, and until when it is avoided.
-func (h *harness) reachOf(a *Agent) storepath.Peer {
-	l := a.Peers()
-	if len(l) == 0 {
-		return storepath.Peer{}
-	}
-	require.Equal(h, h.address, l[0].Address)
-	return l[0]
-}
-
-func TestPeersTellWhetherTheyReachTheStore(t *testing.T) {
-	h := newHarness(t)
-	h.reach.Store(int64(storepath.ReachesStore))
-	a, _ := h.connectForwarder(&fakeAppender{})
-	h.eventually(func() bool { return h.reachOf(a).Reach == storepath.ReachesStore })
-	h.reach.Store(int64(storepath.ReachesNothing))
-	h.eventually(func() bool { return h.reachOf(a).Reach == storepath.ReachesNothing })
-	sent, err := a.Forward(t.Context(), forwarded)
-	require.NoError(t, err)
-	require.False(t, sent, "an instance that does not reach the store appends for nobody")
-}
-
-// Instances of earlier versions say nothing, and read frames with the new field.
-func TestReachOfEarlierVersionsIsUnknown(t *testing.T) {
-	h := newHarness(t)
-	a, _ := h.connectForwarder(&fakeAppender{})
-	require.Equal(t, storepath.ReachUnknown, h.reachOf(a).Reach)
-	b, err := msgpack.Marshal(&toRelay{Echo: 1, OwnerTime: 2, Owner: "owner", Reach: storepath.ReachesStore})
-	require.NoError(t, err)
-	var earlier struct {
-		Echo      time.Duration
-		OwnerTime time.Duration `msgpack:"At"`
-		Owner     string
-	}
-	require.NoError(t, msgpack.Unmarshal(b, &earlier))
-	require.Equal(t, "owner", earlier.Owner)
-	b, err = msgpack.Marshal(&toRelay{Echo: 1, OwnerTime: 2})
-	require.NoError(t, err)
-	require.NotContains(t, string(b), "Reach", "the field is optional")
-}
-
-// A peer whose append failed was used again at once, also if it does not reach the store.
-func TestPeerIsAvoidedAfterAFailedAppend(t *testing.T) {
-	h := newHarness(t)
-	f := &fakeAppender{}
-	a, stop := h.connectForwarder(f)
-	sent, err := a.HandOver(t.Context(), h.address, forwarded)
-	require.True(t, sent)
-	require.NoError(t, err)
-	require.Zero(t, h.reachOf(a).AvoidUntil)
-	f.mu.Lock()
-	f.release = make(chan struct{})
-	f.mu.Unlock()
-	time.AfterFunc(50*time.Millisecond, stop)
-	sent, err = a.HandOver(t.Context(), h.address, forwarded)
-	require.True(t, sent)
-	var e *jobserve.StoreError
-	require.ErrorAs(t, err, &e)
-	require.False(t, e.NotApplied, "the peer was lost in the middle of the append")
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	require.Greater(t, time.Until(a.avoidUntil[h.address]), avoidPeriod/2)
-	close(f.release)
-}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"currantknot.dev/currantknot/internal/frame"
@@ -26,15 +27,16 @@
 
 // link is the owner's side of the connection to one relay.
 type link struct {
+	*appendClient
 	conn net.Conn
 	// identity is the owner's identity.
 	identity string
-	// reach returns whether the owner's instance reaches the store; nil if that is not known.
-	reach    func() storepath.Reach
+	// ownReach returns whether the owner's instance reaches the store; nil if that is not known. reach is what the relay said last.
+	ownReach func() storepath.Reach
+	reach    atomic.Int64
 	calls    chan call
 	appended chan appendResult
 	pongs    chan time.Duration
-	closed   chan struct{}
 
 	mu     sync.Mutex
 	lastID uint64
@@ -44,7 +46,7 @@
 
 func newLink(c net.Conn, identity string) *link {
 	return &link{
-		conn: c, identity: identity, calls: make(chan call, maxQueuedCalls), appended: make(chan appendResult, maxQueuedAppends), pongs: make(chan time.Duration, 1), closed: make(chan struct{}),
+		appendClient: newAppendClient(), conn: c, identity: identity, calls: make(chan call, maxQueuedCalls), appended: make(chan appendResult, maxQueuedAppends), pongs: make(chan time.Duration, 1),
 		pending: make(map[uint64]chan response),
 	}
 }
@@ -114,12 +116,14 @@
 			return err
 		}
 		if m.Ping != 0 {
+			l.reach.Store(int64(m.Reach))
 			select {
 			case l.pongs <- m.Ping:
 			default:
 			}
 		}
 		l.deliver(m.Responses)
+		l.deliverAppended(m.Appended)
 		handle(&m)
 	}
 }
@@ -135,11 +139,13 @@
 		case m.Echo = <-l.pongs:
 			m.OwnerTime = bootTime(time.Now())
 			m.Owner, identity = identity, ""
-			if l.reach != nil {
-				m.Reach = l.reach()
+			if l.ownReach != nil {
+				m.Reach = l.ownReach()
 			}
 		case c := <-l.calls:
 			m.Calls = collectBatch(l.calls, c)
+		case x := <-l.appends:
+			m.Appends = collectBatch(l.appends, x)
 		case r := <-l.appended:
 			m.Appended = collectBatch(l.appended, r)
 		}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -28,6 +28,8 @@
 	Owner    string         `msgpack:",omitempty"`
 	Calls    []call         `msgpack:",omitempty"`
 	Appended []appendResult `msgpack:",omitempty"`
+	// Appends are appends through the relay; only a relay that says that it reaches the store gets any.
+	Appends []appendRequest `msgpack:",omitempty"`
 }
 
 // toOwner is a frame from a relay to an owner.
@@ -39,6 +41,9 @@
 	Leaving   bool            `msgpack:",omitempty"`
 	Responses []response      `msgpack:"Answers,omitempty"`
 	Appends   []appendRequest `msgpack:",omitempty"`
+	// Reach is in a ping whether the relay reaches the store; earlier versions neither send nor read it.
+	Reach    storepath.Reach `msgpack:",omitempty"`
+	Appended []appendResult  `msgpack:",omitempty"`
 }
 
 // call is one call to a worker; its instants are on the owner's boot clock, 0 for none.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -12,7 +12,8 @@
 	*Pool
 	*Agent
 	// Listen is the address to which relays connect, empty where none may.
-	Listen string
+	Listen  string
+	avoided avoided
 }
 
 // Run serves both roles until the context is cancelled.
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -90,7 +90,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	l := newLink(c, p.Identity)
-	l.reach = p.Reach
+	l.ownReach = p.Reach
 	var w sync.WaitGroup
 	w.Go(func() {
 		if err := l.writeLoop(); err != nil {
@@ -109,7 +109,7 @@
 // handle serves the appends of a frame, and registers the relay that it introduces or removes a relay that is leaving.
 func (p *Pool) handle(ctx context.Context, l *link, m *toOwner) {
 	for i := range m.Appends {
-		go p.serveAppend(ctx, l, &m.Appends[i])
+		go appendServer(p.Append).serve(ctx, &m.Appends[i], l.appended, l.closed)
 	}
 	if m.Hello == nil && !m.Leaving {
 		return
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -96,8 +96,9 @@
 	pool    *Pool
 	address string
 	local   *fakeWorkers
-	// reach is what the owner says about its path to the store.
-	reach atomic.Int64
+	// reach is what the owner and the relays say about their paths to the store, and relayAppend stores what relays are to append.
+	reach       atomic.Int64
+	relayAppend func(ctx context.Context, l []jobserve.Record) error
 }
 
 func newHarness(t *testing.T) *harness {
@@ -105,7 +106,7 @@
 	h := &harness{T: t, local: &fakeWorkers{}}
 	h.pool = NewPool(h.local, 1.0/directWorkersPerCore, zerolog.Nop())
 	h.pool.Identity = "owner|1"
-	h.pool.Reach = func() storepath.Reach { return storepath.Reach(h.reach.Load()) }
+	h.pool.Reach = h.ownReach
 	h.pool.SetWorkerCount(2)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -123,11 +124,14 @@
 	return h
 }
 
+func (h *harness) ownReach() storepath.Reach { return storepath.Reach(h.reach.Load()) }
+
 // connectRelay connects a relay; the returned function stops it.
 func (h *harness) connectRelay(name, domain string) (*fakeWorkers, *Agent, func()) {
 	h.Helper()
 	w := &fakeWorkers{}
 	a := NewAgent(Hello{name, domain}, w, zerolog.Nop())
+	a.Reach, a.Append = h.ownReach, h.relayAppend
 	ctx, cancel := context.WithCancel(h.Context())
 	done := make(chan struct{})
 	go func() {
--- a/internal/storepath/choice.go
+++ b/internal/storepath/choice.go
@@ -18,8 +18,8 @@
 
 // Peer is an instance to which records can be handed over.
 type Peer struct {
-	Address string
-	Reach   Reach
+	Name  string
+	Reach Reach
 	// AvoidUntil is the instant up to which the peer is not used, since an append through it has failed.
 	AvoidUntil time.Time
 	// Rank orders the peers for one instance, and differs between instances, so that these do not all choose the same peer.
@@ -42,7 +42,7 @@
 // Decision is a choice with its details.
 type Decision struct {
 	Choice Choice
-	// Peer is the address of the peer to which the record is handed over.
+	// Peer is the name of the peer to which the record is handed over.
 	Peer string
 	// Elsewhere means, for a rejection, that another instance may serve the caller.
 	Elsewhere bool
@@ -67,8 +67,8 @@
 	if len(usable) == 0 {
 		return Decision{Choice: Reject, Elsewhere: elsewhere}
 	}
-	p := slices.MinFunc(usable, func(a, b Peer) int { return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Address, b.Address)) })
-	return Decision{Choice: HandOver, Peer: p.Address}
+	p := slices.MinFunc(usable, func(a, b Peer) int { return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Name, b.Name)) })
+	return Decision{Choice: HandOver, Peer: p.Name}
 }
 
 const (
--- a/internal/storepath/path_test.go
+++ b/internal/storepath/path_test.go
@@ -272,7 +272,7 @@
 }
 
 func TestRecordsGoToAPeerThatReachesTheStore(t *testing.T) {
-	l := []Peer{{Address: "a", Reach: ReachesNothing}, {Address: "b", Reach: ReachesStore, Rank: 2}, {Address: "c", Reach: ReachUnknown}, {Address: "d", Reach: ReachesStore, Rank: 1}}
+	l := []Peer{{Name: "a", Reach: ReachesNothing}, {Name: "b", Reach: ReachesStore, Rank: 2}, {Name: "c", Reach: ReachUnknown}, {Name: "d", Reach: ReachesStore, Rank: 1}}
 	require.Equal(t, Decision{Choice: Append}, Choose(Suspect, l, epoch))
 	require.Equal(t, Decision{Choice: HandOver, Peer: "d"}, Choose(Down, l, epoch))
 	require.Equal(t, Decision{Choice: HandOver, Peer: "d"}, Choose(Probing, l, epoch))
@@ -280,16 +280,16 @@
 
 // A peer that says that it reaches the store, and does not, was chosen again and again.
 func TestPeerThatFailedIsNotUsedForAWhile(t *testing.T) {
-	l := []Peer{{Address: "liar", Reach: ReachesStore, AvoidUntil: epoch.Add(time.Second)}}
+	l := []Peer{{Name: "liar", Reach: ReachesStore, AvoidUntil: epoch.Add(time.Second)}}
 	require.Equal(t, Decision{Choice: Reject, Elsewhere: true}, Choose(Down, l, epoch))
-	l = append(l, Peer{Address: "b", Reach: ReachesStore, Rank: 9})
+	l = append(l, Peer{Name: "b", Reach: ReachesStore, Rank: 9})
 	require.Equal(t, Decision{Choice: HandOver, Peer: "b"}, Choose(Down, l, epoch))
 	require.Equal(t, Decision{Choice: HandOver, Peer: "liar"}, Choose(Down, l, epoch.Add(time.Second)))
 }
 
 func TestRecordsAreRejectedIfNoPeerReachesTheStore(t *testing.T) {
 	require.Equal(t, Decision{Choice: Reject}, Choose(Down, nil, epoch))
-	require.Equal(t, Decision{Choice: Reject}, Choose(Down, []Peer{{Address: "a", Reach: ReachesNothing}}, epoch))
+	require.Equal(t, Decision{Choice: Reject}, Choose(Down, []Peer{{Name: "a", Reach: ReachesNothing}}, epoch))
 }
 
 func TestRejectedCallersAreSpreadWhileTheStoreIsAwayForAll(t *testing.T) {
@@ -312,7 +312,7 @@
 		}
 		return ready
 	}
-	reaching, away := Peer{Address: "a", Reach: ReachesStore}, Peer{Address: "b", Reach: ReachesNothing}
+	reaching, away := Peer{Name: "a", Reach: ReachesStore}, Peer{Name: "b", Reach: ReachesNothing}
 	avoided := reaching
 	avoided.AvoidUntil = epoch.Add(time.Hour)
 	require.True(t, after(time.Minute, Up))
