--- a/internal/storepath/path_test.go
+++ b/internal/storepath/path_test.go
@@ -21,6 +21,7 @@
 	pollWait    = 900 * time.Millisecond
 	callTimeout = 800 * time.Millisecond
 	backoff     = 150 * time.Millisecond
+	probePause  = 400 * time.Millisecond
 	never       = time.Hour
 )
 
@@ -52,6 +53,8 @@
 	wait  time.Duration
 	pause time.Duration
 	store store
+	// probes means that calls are made only while the path is not Up.
+	probes bool
 
 	id       uint64
 	inFlight bool
@@ -68,6 +71,7 @@
 	callers []*caller
 	// clock returns the reading of the clock at an instant.
 	clock func(time.Duration) time.Time
+	state State
 	// changedAt holds, by state, the instants at which it was entered.
 	changedAt map[State][]time.Duration
 }
@@ -76,10 +80,10 @@
 
 func steady(at time.Duration) time.Time { return epoch.Add(at) }
 
-// newReplay returns an instance with a long poll, and, if busy, with appends.
+// newReplay returns an instance with a long poll and probes, and, if busy, with appends.
 func newReplay(t *testing.T, s store, busy bool) *replay {
 	r := &replay{T: t, path: NewPath(testLimits), clock: steady, changedAt: make(map[State][]time.Duration)}
-	r.callers = append(r.callers, &caller{wait: pollWait, store: s})
+	r.callers = append(r.callers, &caller{wait: pollWait, store: s}, &caller{pause: probePause, store: s, probes: true})
 	if busy {
 		r.callers = append(r.callers, &caller{pause: 20 * time.Millisecond, store: s})
 	}
@@ -112,19 +116,21 @@
 	}
 }
 
-// run replays the calls until the given instant.
-func (r *replay) run(until time.Duration) {
-	state := Up
-	for at := time.Duration(0); at < until; at += step {
+// run replays the calls from the beginning until the given instant.
+func (r *replay) run(until time.Duration) { r.runFrom(0, until) }
+
+// runFrom replays the calls from the instant at which the replay is until another one.
+func (r *replay) runFrom(from, until time.Duration) {
+	for at := from; at < until; at += step {
 		for _, c := range r.callers {
 			switch {
 			case c.inFlight && at >= c.endsAt:
 				r.path.End(c.id, r.clock(at), c.outcome)
 				c.inFlight, c.nextAt = false, at+c.pause
-				if c.outcome != Answered {
+				if c.outcome != Answered && !c.probes {
 					c.nextAt = at + backoff
 				}
-			case !c.inFlight && at >= c.nextAt:
+			case !c.inFlight && at >= c.nextAt && (!c.probes || r.path.State() != Up):
 				c.begin(r.path, at, r.clock)
 			}
 		}
@@ -132,9 +138,9 @@
 			r.path.Tick(r.clock(at))
 		}
 		for _, x := range r.path.TakeChanges() {
-			require.NotEqual(r, state, x.State)
-			state = x.State
-			r.changedAt[state] = append(r.changedAt[state], at)
+			require.NotEqual(r, r.state, x.State)
+			r.state = x.State
+			r.changedAt[x.State] = append(r.changedAt[x.State], at)
 		}
 	}
 }
