--- a/internal/jobserve/storemonitor.go
+++ b/internal/jobserve/storemonitor.go
@@ -20,6 +20,8 @@
 	monitorInterval = 50 * time.Millisecond
 	// maxMonitorGap is the time between two judgements from which on the process has not run in between.
 	maxMonitorGap = 300 * time.Millisecond
+	// suspectFor is how long a path stays Suspect after the latest evidence.
+	suspectFor = time.Second
 	// suspectAfter, downAfter and maxDownAfter bound how long a call is overdue. A slow store responds within 240 ms.
 	suspectAfter = 250 * time.Millisecond
 	downAfter    = 400 * time.Millisecond
@@ -114,7 +116,7 @@
 // NewStoreMonitor returns a monitor by which the store is reachable.
 func NewStoreMonitor(m *Metrics, l zerolog.Logger) *StoreMonitor {
 	limits := storepath.Limits{
-		SuspectAfter: suspectAfter, DownAfter: downAfter, MaxDownAfter: maxDownAfter, MinResponseAge: minResponseAge, OutlivedAfter: outlivedAfter,
+		SuspectFor: suspectFor, SuspectAfter: suspectAfter, DownAfter: downAfter, MaxDownAfter: maxDownAfter, MinResponseAge: minResponseAge, OutlivedAfter: outlivedAfter,
 		RefusedCalls: refusedCalls, RefusedFor: refusedFor, UpResponses: upResponses, UpFor: upFor, MaxGap: maxMonitorGap,
 	}
 	appends := limits
--- a/internal/storepath/path.go
+++ b/internal/storepath/path.go
@@ -42,8 +42,11 @@
 
 // Limits are the thresholds of a path.
 type Limits struct {
+	// SuspectFor is how long a path stays Suspect after the latest evidence, so that the state does not alternate while some calls
+	// fail.
+	SuspectFor time.Duration
 	// SuspectAfter and DownAfter are how long a call is overdue, with no other response in between, when the path is Suspect and
-	// Down. DownAfter is multiplied by the latency if that is long, up to MaxDownAfter.
+	// Down. DownAfter grows with the latency, up to MaxDownAfter.
 	SuspectAfter time.Duration
 	DownAfter    time.Duration
 	MaxDownAfter time.Duration
@@ -84,6 +87,8 @@
 	limits  Limits
 	state   State
 	latency time.Duration
+	// suspectUntil is the instant up to which the path stays Suspect.
+	suspectUntil time.Time
 	// now is the latest reading of the clock; it is zero before the first.
 	now time.Time
 	// respondedAt is the latest answered call.
@@ -178,7 +183,7 @@
 	if d >= 0 && d <= p.limits.MaxGap {
 		return
 	}
-	for _, t := range []*time.Time{&p.respondedAt, &p.lostDue, &p.refusedAt, &p.answeredAt} {
+	for _, t := range []*time.Time{&p.respondedAt, &p.lostDue, &p.refusedAt, &p.answeredAt, &p.suspectUntil} {
 		if !t.IsZero() {
 			*t = t.Add(d)
 		}
@@ -227,33 +232,38 @@
 // judge enters the state that the evidence calls for.
 func (p *Path) judge(now time.Time) {
 	silence := p.silence(now)
-	refusedFor := time.Duration(0)
-	if p.refused > 0 {
-		refusedFor = now.Sub(p.refusedAt)
+	if silence >= p.limits.SuspectAfter || p.refused > 0 {
+		p.suspectUntil = now.Add(p.limits.SuspectFor)
 	}
-	l := &p.limits
 	switch p.state {
 	case Up, Suspect:
-		switch {
-		case silence >= p.downAfter() && p.LastResponseAge(now) >= l.MinResponseAge:
-			p.enter(Down, CauseUnanswered, now)
-		case p.refused >= l.RefusedCalls && refusedFor >= l.RefusedFor:
-			p.enter(Down, CauseRejected, now)
-		case silence >= l.SuspectAfter:
-			p.enter(Suspect, CauseUnanswered, now)
-		case p.refused > 0:
-			p.enter(Suspect, CauseRejected, now)
-		default:
-			p.enter(Up, CauseResponse, now)
-		}
+		p.judgeUsable(now, silence)
 	case Probing:
 		switch {
 		case silence >= p.downAfter():
 			p.enter(Down, CauseUnanswered, now)
-		case p.answered >= l.UpResponses && now.Sub(p.answeredAt) >= l.UpFor:
+		case p.answered >= p.limits.UpResponses && now.Sub(p.answeredAt) >= p.limits.UpFor:
 			p.enter(Up, CauseResponse, now)
 		}
 	case Down:
+		// Only a response ends this state.
+	}
+}
+
+// judgeUsable enters the state that the evidence calls for while the path is Up or Suspect.
+func (p *Path) judgeUsable(now time.Time, silence time.Duration) {
+	l := &p.limits
+	switch {
+	case silence >= p.downAfter() && p.LastResponseAge(now) >= l.MinResponseAge:
+		p.enter(Down, CauseUnanswered, now)
+	case p.refused >= l.RefusedCalls && now.Sub(p.refusedAt) >= l.RefusedFor:
+		p.enter(Down, CauseRejected, now)
+	case silence >= l.SuspectAfter:
+		p.enter(Suspect, CauseUnanswered, now)
+	case p.refused > 0:
+		p.enter(Suspect, CauseRejected, now)
+	case !now.Before(p.suspectUntil):
+		p.enter(Up, CauseResponse, now)
 	}
 }
 
--- a/internal/storepath/path_test.go
+++ b/internal/storepath/path_test.go
@@ -9,7 +9,7 @@
 
 // testLimits are those of a job instance for all calls.
 var testLimits = Limits{
-	SuspectAfter: 250 * time.Millisecond, DownAfter: 400 * time.Millisecond, MaxDownAfter: 1200 * time.Millisecond, MinResponseAge: 800 * time.Millisecond,
+	SuspectFor: time.Second, SuspectAfter: 250 * time.Millisecond, DownAfter: 400 * time.Millisecond, MaxDownAfter: 1200 * time.Millisecond, MinResponseAge: 800 * time.Millisecond,
 	OutlivedAfter: 150 * time.Millisecond, RefusedCalls: 3, RefusedFor: 300 * time.Millisecond, UpResponses: 3, UpFor: 200 * time.Millisecond, MaxGap: 300 * time.Millisecond,
 }
 
@@ -188,6 +188,18 @@
 	require.Empty(t, r.changedAt[Down])
 }
 
+// The store refused one kind of calls while it answered others: each refusal and each answer changed the state and wrote a line.
+func TestSuspectPathDoesNotAlternate(t *testing.T) {
+	const from, to = 5 * time.Second, 10 * time.Second
+	r := newReplay(t, well, true)
+	r.callers[0].store = between(from, to, refuses)
+	r.run(15 * time.Second)
+	require.Empty(t, r.changedAt[Down])
+	require.Len(t, r.changedAt[Suspect], 1)
+	require.Len(t, r.changedAt[Up], 1)
+	require.GreaterOrEqual(t, r.changedAt[Up][0], to)
+}
+
 // Slow responses are responses: instances that hand over while the store is only slow make it slower.
 func TestPathStaysUsableWhileTheStoreIsSlow(t *testing.T) {
 	for _, busy := range []bool{true, false} {
