While the path is Suspect, only records that were sent are sent again

Cause: an append times out after 0.7 s, before the path is Down; its repeat took along the records behind it, whose outcome then was unknown too (504 where nothing had been sent before). Change: records that may have been applied are repeated by themselves while the path is Suspect. Tests of the patience with latency and of calls that are given up.

--- a/internal/jobserve/batcher.go
+++ b/internal/jobserve/batcher.go
@@ -237,13 +237,19 @@
 }
 
 // nextBatch removes records from the queue and returns those whose callers still wait, within the given number and maxBatchBytes.
+// While the path is Suspect, records that may have been applied are sent again by themselves, so that nothing of the records behind
+// them has been sent if the path turns out to be Down.
 func (b *batcher) nextBatch(limit int) []*pendingRecord {
+	suspect := b.monitor.appendState() == storepath.Suspect
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var l []*pendingRecord
 	size := 0
 	for len(b.waiting) > 0 && len(l) < limit && size < maxBatchBytes {
 		p := b.waiting[0]
+		if suspect && len(l) > 0 && l[0].maybeApplied && !p.maybeApplied {
+			break
+		}
 		b.waiting = b.waiting[1:]
 		if p.ctx.Err() == nil && !p.withdrawn {
 			p.taken = true
--- a/internal/jobserve/storemonitor_test.go
+++ b/internal/jobserve/storemonitor_test.go
@@ -276,6 +276,19 @@
 	})
 }
 
+// The append of the first record timed out before the path was Down, and was repeated together with the records behind it.
+func TestRecordsBehindARepeatedAppendAreNotSent(t *testing.T) {
+	withPath(t, func(f *pathFixture) {
+		f.store.silentAppends.Store(true)
+		sent := f.later("sent")
+		time.Sleep(50 * time.Millisecond)
+		queued := f.later("queued")
+		f.awaitDown()
+		require.ErrorIs(f, <-queued, ErrNotAccepted, "the path for appends is Down only after the first append has timed out")
+		require.ErrorIs(f, <-sent, ErrOutcomeUnknown)
+	})
+}
+
 func TestRecordsAreHandedOverWhileThePathIsDown(t *testing.T) {
 	withPath(t, func(f *pathFixture) {
 		other := &cutStore{stored: make(map[string]int)}
--- a/internal/storepath/path_test.go
+++ b/internal/storepath/path_test.go
@@ -211,6 +211,32 @@
 	}
 }
 
+// The store becomes slower step by step, until a response takes longer than what is Down at first.
+func TestPatienceGrowsWithTheLatency(t *testing.T) {
+	latencies := []time.Duration{4 * time.Millisecond, 240 * time.Millisecond, 600 * time.Millisecond, 750 * time.Millisecond}
+	const phase = 4 * time.Second
+	r := newReplay(t, well, false)
+	r.callers = []*caller{{pause: 100 * time.Millisecond, store: func(at time.Duration) (time.Duration, bool) {
+		return latencies[min(int(at/phase), len(latencies)-1)], false
+	}}}
+	r.run(time.Duration(len(latencies)) * phase)
+	require.Empty(t, r.changedAt[Down])
+}
+
+// Callers that give each call up after a short time must not hide the silence.
+func TestCallsThatAreGivenUpAreEvidence(t *testing.T) {
+	p := NewPath(testLimits)
+	now := epoch
+	p.End(p.Begin(now, now), now, Answered)
+	for p.State() != Down && now.Before(epoch.Add(2*time.Second)) {
+		id := p.Begin(now, now)
+		now = now.Add(200 * time.Millisecond)
+		p.End(id, now, Unanswered)
+	}
+	require.Equal(t, Down, p.State())
+	require.LessOrEqual(t, now.Sub(epoch), time.Second)
+}
+
 // A call on a dead connection was answered by nobody, while all others were.
 func TestCallThatOthersOutlivedDoesNotMakeThePathDown(t *testing.T) {
 	r := newReplay(t, well, true)
