--- a/internal/storepath/path_test.go
+++ b/internal/storepath/path_test.go
@@ -9,7 +9,7 @@
 
 // testLimits are those of a job instance for all calls.
 var testLimits = Limits{
-	SuspectAfter: 250 * time.Millisecond, DownAfter: 400 * time.Millisecond, MaxDownAfter: 1200 * time.Millisecond, MinResponseAge: 800 * time.Millisecond,
+	SuspectFor: time.Second, SuspectAfter: 250 * time.Millisecond, DownAfter: 400 * time.Millisecond, MaxDownAfter: 1200 * time.Millisecond, MinResponseAge: 800 * time.Millisecond,
 	OutlivedAfter: 150 * time.Millisecond, RefusedCalls: 3, RefusedFor: 300 * time.Millisecond, UpResponses: 3, UpFor: 200 * time.Millisecond, MaxGap: 300 * time.Millisecond,
 }
 
@@ -21,6 +21,7 @@
 	pollWait    = 900 * time.Millisecond
 	callTimeout = 800 * time.Millisecond
 	backoff     = 150 * time.Millisecond
+	probePause  = 400 * time.Millisecond
 	never       = time.Hour
 )
 
@@ -52,6 +53,8 @@
 	wait  time.Duration
 	pause time.Duration
 	store store
+	// probes means that calls are made only while the path is not Up.
+	probes bool
 
 	id       uint64
 	inFlight bool
@@ -68,6 +71,7 @@
 	callers []*caller
 	// clock returns the reading of the clock at an instant.
 	clock func(time.Duration) time.Time
+	state State
 	// changedAt holds, by state, the instants at which it was entered.
 	changedAt map[State][]time.Duration
 }
@@ -76,10 +80,10 @@
 
 func steady(at time.Duration) time.Time { return epoch.Add(at) }
 
-// newReplay returns an instance with a long poll, and, if busy, with appends.
+// newReplay returns an instance with a long poll and probes, and, if busy, with appends.
 func newReplay(t *testing.T, s store, busy bool) *replay {
 	r := &replay{T: t, path: NewPath(testLimits), clock: steady, changedAt: make(map[State][]time.Duration)}
-	r.callers = append(r.callers, &caller{wait: pollWait, store: s})
+	r.callers = append(r.callers, &caller{wait: pollWait, store: s}, &caller{pause: probePause, store: s, probes: true})
 	if busy {
 		r.callers = append(r.callers, &caller{pause: 20 * time.Millisecond, store: s})
 	}
@@ -112,19 +116,21 @@
 	}
 }
 
-// run replays the calls until the given instant.
-func (r *replay) run(until time.Duration) {
-	state := Up
-	for at := time.Duration(0); at < until; at += step {
+// run replays the calls from the beginning until the given instant.
+func (r *replay) run(until time.Duration) { r.runFrom(0, until) }
+
+// runFrom replays the calls from the instant at which the replay is until another one.
+func (r *replay) runFrom(from, until time.Duration) {
+	for at := from; at < until; at += step {
 		for _, c := range r.callers {
 			switch {
 			case c.inFlight && at >= c.endsAt:
 				r.path.End(c.id, r.clock(at), c.outcome)
 				c.inFlight, c.nextAt = false, at+c.pause
-				if c.outcome != Answered {
+				if c.outcome != Answered && !c.probes {
 					c.nextAt = at + backoff
 				}
-			case !c.inFlight && at >= c.nextAt:
+			case !c.inFlight && at >= c.nextAt && (!c.probes || r.path.State() != Up):
 				c.begin(r.path, at, r.clock)
 			}
 		}
@@ -132,9 +138,9 @@
 			r.path.Tick(r.clock(at))
 		}
 		for _, x := range r.path.TakeChanges() {
-			require.NotEqual(r, state, x.State)
-			state = x.State
-			r.changedAt[state] = append(r.changedAt[state], at)
+			require.NotEqual(r, r.state, x.State)
+			r.state = x.State
+			r.changedAt[x.State] = append(r.changedAt[x.State], at)
 		}
 	}
 }
@@ -182,6 +188,18 @@
 	require.Empty(t, r.changedAt[Down])
 }
 
+// The store refused one kind of calls while it answered others: each refusal and each answer changed the state and wrote a line.
+func TestSuspectPathDoesNotAlternate(t *testing.T) {
+	const from, to = 5 * time.Second, 10 * time.Second
+	r := newReplay(t, well, true)
+	r.callers[0].store = between(from, to, refuses)
+	r.run(15 * time.Second)
+	require.Empty(t, r.changedAt[Down])
+	require.Len(t, r.changedAt[Suspect], 1)
+	require.Len(t, r.changedAt[Up], 1)
+	require.GreaterOrEqual(t, r.changedAt[Up][0], to)
+}
+
 // Slow responses are responses: instances that hand over while the store is only slow make it slower.
 func TestPathStaysUsableWhileTheStoreIsSlow(t *testing.T) {
 	for _, busy := range []bool{true, false} {
@@ -193,6 +211,32 @@
 	}
 }
 
+// The store becomes slower step by step, until a response takes longer than what is Down at first.
+func TestPatienceGrowsWithTheLatency(t *testing.T) {
+	latencies := []time.Duration{4 * time.Millisecond, 240 * time.Millisecond, 600 * time.Millisecond, 750 * time.Millisecond}
+	const phase = 4 * time.Second
+	r := newReplay(t, well, false)
+	r.callers = []*caller{{pause: 100 * time.Millisecond, store: func(at time.Duration) (time.Duration, bool) {
+		return latencies[min(int(at/phase), len(latencies)-1)], false
+	}}}
+	r.run(time.Duration(len(latencies)) * phase)
+	require.Empty(t, r.changedAt[Down])
+}
+
+// Callers that give each call up after a short time must not hide the silence.
+func TestCallsThatAreGivenUpAreEvidence(t *testing.T) {
+	p := NewPath(testLimits)
+	now := epoch
+	p.End(p.Begin(now, now), now, Answered)
+	for p.State() != Down && now.Before(epoch.Add(2*time.Second)) {
+		id := p.Begin(now, now)
+		now = now.Add(200 * time.Millisecond)
+		p.End(id, now, Unanswered)
+	}
+	require.Equal(t, Down, p.State())
+	require.LessOrEqual(t, now.Sub(epoch), time.Second)
+}
+
 // A call on a dead connection was answered by nobody, while all others were.
 func TestCallThatOthersOutlivedDoesNotMakeThePathDown(t *testing.T) {
 	r := newReplay(t, well, true)
@@ -272,7 +316,7 @@
 }
 
 func TestRecordsGoToAPeerThatReachesTheStore(t *testing.T) {
-	l := []Peer{{Address: "a", Reach: ReachesNothing}, {Address: "b", Reach: ReachesStore, Rank: 2}, {Address: "c", Reach: ReachUnknown}, {Address: "d", Reach: ReachesStore, Rank: 1}}
+	l := []Peer{{Name: "a", Reach: ReachesNothing}, {Name: "b", Reach: ReachesStore, Rank: 2}, {Name: "c", Reach: ReachUnknown}, {Name: "d", Reach: ReachesStore, Rank: 1}}
 	require.Equal(t, Decision{Choice: Append}, Choose(Suspect, l, epoch))
 	require.Equal(t, Decision{Choice: HandOver, Peer: "d"}, Choose(Down, l, epoch))
 	require.Equal(t, Decision{Choice: HandOver, Peer: "d"}, Choose(Probing, l, epoch))
@@ -280,16 +324,16 @@
 
 // A peer that says that it reaches the store, and does not, was chosen again and again.
 func TestPeerThatFailedIsNotUsedForAWhile(t *testing.T) {
-	l := []Peer{{Address: "liar", Reach: ReachesStore, AvoidUntil: epoch.Add(time.Second)}}
+	l := []Peer{{Name: "liar", Reach: ReachesStore, AvoidUntil: epoch.Add(time.Second)}}
 	require.Equal(t, Decision{Choice: Reject, Elsewhere: true}, Choose(Down, l, epoch))
-	l = append(l, Peer{Address: "b", Reach: ReachesStore, Rank: 9})
+	l = append(l, Peer{Name: "b", Reach: ReachesStore, Rank: 9})
 	require.Equal(t, Decision{Choice: HandOver, Peer: "b"}, Choose(Down, l, epoch))
 	require.Equal(t, Decision{Choice: HandOver, Peer: "liar"}, Choose(Down, l, epoch.Add(time.Second)))
 }
 
 func TestRecordsAreRejectedIfNoPeerReachesTheStore(t *testing.T) {
 	require.Equal(t, Decision{Choice: Reject}, Choose(Down, nil, epoch))
-	require.Equal(t, Decision{Choice: Reject}, Choose(Down, []Peer{{Address: "a", Reach: ReachesNothing}}, epoch))
+	require.Equal(t, Decision{Choice: Reject}, Choose(Down, []Peer{{Name: "a", Reach: ReachesNothing}}, epoch))
 }
 
 func TestRejectedCallersAreSpreadWhileTheStoreIsAwayForAll(t *testing.T) {
@@ -312,7 +356,7 @@
 		}
 		return ready
 	}
-	reaching, away := Peer{Address: "a", Reach: ReachesStore}, Peer{Address: "b", Reach: ReachesNothing}
+	reaching, away := Peer{Name: "a", Reach: ReachesStore}, Peer{Name: "b", Reach: ReachesNothing}
 	avoided := reaching
 	avoided.AvoidUntil = epoch.Add(time.Hour)
 	require.True(t, after(time.Minute, Up))
