Tasks and gangs wait for a place in their rack while that pays

Cause: a worker in the rack of a step's data came first, but nothing ever waited for one, so that a task took several times as long elsewhere although its rack had a place soon. A rack-sensitive gang tried labels in sorted order, so that a label that racks share could come before a rack's own.

Change: internal/locality forecasts the places of a rack and decides, by expected ends, whether a task waits. The wait ends at a stored instant, at most what the rack saves and 2 s after the first wait of the task, for a job older than its owner after its submission. Waiting tasks claim places, so that the others start elsewhere, and hold no capacity. The factor comes from the settings (bounds.far_x); without it nothing waits. Gangs try racks before shared labels.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/locality"
 	"currantknot.dev/currantknot/internal/relay"
 	"currantknot.dev/currantknot/internal/settings"
 	"currantknot.dev/currantknot/platform"
@@ -69,7 +70,7 @@
 	node.Append = service.AppendFor
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, ShutdownTimeout: s.ShutdownTimeout,
-		Lease: min(s.MaxLease, maxLease), FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, StartBounds: s.StartBounds, AppendLimits: s.AppendLimits, Identity: id,
+		Lease: min(s.MaxLease, maxLease), FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, StartBounds: s.StartBounds, OffRackFactor: locality.Factor(s.OffRackFactor), AppendLimits: s.AppendLimits, Identity: id,
 		Store: store, Replica: replica, State: state,
 		Workers: jobserve.InstrumentWorkers(node, m), Relays: node, Directory: platform.NewDirectory(platformStore, l),
 		Advisor: platform.NewPlacementAdvisor(s.PlacementAdvisorAddress), Maintenance: platform.NewMaintenanceClient(s.MaintenanceAddress, s.Name, platformStore),
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -8,18 +8,21 @@
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
-// placeGang starts all tasks of a gang or none. A rack-sensitive gang is placed on workers that share a label, such as
-// that of their rack, if all tasks of the gang fit on such workers, and otherwise on any workers.
+// placeGang starts all tasks of a gang or none. A rack-sensitive gang is placed on workers that share a label, that of a rack
+// first, if all tasks of the gang fit on such workers or soon will, and otherwise on any workers.
 func (p *Planner) placeGang(c *candidateStep, now time.Time) {
-	racks := []string{""}
-	if c.step.RackSensitive {
-		racks = append(p.workerLabels(), "")
-	}
-	for _, r := range racks {
+	labels, racks := p.gangLabels(c)
+	for i, r := range labels {
 		l := p.fitGang(c, r, now)
 		if l == nil {
 			continue
 		}
+		if i >= racks && p.gangWaitsForRack(c, labels[:racks], now) {
+			return
+		}
+		if x := p.racks.waits[c.tasks[0].Ref]; x != nil {
+			x.inRack = i < racks
+		}
 		p.assignGang(c, l, now)
 		return
 	}
@@ -47,22 +50,6 @@
 	return true
 }
 
-// workerLabels returns all worker labels, sorted; they name racks and kinds of workers.
-func (p *Planner) workerLabels() []string {
-	seen := make(map[string]bool)
-	for _, w := range p.workerList {
-		for _, l := range w.Labels {
-			seen[l] = true
-		}
-	}
-	r := make([]string, 0, len(seen))
-	for l := range seen {
-		r = append(r, l)
-	}
-	slices.Sort(r)
-	return r
-}
-
 // fitGang returns a worker for each member of a gang among the workers with a label, or nil if not all members fit.
 func (p *Planner) fitGang(c *candidateStep, label string, now time.Time) []*worker {
 	free := make(map[*worker]jobs.Resources)
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -37,6 +37,11 @@
 	LostAttempts int
 	// GivenUp counts the jobs that were given up since workers were lost under a task.
 	GivenUp int
+	// RackWaits counts the waits for a rack that began, RackWaitsPaid those after which the task ends earlier than if it had started
+	// elsewhere at once, and RackWaitsUnpaid the others that ended with a start.
+	RackWaits       int
+	RackWaitsPaid   int
+	RackWaitsUnpaid int
 }
 
 // TakeCounts returns the counts and resets them.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -19,6 +19,7 @@
 	p.isolation.begin(p.workerList, p.schedulable)
 	p.unplaceable = make(map[placementClass]jobs.Resources)
 	p.waits.begin(now)
+	p.racks.begin()
 	p.overdue.begin(p.schedulable, now)
 	p.updateReservations(l, now)
 	p.placeSteps(l, now)
@@ -95,13 +96,19 @@
 func (p *Planner) placeStep(c *candidateStep, now time.Time) {
 	if p.isUnplaceable(c, c.tasks[0]) {
 		p.recordSkip(c, now)
+		p.claimRack(c, c.tasks, now)
 		p.placeOverdue(c, c.tasks[0], now)
 		return
 	}
 	l := p.rateWorkers(c, now)
-	for _, t := range c.tasks {
-		r := p.findWorker(c, t, l, now)
+	var r *rating
+	for i, t := range c.tasks {
+		// While tasks only wait for their rack, the best worker elsewhere stays the same.
+		if r == nil || len(t.FailedAt) > 0 {
+			r = p.findWorker(c, t, l, now)
+		}
 		if r == nil {
+			p.claimRack(c, c.tasks[i:], now)
 			if c.job.Queue.NeedsPermit {
 				p.requestAdvice(c, now)
 			}
@@ -109,10 +116,17 @@
 			return
 		}
 		p.waits.remove(t)
+		if p.waitsForRack(c, t, r.worker, now) {
+			if len(t.FailedAt) > 0 {
+				r = nil
+			}
+			continue
+		}
 		p.assign(c.job, t, r.worker, now)
 		var e exclusion
 		r.score, e = p.score(r.worker, c, now)
 		r.eligible = e == notExcluded
+		r = nil
 	}
 }
 
@@ -192,6 +206,7 @@
 		p.reserve.add(w.Pool, t.Spec)
 	}
 	p.dirty[j.ID] = j
+	p.recordRackStart(j, t, w, now)
 	x, _ := p.permitFor(w, j, stepRef(t), now)
 	p.orders = append(p.orders, Order{
 		Ref: t.Ref, Kind: OrderStart, Run: t.Run, Worker: w.ID, Address: w.Address, Payload: j.Payload, Checkpoint: t.Checkpoint, Permit: x,
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/locality"
 )
 
 const (
@@ -35,7 +36,9 @@
 	// overlap.
 	MaintenanceDelay time.Duration
 	StartBounds      StartBounds
-	Logger           zerolog.Logger
+	// OffRackFactor is the factor by which a task takes longer outside the rack of its data or its gang, 0 if it is not known.
+	OffRackFactor locality.Factor
+	Logger        zerolog.Logger
 }
 
 // Planner schedules the jobs of one owner on the workers.
@@ -74,6 +77,7 @@
 	reservations reservations
 	waits        waitTracker
 	overdue      overdueBudget
+	racks        rackWaits
 	advice       map[StepRef]*advice
 	// waves holds the maintenance waves by number, and instances the platform's list of instances by ID.
 	waves     map[int]*waveState
@@ -109,7 +113,7 @@
 		Config: c, takeoverAt: now,
 		workers: make(map[string]*worker), jobs: make(map[string]*jobs.Job), active: make(map[string]*jobs.Job),
 		drainedDomains: make(map[string]bool), dirty: make(map[string]*jobs.Job),
-		waits: newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
+		waits: newWaitTracker(), racks: newRackWaits(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: newRunTimeEstimates(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
 		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
 		aside: make(map[string]bool), recentLosses: make(map[string]loss), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -137,6 +137,7 @@
 	}
 	p.Logger.Info().Str("Job", j.ID).Str("Decision", "JobOver").Str("State", string(j.State())).Dur("Age", now.Sub(j.SubmittedAt)).Msg("job finished")
 	p.waits.removeJob(j)
+	p.racks.removeJob(j)
 	delete(p.overdue.jobs, j.ID)
 	p.removeRates(j)
 	p.isolation.removeJob(j)
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/dispatch"
+	"currantknot.dev/currantknot/internal/locality"
 )
 
 const (
@@ -50,6 +51,8 @@
 	// StartBounds bounds the ages of what starts rest on.
 	StartBounds  dispatch.StartBounds
 	AppendLimits AppendLimits
+	// OffRackFactor is the factor by which a task takes longer outside the rack of its data or its gang, 0 if it is not known.
+	OffRackFactor locality.Factor
 	// FinishedJobRetention is how long callers may query a finished job.
 	FinishedJobRetention time.Duration
 	// Identity identifies this process in the group that elects the owner.
@@ -140,7 +143,7 @@
 	RunOwner(ctx, OwnerConfig{
 		Identity: i.Identity.String(), Predecessor: predecessor, Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Advisor: i.Advisor, Maintenance: i.Maintenance,
 		State: i.State, MaintenanceDelay: i.MaintenanceDelay,
-		LastCommit: i.commits.unchangedSince, Lease: i.Lease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, StartBounds: i.StartBounds, AppendLimits: i.AppendLimits, Metrics: i.Metrics, Logger: i.Logger,
+		LastCommit: i.commits.unchangedSince, Lease: i.Lease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, StartBounds: i.StartBounds, OffRackFactor: i.OffRackFactor, AppendLimits: i.AppendLimits, Metrics: i.Metrics, Logger: i.Logger,
 	})
 }
 
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -30,6 +30,8 @@
 	{metricWorkersAge, "gauge", "age of the list of workers by which this owner starts tasks, in seconds; 0 on other instances"},
 	{metricOperatorsAge, "gauge", "age of what this instance knows of operators' changes, in seconds"},
 	{metricRequestsAge, "gauge", "age of what this instance knows of submissions and cancellations, in seconds"},
+	{metricRackWaits, "counter", "waits of tasks and gangs for a place in their rack that began under this owner"},
+	{metricRackWaitsEnded, "counter", "such waits that ended with a start, by whether the task was then expected to end earlier than by a start elsewhere at once (label `paid`, `true` or `false`)"},
 	{metricLinesDropped, "counter", "log lines dropped because the byte budget was spent or the reader was slow"},
 }
 
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -36,6 +36,8 @@
 	metricWorkersAge       = "currantknot_worker_list_age_seconds"
 	metricOperatorsAge     = "currantknot_operators_age_seconds"
 	metricRequestsAge      = "currantknot_requests_age_seconds"
+	metricRackWaits        = "currantknot_rack_waits_total"
+	metricRackWaitsEnded   = "currantknot_rack_waits_ended_total"
 	metricLinesDropped     = "currantknot_log_lines_dropped_total"
 )
 
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -11,6 +11,7 @@
 	"currantknot.dev/currantknot/internal/bootclock"
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/locality"
 )
 
 const (
@@ -71,6 +72,8 @@
 	// StartBounds bounds the ages of what starts rest on.
 	StartBounds  dispatch.StartBounds
 	AppendLimits AppendLimits
+	// OffRackFactor is the factor by which a task takes longer outside the rack of its data or its gang, 0 if it is not known.
+	OffRackFactor locality.Factor
 	// FinishedJobRetention is how long callers may query a finished job; if it is 0, records are kept forever.
 	FinishedJobRetention time.Duration
 	// MaintenanceDelay is the time after a takeover in which no maintenance is ordered.
@@ -237,6 +240,7 @@
 	for cause, n := range c.LostWorkers {
 		o.Metrics.Add(metricLostWorkers, label("cause", cause), n)
 	}
+	o.countRackWaits(c)
 	if c.LostAttempts > 0 {
 		o.Metrics.Add(metricLostAttempts, "", c.LostAttempts)
 	}
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -113,7 +113,7 @@
 	}
 	now := time.Now()
 	p := dispatch.New(dispatch.Config{
-		Lease: o.Lease, StoreLossGrace: o.StoreLossGrace, LastCommitAt: o.lastCommitAt(end, now), MaintenanceDelay: o.MaintenanceDelay, StartBounds: o.StartBounds, Logger: o.Logger,
+		Lease: o.Lease, StoreLossGrace: o.StoreLossGrace, LastCommitAt: o.lastCommitAt(end, now), MaintenanceDelay: o.MaintenanceDelay, StartBounds: o.StartBounds, OffRackFactor: o.OffRackFactor, Logger: o.Logger,
 	}, now)
 	if b := o.Replica.Progress(snapshotKey); b != nil {
 		if err := p.RestoreSnapshot(b); err != nil {
