--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/locality"
 )
 
 // BenchmarkPlan measures a plan for 66 and 490 workers, the sizes of the two deployments after their growth, with a
@@ -57,3 +58,42 @@
 		})
 	}
 }
+
+// BenchmarkPlanWithFullRacks measures a plan for 490 workers on which steps wait for full racks while others have capacity.
+func BenchmarkPlanWithFullRacks(b *testing.B) {
+	for _, factor := range []locality.Factor{0, 2} {
+		b.Run(fmt.Sprint(factor), func(b *testing.B) {
+			now := time.Unix(1_700_000_000, 0)
+			p := New(Config{Lease: testLease, StoreLossGrace: testStoreLossGrace, OffRackFactor: factor, Logger: zerolog.Nop()}, now)
+			var l []WorkerInfo
+			for i := range 490 {
+				l = append(l, testWorker(i))
+			}
+			p.SetWorkers(l, now)
+			for _, info := range l {
+				p.HandleReport(Report{Worker: info.ID, Incarnation: testIncarnation, RequestedAt: now}, now)
+			}
+			// Half of the racks are full of tasks of 700 ms.
+			for n := range 60 {
+				p.AddJob(testJob(testID(n), now, jobs.Step{
+					Tasks: 32, Size: jobs.Resources{MilliCPU: 4000, MemoryMB: 1000}, Estimate: 700 * time.Millisecond, Label: fmt.Sprintf("rack-%d", n),
+				}), now)
+			}
+			p.Plan(now)
+			p.TakeChanges()
+			for n := range 40 {
+				j := testJob(testID(1000+n), now, jobs.Step{
+					Tasks: 20, Size: jobs.Resources{MilliCPU: 7000, MemoryMB: 1000}, Estimate: 2 * time.Second, DataRack: fmt.Sprintf("rack-%d", n%60),
+				})
+				j.Queue.TargetLatency = time.Minute
+				p.AddJob(j, now)
+			}
+			b.ResetTimer()
+			for range b.N {
+				p.Plan(now)
+				p.TakeChanges()
+			}
+			b.ReportMetric(float64(p.waiting), "waiting")
+		})
+	}
+}
--- a/internal/dispatch/rackwait.go
+++ b/internal/dispatch/rackwait.go
@@ -21,6 +21,8 @@
 	// of the first of them are racks.
 	labels []string
 	racks  int
+	// decide decides on the wait of a task.
+	decide func(*jobs.Task, locality.Evidence, locality.Wait) (locality.Wait, bool)
 	// factorLogged means that a missing factor was logged.
 	factorLogged bool
 }
@@ -44,7 +46,12 @@
 }
 
 func newRackWaits() rackWaits {
-	return rackWaits{waits: make(map[jobs.Ref]*rackWait), forecasts: make(map[string]*rackForecast)}
+	return rackWaits{
+		waits: make(map[jobs.Ref]*rackWait), forecasts: make(map[string]*rackForecast),
+		decide: func(_ *jobs.Task, e locality.Evidence, w locality.Wait) (locality.Wait, bool) {
+			return locality.Decide(e, w)
+		},
+	}
 }
 
 // begin begins a plan.
@@ -185,7 +192,7 @@
 
 // decideRackWait decides whether a task waits for a place in a rack, and stores the wait.
 func (p *Planner) decideRackWait(c *candidateStep, t *jobs.Task, rack string, x locality.Place, now time.Time) bool {
-	w, ok := locality.Decide(locality.Evidence{
+	w, ok := p.racks.decide(t, locality.Evidence{
 		Now: now, Factor: p.OffRackFactor, Took: p.runTimes.estimate(c.job.Queue.Name, c.step), Place: x, Slack: c.slack, From: p.rackWaitFrom(c, t, now),
 	}, p.racks.of(t))
 	if !ok {
--- a/internal/dispatch/rackwait_test.go
+++ b/internal/dispatch/rackwait_test.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,6 +28,8 @@
 	endedAt   map[jobs.Ref]time.Time
 	// silent holds the workers that do not respond.
 	silent map[string]bool
+	// inRack counts the starts of tasks in their rack.
+	inRack int
 	// took returns the run time of a task in its rack, nil if it is the estimate.
 	took func(jobs.Ref) time.Duration
 }
@@ -66,7 +71,11 @@
 	r.Helper()
 	r.advance(50 * time.Millisecond)
 	running, finished := make(map[string][]RunningAttempt), make(map[string][]FinishedAttempt)
-	for ref, x := range r.running {
+	l := slices.SortedFunc(maps.Keys(r.running), func(a, b jobs.Ref) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+	})
+	for _, ref := range l {
+		x := r.running[ref]
 		w := x.order.Worker
 		switch {
 		case r.silent[w]:
@@ -97,7 +106,9 @@
 	if r.took != nil {
 		d = r.took(o.Ref)
 	}
-	if !r.isInRack(o) {
+	if r.isInRack(o) {
+		r.inRack++
+	} else {
 		d = time.Duration(r.offRack * float64(d))
 	}
 	r.running[o.Ref] = &replayed{order: o, until: r.now.Add(d)}
@@ -191,6 +202,36 @@
 	require.LessOrEqual(t, r.lastEnd(j).Sub(at), 2*time.Second)
 }
 
+// A place that goes to a task which can run nowhere else is none for a task that could start elsewhere now.
+func TestPlacesOfTasksThatFoundNoWorkerAreNotWaitedFor(t *testing.T) {
+	r := newRackReplay(t, 16, testOffRack)
+	r.fill(600 * time.Millisecond)
+	bound := dataStep(16, time.Second)
+	bound.Label = "rack-0"
+	r.add(2, bound)
+	j := r.add(3, dataStep(4, 1200*time.Millisecond))
+	r.step()
+	require.Equal(t, 4, j.Assigned())
+	require.Empty(t, r.log.with(t, "WaitForRack"))
+}
+
+// A forecast that a plan made before it started tasks in the rack would promise their places to others.
+func TestStartsOfAPlanAreInItsForecasts(t *testing.T) {
+	r := newRackReplay(t, 16, testOffRack)
+	r.fillRack(1, "rack-0", 12, 600*time.Millisecond)
+	r.step()
+	large := dataStep(4, 3*time.Second)
+	large.Size.MilliCPU = 16000
+	r.add(2, large)
+	bound := dataStep(4, 3100*time.Millisecond)
+	bound.Label = "rack-0"
+	started := r.add(3, bound)
+	j := r.add(4, dataStep(8, 3200*time.Millisecond))
+	r.step()
+	require.Equal(t, 4, started.Assigned())
+	require.Equal(t, 4, j.Assigned(), "one place is left on each of the four workers")
+}
+
 // A wait for a rack whose tasks run on for longer than expected must not keep a job from running.
 func TestJobIsNotIdleForLongWhileItsRackStaysFull(t *testing.T) {
 	r := newRackReplay(t, 16, testOffRack)
--- a/internal/locality/forecast.go
+++ b/internal/locality/forecast.go
@@ -102,37 +102,39 @@
 // slow returns how long work of the given duration at the usual speed takes on the worker.
 func (t *timeline) slow(d time.Duration) time.Duration { return time.Duration(float64(d) / t.speed) }
 
-// fitsAt returns when a size is expected to be free, and false if it is not within MaxWait.
-func (t *timeline) fitsAt(s Size) (time.Time, bool) {
+// fitsAt returns when a size is expected to be free and what is free then, and false if it is not within MaxWait.
+func (t *timeline) fitsAt(s Size) (time.Time, Size, bool) {
 	at, free := t.at, t.free
 	if free.canFit(s) {
-		return at, true
+		return at, free, true
 	}
 	for _, e := range t.ends {
+		if e.At.After(at) && free.canFit(s) {
+			break
+		}
 		free = free.plus(e.Size)
 		if e.At.After(at) {
 			at = e.At
 		}
-		if free.canFit(s) {
-			return at, true
-		}
 	}
-	return time.Time{}, false
+	return at, free, free.canFit(s)
 }
 
-// Next returns the place with the earliest expected end, and false if there is none within MaxWait.
+// Next returns the place with the earliest expected end, of several the one on the worker with the most free CPU then, as a plan
+// places tasks. It returns false if there is none within MaxWait.
 func (f *Forecast) Next(n Need) (Place, bool) {
 	var best Place
+	most := 0
 	found := false
 	for i := range f.workers {
 		t := &f.workers[i]
-		at, ok := t.fitsAt(n.Fit)
+		at, free, ok := t.fitsAt(n.Fit)
 		if !ok || n.MayUse != nil && !n.MayUse(i) {
 			continue
 		}
 		x := Place{Worker: i, At: at, End: at.Add(t.slow(n.Took))}
-		if !found || x.End.Before(best.End) {
-			best, found = x, true
+		if !found || x.End.Before(best.End) || x.End.Equal(best.End) && free.MilliCPU > most {
+			best, most, found = x, free.MilliCPU, true
 		}
 	}
 	return best, found
