currantknot where: where a job would go now and why

Cause: an operator could not tell where a job would be placed, or why it would wait, without submitting it.

Change: Planner.Where answers with the code of the plan on copies of what that code changes. The owner serves it at /where of the metrics address, for one request at a time and 20 steps; another instance names the owner. The command reads a job in the callers' form or the identity of a submitted job, and prints a table or JSON. Instances of the process tests listen for metrics. How much of an account's cap is in use is not in the answer yet, nor the order among jobs that wait.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -75,7 +75,7 @@
 		Workers: jobserve.InstrumentWorkers(node, m), Relays: node, Directory: platform.NewDirectory(platformStore, l),
 		Advisor: platform.NewPlacementAdvisor(s.PlacementAdvisorAddress), Maintenance: platform.NewMaintenanceClient(s.MaintenanceAddress, s.Name, platformStore),
 		Operators: platform.NewOperatorWatcher(platformStore, l), CallerHandler: platform.NewCallerHandler(state, service, l),
-		MetricsListen: metricsListen, Metrics: m, Log: w, Logger: l,
+		MetricsListen: metricsListen, DecodeJob: platform.DecodeJob, Metrics: m, Log: w, Logger: l,
 	})
 }
 
--- a/cmd/currantknot/main.go
+++ b/cmd/currantknot/main.go
@@ -44,6 +44,7 @@
 	Platform *platformCommand `arg:"subcommand:platform" help:"run the stand-in platform"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run the stand-in platform and three instances under load and faults, and print a report"`
 	Jobs     *jobsCommand     `arg:"subcommand:jobs" help:"run one instance that accepts and runs jobs, on the platform of a settings file"`
+	Where    *whereCommand    `arg:"subcommand:where" help:"tell where a job would go now and why, without submitting it"`
 	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -88,6 +89,8 @@
 		return c.Demo
 	case c.Jobs != nil:
 		return c.Jobs
+	case c.Where != nil:
+		return c.Where
 	case c.Version != nil:
 		return c.Version
 	}
@@ -128,7 +131,8 @@
 	return exitOK
 }
 
-// exitCode maps an error to an exit code by the type of the error, and a *operator.ResponseError by its HTTP status.
+// exitCode maps an error to an exit code by the type of the error, and a *operator.ResponseError or *whereError by its HTTP
+// status.
 func exitCode(err error) int {
 	var (
 		s *settings.Error
@@ -136,12 +140,15 @@
 		f *operator.ResponseError
 		a *argumentError
 		p *platform.SettingsError
+		w *whereError
 	)
 	switch {
 	case errors.As(err, &s), errors.As(err, &d), errors.As(err, &a), errors.As(err, &p):
 		return exitInput
 	case errors.As(err, &f):
 		return exitCodeOfStatus(f.Status)
+	case errors.As(err, &w):
+		return exitCodeOfStatus(w.status)
 	}
 	return exitFailed
 }
--- a/cmd/currantknot/main_test.go
+++ b/cmd/currantknot/main_test.go
@@ -10,6 +10,9 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
+	"currantknot.dev/currantknot/internal/dispatch"
+	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/jobserve"
 	"currantknot.dev/currantknot/internal/operator"
 	"currantknot.dev/currantknot/pkg/document"
 )
@@ -36,6 +39,35 @@
 	goldie.New(t).Assert(t, "status", b.Bytes())
 }
 
+func TestPrintWhere(t *testing.T) {
+	at := time.Unix(1_800_000_000, 0)
+	x := &jobserve.WhereResponse{
+		Instance: "node-1", At: at, Queue: "r", Pool: "pool",
+		Account: &jobserve.WhereAccount{Name: "kaje80", Known: true, Weight: 18, Cap: jobs.Resources{MilliCPU: 6021205, MemoryMB: 11270505}},
+		Answer: &dispatch.JobPlacement{State: jobs.StatePending, Truncated: true, Steps: []dispatch.StepPlacement{
+			{
+				Tasks: 20, Ready: true, Slack: 1500 * time.Millisecond, Takers: 1, Excluded: map[string]int{"NoCapacity": 1, "Silent": 1},
+				Workers: []dispatch.WorkerPlacement{
+					{Worker: "i-03", Score: 0.5, FreeMilliCPU: 16000, FreeMemoryMB: 1000},
+					{Worker: "i-01", Reason: "NoCapacity", InRack: true},
+					{Worker: "i-02", Reason: "Silent"},
+				},
+				Rack: &dispatch.RackPlacement{
+					Rack: "rack-0", Workers: 1, Waits: true, Deadline: at.Add(900 * time.Millisecond), HasPlace: true, PlaceAt: at.Add(600 * time.Millisecond),
+					EndInRack: at.Add(2600 * time.Millisecond), EndElsewhere: at.Add(4 * time.Second),
+				},
+			},
+			{Step: 1, Tasks: 2, Gang: []string{"i-03", "i-04"}, GangLabel: "rack-1", Rack: &dispatch.RackPlacement{Rack: "rack-9", EndElsewhere: at.Add(time.Second)}},
+		}},
+	}
+	var b bytes.Buffer
+	require.NoError(t, printTable(&b, whereRows(x, 2)...))
+	goldie.New(t).Assert(t, "where", b.Bytes())
+	b.Reset()
+	require.NoError(t, printTable(&b, whereRows(&jobserve.WhereResponse{Instance: "node-1", Answer: &dispatch.JobPlacement{State: jobs.StateCompleted}}, 2)...))
+	require.Contains(t, b.String(), "no task waits, state Completed")
+}
+
 func TestExitCodes(t *testing.T) {
 	for name, tc := range map[string]struct {
 		args []string
@@ -51,6 +83,8 @@
 		"instance is down": {[]string{"status", "--instance", "http://127.0.0.1:1"}, exitFailed},
 		"short demo":       {[]string{"demo", "--seconds", "1"}, exitFailed},
 		"no subcommand":    {[]string{"document"}, exitInput},
+		"where, no queue":  {[]string{"where"}, exitInput},
+		"where, down":      {[]string{"where", "--instance", "http://127.0.0.1:1", "--job", "0"}, exitFailed},
 		"platform, no doc": {[]string{"platform"}, exitInput},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/dispatch/rackwait.go
+++ b/internal/dispatch/rackwait.go
@@ -192,9 +192,7 @@
 
 // decideRackWait decides whether a task waits for a place in a rack, and stores the wait.
 func (p *Planner) decideRackWait(c *candidateStep, t *jobs.Task, rack string, x locality.Place, now time.Time) bool {
-	w, ok := p.racks.decide(t, locality.Evidence{
-		Now: now, Factor: p.OffRackFactor, Took: p.runTimes.estimate(c.job.Queue.Name, c.step), Place: x, Slack: c.slack, From: p.rackWaitFrom(c, t, now),
-	}, p.racks.of(t))
+	w, ok := p.racks.decide(t, p.rackEvidence(c, t, x, now), p.racks.of(t))
 	if !ok {
 		return false
 	}
@@ -202,6 +200,13 @@
 	return true
 }
 
+// rackEvidence returns what is known of a task that could start elsewhere, or at a place in its rack.
+func (p *Planner) rackEvidence(c *candidateStep, t *jobs.Task, x locality.Place, now time.Time) locality.Evidence {
+	return locality.Evidence{
+		Now: now, Factor: p.OffRackFactor, Took: p.runTimes.estimate(c.job.Queue.Name, c.step), Place: x, Slack: c.slack, From: p.rackWaitFrom(c, t, now),
+	}
+}
+
 // rackWaitFrom returns the time from which the waits of a task count. The task may have waited under an earlier owner for as long
 // as its job is older than this owner.
 func (p *Planner) rackWaitFrom(c *candidateStep, t *jobs.Task, now time.Time) time.Time {
@@ -309,10 +314,10 @@
 
 // gangWaitsForRack reports whether a gang that could start on several racks waits for one of the given racks instead.
 func (p *Planner) gangWaitsForRack(c *candidateStep, racks []string, now time.Time) bool {
-	t := c.tasks[0]
-	if len(racks) == 0 || c.step.LongRunning || slices.ContainsFunc(c.tasks, func(t *jobs.Task) bool { return t.Checkpoint != "" }) || !p.mayWaitForRack() {
+	if !p.mayGangWait(c, racks) {
 		return false
 	}
+	t := c.tasks[0]
 	rack, x := p.nextRackForGang(c, racks, now)
 	if rack == "" || !x.At.After(now) || !p.decideRackWait(c, t, rack, x, now) {
 		p.suspendRackWait(t)
@@ -330,6 +335,12 @@
 	return true
 }
 
+// mayGangWait reports whether a gang may wait for one of the given racks.
+func (p *Planner) mayGangWait(c *candidateStep, racks []string) bool {
+	hasCheckpoint := func(t *jobs.Task) bool { return t.Checkpoint != "" }
+	return len(racks) > 0 && !c.step.LongRunning && !slices.ContainsFunc(c.tasks, hasCheckpoint) && p.mayWaitForRack()
+}
+
 // nextRackForGang returns the rack in which a gang is expected to end first, empty if there is none in which it fits in time.
 func (p *Planner) nextRackForGang(c *candidateStep, racks []string, now time.Time) (string, locality.Place) {
 	perWorker := math.MaxInt
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -70,11 +70,13 @@
 	State            *OperatorState
 	Replica          *Replica
 	CallerHandler    http.Handler
-	// MetricsListen is the listen address for metrics; if it is empty, none are served.
+	// MetricsListen is the listen address for metrics and for DecodeJob's jobs; if it is empty, none are served.
 	MetricsListen string
-	Metrics       *Metrics
-	Log           *LogWriter
-	Logger        zerolog.Logger
+	// DecodeJob decodes the jobs for which the instance tells where they would go; nil if it does not.
+	DecodeJob JobDecoder
+	Metrics   *Metrics
+	Log       *LogWriter
+	Logger    zerolog.Logger
 }
 
 // Instance is one process of the system. It serves callers, and is a member of the group that elects the owner of the jobs
@@ -86,6 +88,8 @@
 	// storeRespondedAt is the time of the latest response of the store, in nanoseconds since 1970.
 	storeRespondedAt atomic.Int64
 	commits          commitWatch
+	// owner is the owner that this instance runs, nil if it does not own the jobs.
+	owner atomic.Pointer[Owner]
 }
 
 // storeLossGrace is the time after the start of the latest successful commit in which an owner still grants leases.
@@ -142,7 +146,7 @@
 	i.Metrics.Add(metricTakeovers, "", 1)
 	RunOwner(ctx, OwnerConfig{
 		Identity: i.Identity.String(), Predecessor: predecessor, Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Advisor: i.Advisor, Maintenance: i.Maintenance,
-		State: i.State, MaintenanceDelay: i.MaintenanceDelay,
+		State: i.State, MaintenanceDelay: i.MaintenanceDelay, Announce: i.owner.Store,
 		LastCommit: i.commits.unchangedSince, Lease: i.Lease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, StartBounds: i.StartBounds, OffRackFactor: i.OffRackFactor, AppendLimits: i.AppendLimits, Metrics: i.Metrics, Logger: i.Logger,
 	})
 }
@@ -158,7 +162,7 @@
 		return err
 	}
 	if i.MetricsListen != "" {
-		if _, err := i.listen(ctx, i.MetricsListen, i.Metrics); err != nil {
+		if _, err := i.listen(ctx, i.MetricsListen, i.metricsHandler()); err != nil {
 			return err
 		}
 	}
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -78,8 +78,10 @@
 	FinishedJobRetention time.Duration
 	// MaintenanceDelay is the time after a takeover in which no maintenance is ordered.
 	MaintenanceDelay time.Duration
-	Metrics          *Metrics
-	Logger           zerolog.Logger
+	// Announce is called with the owner once it has taken over, and with nil when it stops.
+	Announce func(*Owner)
+	Metrics  *Metrics
+	Logger   zerolog.Logger
 }
 
 // Owner schedules all jobs for as long as this instance owns them.
@@ -136,6 +138,10 @@
 		return
 	}
 	defer o.Replica.DropProgress()
+	if o.Announce != nil {
+		o.Announce(o)
+		defer o.Announce(nil)
+	}
 	defer o.recordIdle(dispatch.Idle{})
 	o.Metrics.Gauge(metricWorkersAge, func() float64 { return o.workersAge().Seconds() })
 	defer o.Metrics.Set(metricWorkersAge, 0)
