--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -47,7 +47,7 @@
 type Idle struct {
 	// Held counts the attempts at workers that do not respond.
 	Held int
-	// Waiting counts the tasks whose turn has come and for which the latest plan found no worker.
+	// Waiting counts the tasks whose turn has come and for which the latest plan found no worker, or that wait for their rack.
 	Waiting int
 	// SetAside counts the jobs that are set aside.
 	SetAside int
--- a/internal/dispatch/rackwait_test.go
+++ b/internal/dispatch/rackwait_test.go
@@ -408,4 +408,5 @@
 		require.True(t, r.p.workers[x.Worker].hasLabel("rack-2"))
 	}
 	require.Empty(t, r.log.with(t, "WaitForRack"))
+	require.Empty(t, r.p.racks.forecasts, "no forecast is made if no step asks for it")
 }
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -21,7 +21,7 @@
 	{metricStoreAge, "gauge", "time since the last response of the store, in seconds"},
 	{metricJobs, "gauge", "jobs in the replica of this instance"},
 	{metricHeldAttempts, "gauge", "attempts that this owner keeps at workers that do not respond; 0 on other instances"},
-	{metricWaitingTasks, "gauge", "tasks whose turn has come and for which the latest plan of this owner found no worker; 0 on other instances"},
+	{metricWaitingTasks, "gauge", "tasks whose turn has come and for which the latest plan of this owner found no worker, or that wait for their rack; 0 on other instances"},
 	{metricLostWorkers, "counter", "workers that were lost with attempts, by how this owner knows it (label `cause`)"},
 	{metricLostAttempts, "counter", "attempts that were lost with their workers"},
 	{metricGivenUp, "counter", "jobs that were given up since workers were lost under one of their tasks"},
