Rack-sensitive gangs look only at the workers of each label

Cause: for each of some hundred labels a gang looked at all workers, 70 ms a plan for 20 gangs that fit nowhere and 490 workers.

Change: the plan's index of labels holds their workers.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -97,3 +97,27 @@
 		})
 	}
 }
+
+// BenchmarkPlanWithGangs measures a plan for 490 workers with rack-sensitive gangs that fit nowhere.
+func BenchmarkPlanWithGangs(b *testing.B) {
+	now := time.Unix(1_700_000_000, 0)
+	p := New(Config{Lease: testLease, StoreLossGrace: testStoreLossGrace, OffRackFactor: 2, Logger: zerolog.Nop()}, now)
+	var l []WorkerInfo
+	for i := range 490 {
+		l = append(l, testWorker(i))
+	}
+	p.SetWorkers(l, now)
+	for _, info := range l {
+		p.HandleReport(Report{Worker: info.ID, Incarnation: testIncarnation, RequestedAt: now}, now)
+	}
+	for n := range 20 {
+		p.AddJob(testJob(testID(n), now, jobs.Step{
+			Tasks: 20, Size: jobs.Resources{MilliCPU: 33000, MemoryMB: 1000}, Estimate: time.Second, Gang: true, RackSensitive: true,
+		}), now)
+	}
+	b.ResetTimer()
+	for range b.N {
+		p.Plan(now)
+		p.TakeChanges()
+	}
+}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -54,8 +54,8 @@
 func (p *Planner) fitGang(c *candidateStep, label string, now time.Time) []*worker {
 	free := make(map[*worker]jobs.Resources)
 	count := make(map[*worker]int)
-	for _, w := range p.workerList {
-		if p.isSchedulable(w, now) && p.offerExclusion(w, c, now) == notExcluded && w.hasLabel(label) && len(p.reservations.byWorker[w.ID]) == 0 {
+	for _, w := range p.workersWith(label) {
+		if p.isSchedulable(w, now) && p.offerExclusion(w, c, now) == notExcluded && len(p.reservations.byWorker[w.ID]) == 0 {
 			free[w] = w.free()
 		}
 	}
--- a/internal/dispatch/rackwait.go
+++ b/internal/dispatch/rackwait.go
@@ -21,6 +21,8 @@
 	// of the first of them are racks.
 	labels []string
 	racks  int
+	// byLabel holds the workers by label, made with labels.
+	byLabel map[string][]*worker
 	// decide decides on the wait of a task.
 	decide func(*jobs.Task, locality.Evidence, locality.Wait) (locality.Wait, bool)
 	// factorLogged means that a missing factor was logged.
@@ -304,14 +306,27 @@
 func (p *Planner) orderedLabels() ([]string, int) {
 	if p.racks.labels == nil {
 		l := make([][]string, len(p.workerList))
+		p.racks.byLabel = make(map[string][]*worker)
 		for i, w := range p.workerList {
 			l[i] = w.Labels
+			for _, label := range w.Labels {
+				p.racks.byLabel[label] = append(p.racks.byLabel[label], w)
+			}
 		}
 		p.racks.labels, p.racks.racks = locality.OrderLabels(l)
 	}
 	return p.racks.labels, p.racks.racks
 }
 
+// workersWith returns the workers with a label; every worker has the empty label.
+func (p *Planner) workersWith(label string) []*worker {
+	if label == "" {
+		return p.workerList
+	}
+	p.orderedLabels()
+	return p.racks.byLabel[label]
+}
+
 // gangWaitsForRack reports whether a gang that could start on several racks waits for one of the given racks instead.
 func (p *Planner) gangWaitsForRack(c *candidateStep, racks []string, now time.Time) bool {
 	if !p.mayGangWait(c, racks) {
