Replays of waits for racks run side by side

Cause: they took most of 44 s of the package's tests with -race.

Change: each load is a parallel subtest; figures are unchanged.

--- a/internal/dispatch/rackreplay_test.go
+++ b/internal/dispatch/rackreplay_test.go
@@ -25,6 +25,11 @@
 	offRack float64
 }
 
+// String names the load.
+func (l *rackLoad) String() string {
+	return fmt.Sprintf("%g jobs of %s a second, hot %g, factor %g", l.jobsPerSecond, l.took, l.hot, l.offRack)
+}
+
 // rackFigures are the results of a replay.
 type rackFigures struct {
 	mean, p50, p99 time.Duration
@@ -175,17 +180,19 @@
 		{jobsPerSecond: 3, hot: 0.3, took: 2 * time.Second, offRack: 2},
 		{jobsPerSecond: 4.5, hot: 0, took: 2 * time.Second, offRack: 1.5},
 	} {
-		none := replayRacks(t, l, func(*rackReplay) rackPolicy { return never })
-		f := replayRacks(t, l, nil)
-		t.Logf("%+v", l)
-		t.Logf("%-12s %v", "never", none)
-		if testing.Verbose() {
-			for _, p := range rackPolicies {
-				t.Logf("%-12s %v", p.name, replayRacks(t, l, p.make))
+		t.Run(l.String(), func(t *testing.T) {
+			t.Parallel()
+			none := replayRacks(t, l, func(*rackReplay) rackPolicy { return never })
+			f := replayRacks(t, l, nil)
+			t.Logf("%-12s %v", "never", none)
+			if testing.Verbose() {
+				for _, p := range rackPolicies {
+					t.Logf("%-12s %v", p.name, replayRacks(t, l, p.make))
+				}
 			}
-		}
-		t.Logf("%-12s %v", "expected end", f)
-		require.Less(t, f.mean, none.mean*95/100)
-		require.Greater(t, f.inTime, none.inTime-0.02)
+			t.Logf("%-12s %v", "expected end", f)
+			require.Less(t, f.mean, none.mean*95/100)
+			require.Greater(t, f.inTime, none.inTime-0.02)
+		})
 	}
 }
