--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/locality"
 	"currantknot.dev/currantknot/internal/relay"
 	"currantknot.dev/currantknot/internal/settings"
 	"currantknot.dev/currantknot/platform"
@@ -73,13 +74,13 @@
 	node.Pool.Append, node.Agent.Append = service.AppendFor, service.AppendFor
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, ShutdownTimeout: s.ShutdownTimeout,
-		Lease: min(s.MaxLease, maxLease), FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, StartBounds: s.StartBounds, AppendLimits: s.AppendLimits, Identity: id,
+		Lease: min(s.MaxLease, maxLease), FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, StartBounds: s.StartBounds, OffRackFactor: locality.Factor(s.OffRackFactor), AppendLimits: s.AppendLimits, Identity: id,
 		Store: store, Replica: replica, Monitor: monitor, State: state,
 		Workers: jobserve.InstrumentWorkers(node, m), Relays: node, Directory: platform.NewDirectory(platformStore, l),
 		Advisor: platform.NewPlacementAdvisor(s.PlacementAdvisorAddress), Maintenance: platform.NewMaintenanceClient(s.MaintenanceAddress, s.Name, platformStore),
 		Operators:     platform.NewOperatorWatcher(platformStore, l),
 		CallerHandler: platform.NewCallerHandler(platform.CallerHandlerConfig{State: state, Service: service, Metrics: m, MaxKeyAge: s.MaxKeyAge, Logger: l}),
-		MetricsListen: metricsListen, Metrics: m, Log: w, Logger: l,
+		MetricsListen: metricsListen, DecodeJob: platform.DecodeJob, Metrics: m, Log: w, Logger: l,
 	})
 }
 
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -42,6 +42,11 @@
 	// SlowAttempts counts, by cause, the attempts that were found slow, and MovedAttempts those that were stopped for it.
 	SlowAttempts  map[string]int
 	MovedAttempts map[string]int
+	// RackWaits counts the waits for a rack that began, RackWaitsPaid those after which the task ends earlier than if it had started
+	// elsewhere at once, and RackWaitsUnpaid the others that ended with a start.
+	RackWaits       int
+	RackWaitsPaid   int
+	RackWaitsUnpaid int
 }
 
 func (c *Counts) addSlow(x straggler.Cause) {
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/locality"
 	"currantknot.dev/currantknot/internal/runtimes"
 	"currantknot.dev/currantknot/internal/straggler"
 )
@@ -37,7 +38,9 @@
 	// overlap.
 	MaintenanceDelay time.Duration
 	StartBounds      StartBounds
-	Logger           zerolog.Logger
+	// OffRackFactor is the factor by which a task takes longer outside the rack of its data or its gang, 0 if it is not known.
+	OffRackFactor locality.Factor
+	Logger        zerolog.Logger
 }
 
 // Planner schedules the jobs of one owner on the workers.
@@ -77,6 +80,7 @@
 	reservations reservations
 	waits        waitTracker
 	overdue      overdueBudget
+	racks        rackWaits
 	advice       map[StepRef]*advice
 	// waves holds the maintenance waves by number, and instances the platform's list of instances by ID.
 	waves     map[int]*waveState
@@ -117,7 +121,7 @@
 		workers: make(map[string]*worker), jobs: make(map[string]*jobs.Job), active: make(map[string]*jobs.Job),
 		drainedDomains: make(map[string]bool), dirty: make(map[string]*jobs.Job),
 		accounts: newAccounts(),
-		waits:    newWaitTracker(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: runtimes.New(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
+		waits:    newWaitTracker(), racks: newRackWaits(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: runtimes.New(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
 		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
 		fleet: straggler.NewFleet(straggler.Evidence{}), aside: make(map[string]bool), releasedEnds: make(map[jobs.Ref]int), recentLosses: make(map[string]loss), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
 	}
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/dispatch"
+	"currantknot.dev/currantknot/internal/locality"
 )
 
 const (
@@ -52,6 +53,8 @@
 	// StartBounds bounds the ages of what starts rest on.
 	StartBounds  dispatch.StartBounds
 	AppendLimits AppendLimits
+	// OffRackFactor is the factor by which a task takes longer outside the rack of its data or its gang, 0 if it is not known.
+	OffRackFactor locality.Factor
 	// FinishedJobRetention is how long callers may query a finished job.
 	FinishedJobRetention time.Duration
 	// Identity identifies this process in the group that elects the owner.
@@ -71,11 +74,13 @@
 	// Monitor judges whether this instance reaches the store; without it, the age of the latest response does.
 	Monitor       *StoreMonitor
 	CallerHandler http.Handler
-	// MetricsListen is the listen address for metrics; if it is empty, none are served.
+	// MetricsListen is the listen address for metrics and for DecodeJob's jobs; if it is empty, none are served.
 	MetricsListen string
-	Metrics       *Metrics
-	Log           *LogWriter
-	Logger        zerolog.Logger
+	// DecodeJob decodes the jobs for which the instance tells where they would go; nil if it does not.
+	DecodeJob JobDecoder
+	Metrics   *Metrics
+	Log       *LogWriter
+	Logger    zerolog.Logger
 }
 
 // Instance is one process of the system. It serves callers, and is a member of the group that elects the owner of the jobs
@@ -87,6 +92,8 @@
 	// storeRespondedAt is the time of the latest response of the store, in nanoseconds since 1970.
 	storeRespondedAt atomic.Int64
 	commits          commitWatch
+	// owner is the owner that this instance runs, nil if it does not own the jobs.
+	owner atomic.Pointer[Owner]
 }
 
 // storeLossGrace is the time after the start of the latest successful commit in which an owner still grants leases.
@@ -144,8 +151,8 @@
 	i.Metrics.Add(metricTakeovers, "", 1)
 	RunOwner(ctx, OwnerConfig{
 		Identity: i.Identity.String(), Predecessor: predecessor, Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Advisor: i.Advisor, Maintenance: i.Maintenance,
-		State: i.State, MaintenanceDelay: i.MaintenanceDelay,
-		LastCommit: i.commits.unchangedSince, Lease: i.Lease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, StartBounds: i.StartBounds, AppendLimits: i.AppendLimits, Metrics: i.Metrics, Logger: i.Logger,
+		State: i.State, MaintenanceDelay: i.MaintenanceDelay, Announce: i.owner.Store,
+		LastCommit: i.commits.unchangedSince, Lease: i.Lease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, StartBounds: i.StartBounds, OffRackFactor: i.OffRackFactor, AppendLimits: i.AppendLimits, Metrics: i.Metrics, Logger: i.Logger,
 	})
 }
 
@@ -160,7 +167,7 @@
 		return err
 	}
 	if i.MetricsListen != "" {
-		if _, err := i.listen(ctx, i.MetricsListen, i.Metrics); err != nil {
+		if _, err := i.listen(ctx, i.MetricsListen, i.metricsHandler()); err != nil {
 			return err
 		}
 	}
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -25,7 +25,7 @@
 	{metricStorePathRecords, "counter", "records of callers that were not simply appended, by outcome: `handed_over` to a peer, `rejected` at once, `unknown` to the caller"},
 	{metricJobs, "gauge", "jobs in the replica of this instance"},
 	{metricHeldAttempts, "gauge", "attempts that this owner keeps at workers that do not respond; 0 on other instances"},
-	{metricWaitingTasks, "gauge", "tasks whose turn has come and for which the latest plan of this owner found no worker; 0 on other instances"},
+	{metricWaitingTasks, "gauge", "tasks whose turn has come and for which the latest plan of this owner found no worker, or that wait for their rack; 0 on other instances"},
 	{metricLostWorkers, "counter", "workers that were lost with attempts, by how this owner knows it (label `cause`)"},
 	{metricLostAttempts, "counter", "attempts that were lost with their workers"},
 	{metricGivenUp, "counter", "jobs that were given up since workers were lost under one of their tasks"},
@@ -36,6 +36,8 @@
 	{metricWorkersAge, "gauge", "age of the list of workers by which this owner starts tasks, in seconds; 0 on other instances"},
 	{metricOperatorsAge, "gauge", "age of what this instance knows of operators' changes, in seconds"},
 	{metricRequestsAge, "gauge", "age of what this instance knows of submissions and cancellations, in seconds"},
+	{metricRackWaits, "counter", "waits of tasks and gangs for a place in their rack that began under this owner"},
+	{metricRackWaitsEnded, "counter", "such waits that ended with a start, by whether the task was then expected to end earlier than by a start elsewhere at once (label `paid`, `true` or `false`)"},
 	{metricLinesDropped, "counter", "log lines dropped because the byte budget was spent or the reader was slow"},
 }
 
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -42,6 +42,8 @@
 	metricStorePath        = "currantknot_store_path_state"
 	metricStorePathChanges = "currantknot_store_path_changes_total"
 	metricStorePathRecords = "currantknot_store_path_records_total"
+	metricRackWaits        = "currantknot_rack_waits_total"
+	metricRackWaitsEnded   = "currantknot_rack_waits_ended_total"
 	metricLinesDropped     = "currantknot_log_lines_dropped_total"
 )
 
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -11,6 +11,7 @@
 	"currantknot.dev/currantknot/internal/bootclock"
 	"currantknot.dev/currantknot/internal/dispatch"
 	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/locality"
 )
 
 const (
@@ -75,12 +76,16 @@
 	// StartBounds bounds the ages of what starts rest on.
 	StartBounds  dispatch.StartBounds
 	AppendLimits AppendLimits
+	// OffRackFactor is the factor by which a task takes longer outside the rack of its data or its gang, 0 if it is not known.
+	OffRackFactor locality.Factor
 	// FinishedJobRetention is how long callers may query a finished job; if it is 0, records are kept forever.
 	FinishedJobRetention time.Duration
 	// MaintenanceDelay is the time after a takeover in which no maintenance is ordered.
 	MaintenanceDelay time.Duration
-	Metrics          *Metrics
-	Logger           zerolog.Logger
+	// Announce is called with the owner once it has taken over, and with nil when it stops.
+	Announce func(*Owner)
+	Metrics  *Metrics
+	Logger   zerolog.Logger
 }
 
 // Owner schedules all jobs for as long as this instance owns them.
@@ -139,6 +144,10 @@
 		return
 	}
 	defer o.Replica.DropProgress()
+	if o.Announce != nil {
+		o.Announce(o)
+		defer o.Announce(nil)
+	}
 	defer o.recordIdle(dispatch.Idle{})
 	o.Metrics.Gauge(metricWorkersAge, func() float64 { return o.workersAge().Seconds() })
 	defer o.Metrics.Set(metricWorkersAge, 0)
@@ -243,6 +252,7 @@
 	for cause, n := range c.LostWorkers {
 		o.Metrics.Add(metricLostWorkers, label("cause", cause), n)
 	}
+	o.countRackWaits(c)
 	if c.LostAttempts > 0 {
 		o.Metrics.Add(metricLostAttempts, "", c.LostAttempts)
 	}
