Accounts over their share of full workers come after the others

Cause: when workers are full, an account with more or larger jobs took capacity from all others.

Change: internal/quota.Shares sums use by pool and account, and gives each account a level by its dominant share against its weight among the accounts with work. Under (below half of its share): first within its priority, longest waiting first. Within: the present order. Over: after the others of its rank. Jobs without an account are Within. Levels are looked at before each task, so that they hold within a plan. A plan skips steps that had their turn. Wait lines have OverShare, DominantShare, use and cap.

--- a/internal/dispatch/accountrates_test.go
+++ b/internal/dispatch/accountrates_test.go
@@ -111,7 +111,7 @@
 	s.p.Plan(s.now)
 	l := log.with(t, "Wait")
 	require.Len(t, l, 2)
-	require.NotContains(t, l[0], "BeyondRate")
+	require.Equal(t, false, l[0]["BeyondRate"])
 	require.Equal(t, true, l[1]["BeyondRate"])
 	require.Equal(t, "a", l[1]["Account"])
 }
--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -21,13 +21,21 @@
 	hasJobs bool
 	ledger  *quota.Ledger
 	rates   *quota.Rates
+	shares  *quota.Shares
 	// cappedSince holds, by job ID, when a step of the job was first passed over since its account was at its cap. A start of a
 	// task of the job ends it.
 	cappedSince map[string]time.Time
+	// underSince holds since when accounts use less than half of their shares and have waiting work.
+	underSince map[poolAccount]time.Time
 }
 
+// poolAccount is an account in a pool.
+type poolAccount struct{ pool, account string }
+
+func poolAccountOf(j *jobs.Job) poolAccount { return poolAccount{j.Queue.Pool, j.Account} }
+
 func newAccounts() *accounts {
-	return &accounts{ledger: quota.NewLedger(), rates: quota.NewRates(), cappedSince: make(map[string]time.Time)}
+	return &accounts{ledger: quota.NewLedger(), rates: quota.NewRates(), shares: quota.NewShares(), cappedSince: make(map[string]time.Time)}
 }
 
 // SetAccounts sets the accounts of the newest configuration, which the planner keeps and the caller must not change. It costs
@@ -39,7 +47,9 @@
 	}
 	a.configured = l
 	a.ledger.SetCaps(l)
-	a.rates.SetWeights(quota.NewWeights(l))
+	w := quota.NewWeights(l)
+	a.rates.SetWeights(w)
+	a.shares.SetWeights(w)
 	p.Logger.Info().Int("Accounts", len(l)).Str("Decision", "AccountsSet").Msg("caps and weights of a new configuration are in force")
 }
 
@@ -64,10 +74,24 @@
 func (a *accounts) removeJob(id string) { a.rates.Remove(id) }
 
 // add adds an attempt or an orphan of a job.
-func (a *accounts) add(j *jobs.Job, s *jobs.Step) { a.ledger.Add(j.Account, s.Size) }
+func (a *accounts) add(j *jobs.Job, s *jobs.Step) {
+	a.ledger.Add(j.Account, s.Size)
+	a.shares.Add(j.Queue.Pool, j.Account, s.Size)
+}
 
 // remove removes an attempt or an orphan that was added.
-func (a *accounts) remove(j *jobs.Job, s *jobs.Step) { a.ledger.Remove(j.Account, s.Size) }
+func (a *accounts) remove(j *jobs.Job, s *jobs.Step) {
+	a.ledger.Remove(j.Account, s.Size)
+	a.shares.Remove(j.Queue.Pool, j.Account, s.Size)
+}
+
+// level returns how much the account of a job uses of its share of the pool.
+func (a *accounts) level(j *jobs.Job) quota.Level { return a.shares.Level(j.Queue.Pool, j.Account) }
+
+// isOverShare reports whether the account of a job uses more than its share of the pool.
+func (a *accounts) isOverShare(j *jobs.Job) bool {
+	return j.Account != "" && a.shares.IsOver(j.Queue.Pool, j.Account)
+}
 
 // fits reports whether the account of a step's job may start another task of the step, or the whole step if it is a gang.
 func (a *accounts) fits(c *candidateStep) bool {
@@ -92,6 +116,44 @@
 	return jobs.Resources{MilliCPU: n * r.MilliCPU, MemoryMB: n * r.MemoryMB, Accelerators: n * r.Accelerators}
 }
 
+// beginShares begins a plan with the given candidates. The capacity of a pool is that of the workers that are there to stay, also
+// while they do not respond for a moment.
+func (p *Planner) beginShares(l []candidateStep, now time.Time) {
+	if !p.accounts.inUse() {
+		return
+	}
+	m := make(map[string]jobs.Resources)
+	for _, w := range p.workerList {
+		if p.departureExclusion(w) == notExcluded {
+			m[w.Pool] = m[w.Pool].Plus(w.Capacity)
+		}
+	}
+	p.accounts.shares.Begin(m)
+	for i := range l {
+		p.accounts.shares.Wait(l[i].job.Queue.Pool, l[i].job.Account, times(l[i].step.Size, len(l[i].tasks)))
+	}
+	p.accounts.updateUnder(l, now)
+}
+
+// updateUnder records since when accounts use less than half of their shares and have waiting work.
+func (a *accounts) updateUnder(l []candidateStep, now time.Time) {
+	m := make(map[poolAccount]time.Time, len(a.underSince))
+	for i := range l {
+		k := poolAccountOf(l[i].job)
+		if _, ok := m[k]; ok || a.level(l[i].job) != quota.Under {
+			continue
+		}
+		m[k] = now
+		if t, ok := a.underSince[k]; ok {
+			m[k] = t
+		}
+	}
+	a.underSince = m
+}
+
+// underFrom returns since when the account of a job uses less than half of its share and has waiting work.
+func (a *accounts) underFrom(j *jobs.Job) time.Time { return a.underSince[poolAccountOf(j)] }
+
 // withinCaps returns the steps whose accounts may start another task of theirs.
 func (p *Planner) withinCaps(l []candidateStep) []candidateStep {
 	if !p.accounts.inUse() {
@@ -133,10 +195,7 @@
 	t := c.tasks[0]
 	e := p.Logger.Info().Str("Task", t.String()).Int("Run", t.Run).Dur("Waited", now.Sub(since)).Dur("Slack", c.slack).Float64("Left", c.remainingFraction).Int("OpenWorkers", len(p.schedulable)).
 		Int("NeedsMilliCPU", c.step.Size.MilliCPU).Int("NeedsMemoryMB", c.step.Size.MemoryMB).Int("Members", gangSize(c.step)).Int(excludedCap.String(), len(p.workerList))
-	if c.beyondRate {
-		e.Bool("BeyondRate", true)
-	}
-	p.logUse(e, c.job.Account).Str("Decision", "Wait").Msg("task waits since its account is at its cap")
+	p.logUse(e, c.job.Account).Bool("BeyondRate", c.beyondRate).Bool("OverShare", p.accounts.isOverShare(c.job)).Str("Decision", "Wait").Msg("task waits since its account is at its cap")
 }
 
 // gangSize returns the number of tasks of a step that start together.
@@ -150,7 +209,7 @@
 // logUse adds an account with its use and its cap to a log line.
 func (p *Planner) logUse(e *zerolog.Event, account string) *zerolog.Event {
 	u, c := p.accounts.ledger.Used(account), p.accounts.ledger.Cap(account)
-	return e.Str("Account", account).Bool("CapsKnown", p.accounts.ledger.IsKnown()).
+	return e.Str("Account", account).Bool("CapsKnown", p.accounts.ledger.IsKnown()).Float64("DominantShare", p.accounts.shares.Dominant(account)).
 		Int("UsedMilliCPU", u.MilliCPU).Int("UsedMemoryMB", u.MemoryMB).Int("UsedAccelerators", u.Accelerators).
 		Int("CapMilliCPU", c.MilliCPU).Int("CapMemoryMB", c.MemoryMB).Int("CapAccelerators", c.Accelerators)
 }
--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -54,9 +54,15 @@
 // separate conditions concern the end of a worker: Draining (the platform shuts the worker down), cordoned (the instance of
 // the worker is due for maintenance), and drainedDomains (operators drained the failure domain).
 func (p *Planner) viewExclusion(w *worker, now time.Time) exclusion {
-	switch {
-	case p.areViewsOutdated(now):
+	if p.areViewsOutdated(now) {
 		return excludedOldView
+	}
+	return p.departureExclusion(w)
+}
+
+// departureExclusion returns the reason for which a worker may not get any task since it has left or is to leave.
+func (p *Planner) departureExclusion(w *worker) exclusion {
+	switch {
 	case !w.listed:
 		return excludedUnlisted
 	case w.Draining:
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -21,6 +21,7 @@
 	p.waits.begin(now)
 	p.overdue.begin(p.schedulable, now)
 	p.updateReservations(l, now)
+	p.beginShares(l, now)
 	p.placeSteps(l, now)
 	p.waiting = countWaiting(p.withinCaps(l))
 	p.drainWorkers(now)
@@ -32,27 +33,9 @@
 	p.logHolds(now)
 }
 
-// placeSteps assigns the ready tasks of all steps: sound ones in the given order, and then those that may run only isolated.
-func (p *Planner) placeSteps(l []candidateStep, now time.Time) {
-	var later []*candidateStep
-	for _, c := range l {
-		if p.aside[c.job.ID] {
-			continue
-		}
-		p.guard(c.job, func() {
-			if s := p.placeCandidate(&c, now); s != nil {
-				later = append(later, s)
-			}
-		})
-	}
-	for _, c := range later {
-		p.guard(c.job, func() { p.placeIsolated(c, now) })
-	}
-}
-
 // placeCandidate assigns the ready tasks of a step, and returns those that may run only isolated, nil if there are none.
 func (p *Planner) placeCandidate(c *candidateStep, now time.Time) *candidateStep {
-	if p.passOverAtCap(c, now) {
+	if p.passOverAtCap(c, now) || p.putOff(c) {
 		return nil
 	}
 	var later *candidateStep
@@ -105,10 +88,14 @@
 		return
 	}
 	l := p.rateWorkers(c, now)
-	for _, t := range c.tasks {
+	for i, t := range c.tasks {
 		if p.passOverAtCap(c, now) {
 			return
 		}
+		if p.putOff(c) {
+			c.tasks = c.tasks[i:]
+			return
+		}
 		r := p.findWorker(c, t, l, now)
 		if r == nil {
 			if c.job.Queue.NeedsPermit {
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/quota"
 )
 
 // candidateStep is a step with its tasks that are ready to start.
@@ -15,6 +16,11 @@
 	tasks []*jobs.Task
 	// beyondRate means that the job was submitted beyond the rate of its account.
 	beyondRate bool
+	// level is how much of their share the accounts may use whose turn it is, and isPutOff means that the account uses more.
+	// hadTurn means that the step was not put off when its turn came.
+	level    quota.Level
+	isPutOff bool
+	hadTurn  bool
 	urgency
 }
 
@@ -50,7 +56,8 @@
 //  5. Steps whose jobs can no longer meet their objective.
 //
 // Jobs that were submitted beyond the rate of their account come after all
-// others, in the same order.
+// others, in the same order. While tasks are placed, steps whose accounts are
+// over their share come later; see placeSteps.
 func (p *Planner) candidateSteps(now time.Time) []candidateStep {
 	var l []candidateStep
 	for _, j := range p.active {
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -117,8 +117,8 @@
 	if x.skipped {
 		e.Bool("Skipped", true)
 	}
-	if c.beyondRate {
-		e.Str("Account", c.job.Account).Bool("BeyondRate", true)
+	if c.job.Account != "" {
+		p.logUse(e, c.job.Account).Bool("BeyondRate", c.beyondRate).Bool("OverShare", p.accounts.isOverShare(c.job))
 	}
 	if x.suspect {
 		e.Bool("Suspect", true).Int("Losses", t.Suspicion.Losses)
