An append without an answer is answered with 504 at once while the path is Down and no peer is left

Cause: a record that was handed over to the only peer while all processes stood still for 0.5 s got no answer in 450 ms, and was held for the 2 s for which the peer is avoided (200 after 2.6 s; once). Change: the outcome of records that may have been applied is answered as unknown at once if neither the store nor a peer can be used; a repeat at another instance serves the caller sooner.

--- a/internal/jobserve/batcher.go
+++ b/internal/jobserve/batcher.go
@@ -200,21 +200,20 @@
 	b.requeue(l, sent && !isNotApplied(err))
 }
 
-// reject rejects the records of a batch of which nothing can have been applied; the others wait for the store or a peer.
+// reject answers the callers of a batch for which there is neither the store nor a peer: records of which nothing can have been applied
+// are rejected, and the outcome of the others is unknown. Their callers are better off with a repeat at another instance than held.
 func (b *batcher) reject(l []*pendingRecord, d storepath.Decision) {
-	var keep []*pendingRecord
+	unknown := 0
 	for _, p := range l {
 		if p.maybeApplied {
-			keep = append(keep, p)
+			unknown++
+			p.result <- ErrOutcomeUnknown
 			continue
 		}
 		p.result <- b.monitor.rejection(d)
 	}
-	b.monitor.countRecords("rejected", len(l)-len(keep))
-	b.requeue(keep, true)
-	if len(keep) > 0 {
-		time.Sleep(appendBackoff)
-	}
+	b.monitor.countRecords("unknown", unknown)
+	b.monitor.countRecords("rejected", len(l)-unknown)
 }
 
 // requeue puts records at the head of the queue; sent means that they may have been applied.
--- a/internal/jobserve/storemonitor_test.go
+++ b/internal/jobserve/storemonitor_test.go
@@ -265,6 +265,7 @@
 		require.GreaterOrEqual(f, e.RetryAfter, time.Second)
 		require.LessOrEqual(f, e.RetryAfter, 3*time.Second)
 		require.ErrorIs(f, <-sent, ErrOutcomeUnknown, "it may have been stored")
+		require.LessOrEqual(f, time.Since(downAt), maxAnswerWhileDown, "a repeat at another instance serves its caller better than waiting")
 		err, took := f.append("arrives")
 		require.ErrorAs(f, err, &e)
 		require.LessOrEqual(f, took, maxAnswerWhileDown)
