--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,4 @@
 	go test ./internal/record -run '^$$' -fuzz FuzzDecode -fuzztime 20s
 	go test ./internal/peer -run '^$$' -fuzz FuzzReadFrame -fuzztime 20s
 	go test ./platform -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime 20s
+	go test ./internal/runtimes -run '^$$' -fuzz FuzzRestore -fuzztime 20s
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"currantknot.dev/currantknot/internal/straggler"
 )
 
 // lossCause is how the planner knows that what ran on a worker is gone.
@@ -39,9 +37,6 @@
 	LostAttempts int
 	// GivenUp counts the jobs that were given up since workers were lost under a task.
 	GivenUp int
-	// SlowAttempts counts, by cause, the attempts that were found slow, and MovedAttempts those that were stopped for it.
-	SlowAttempts  map[string]int
-	MovedAttempts map[string]int
 	// RackWaits counts the waits for a rack that began, RackWaitsPaid those after which the task ends earlier than if it had started
 	// elsewhere at once, and RackWaitsUnpaid the others that ended with a start.
 	RackWaits       int
@@ -49,20 +44,6 @@
 	RackWaitsUnpaid int
 }
 
-func (c *Counts) addSlow(x straggler.Cause) {
-	if c.SlowAttempts == nil {
-		c.SlowAttempts = make(map[string]int)
-	}
-	c.SlowAttempts[string(x)]++
-}
-
-func (c *Counts) addMoved(x straggler.Cause) {
-	if c.MovedAttempts == nil {
-		c.MovedAttempts = make(map[string]int)
-	}
-	c.MovedAttempts[string(x)]++
-}
-
 // TakeCounts returns the counts and resets them.
 func (p *Planner) TakeCounts() Counts {
 	c := p.counts
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -8,7 +8,6 @@
 	"currantknot.dev/currantknot/internal/jobs"
 	"currantknot.dev/currantknot/internal/locality"
 	"currantknot.dev/currantknot/internal/runtimes"
-	"currantknot.dev/currantknot/internal/straggler"
 )
 
 const (
@@ -103,9 +102,7 @@
 	// progressRates holds the progress rate of the tasks of each step.
 	progressRates map[StepRef]*progressRate
 	// medianSpeed is the median of the known worker speeds, as returned by speed.ratio.
-	medianSpeed float64
-	// fleet is what is known of the paces on all workers.
-	fleet         straggler.Fleet
+	medianSpeed   float64
 	modelLoggedAt time.Time
 	// waiting counts the ready tasks that the latest plan did not place.
 	waiting int
@@ -123,7 +120,7 @@
 		accounts: newAccounts(),
 		waits:    newWaitTracker(), racks: newRackWaits(), overdue: overdueBudget{jobs: make(map[string]bool)}, runTimes: runtimes.New(), interference: newInterferenceModel(), advice: make(map[StepRef]*advice), progressRates: make(map[StepRef]*progressRate),
 		reservations: reservations{byWorker: make(map[string][]reservation)}, waves: make(map[int]*waveState), maintained: make(map[int][]string),
-		fleet: straggler.NewFleet(straggler.Evidence{}), aside: make(map[string]bool), releasedEnds: make(map[jobs.Ref]int), recentLosses: make(map[string]loss), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
+		aside: make(map[string]bool), releasedEnds: make(map[jobs.Ref]int), recentLosses: make(map[string]loss), isolation: isolation{retryAt: make(map[jobs.Ref]time.Time)},
 	}
 }
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -129,7 +129,7 @@
 	switch outcome {
 	case jobs.OutcomeDone:
 		w.failedAttempts = 0
-		p.recordCompletion(w, a, now)
+		p.recordCompletion(a, now)
 		p.recordRunTime(w, a, now)
 	case jobs.OutcomeFailed:
 		w.failedAttempts++
--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -25,11 +25,17 @@
 	if r == nil || !r.isKnown() {
 		return d
 	}
-	x := time.Duration(min(r.secondsFor(fullSpeed), runtimes.MaxRunTime.Seconds()) * float64(time.Second))
+	x := *r
+	if d > 0 {
+		// Little progress in whole percent tells little, so that the median of the queue counts as one more task.
+		x.percent += fullSpeed
+		x.seconds += d.Seconds()
+	}
+	m := time.Duration(min(x.secondsFor(fullSpeed), runtimes.MaxRunTime.Seconds()) * float64(time.Second))
 	if d == 0 {
-		return x
+		return m
 	}
-	return min(max(x, d/maxMeasuredFactor), d*maxMeasuredFactor)
+	return min(max(m, d/maxMeasuredFactor), d*maxMeasuredFactor)
 }
 
 // runTimesOf returns a function that returns the run time of a typical task of each step of an occurrence.
--- a/internal/dispatch/runtimes_test.go
+++ b/internal/dispatch/runtimes_test.go
@@ -62,14 +62,22 @@
 	s := newSimulation(t, 1)
 	j := testJob(testID(1), s.now, plainStep(2), plainStep(1))
 	s.p.AddJob(j, s.now)
-	s.p.progressRates[StepRef{Job: j.ID}] = &progressRate{percent: 50, seconds: 2}
-	require.Equal(t, 4*time.Second, s.p.typicalRunTime(j, 0, 0))
+	s.p.progressRates[StepRef{Job: j.ID}] = &progressRate{percent: 500, seconds: 23}
+	require.Equal(t, 4*time.Second, s.p.typicalRunTime(j, 0, 0), "five tasks of 4.6 s and one of the queue's second")
 	require.Equal(t, time.Second, s.p.typicalRunTime(j, 0, 1), "the other step has not progressed")
 	u := s.p.urgency(j, 0, s.now)
 	require.Equal(t, s.p.runTimesOf(j, 0)(&j.Steps[0]), 4*time.Second)
 	require.Equal(t, 5*time.Second, u.slack, "twice the path of 4 s and 1 s, less the path")
 }
 
+// The first percent of a step's progress is a whole percent or none, and would make its tasks seem to last for ever.
+func TestFirstProgressOfAStepTellsLittle(t *testing.T) {
+	s := newSimulation(t, 1)
+	j := testJob(testID(1), s.now, plainStep(2))
+	s.p.progressRates[StepRef{Job: j.ID}] = &progressRate{percent: 1, seconds: 1.3}
+	require.InDelta(t, 2.3, s.p.typicalRunTime(j, 0, 0).Seconds(), 0.1)
+}
+
 // Progress that jumps must not make a job's remaining work vanish or last for ever.
 func TestMeasuredRunTimeIsBounded(t *testing.T) {
 	s := newSimulation(t, 1)
--- a/internal/dispatch/stragglers.go
+++ b/internal/dispatch/stragglers.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"currantknot.dev/currantknot/internal/jobs"
-	"currantknot.dev/currantknot/internal/straggler"
 )
 
 const (
@@ -18,8 +17,8 @@
 	// maxSpeedAge is the age of the latest measurement from which a speed is no longer known, so that a straggler without
 	// tasks gets tasks again.
 	maxSpeedAge = 3 * time.Second
-	// stragglerSpeed is the fraction of the median speed below which a worker is a straggler, unless its tasks are long.
-	stragglerSpeed = straggler.SlowPace
+	// stragglerSpeed is the fraction of the median speed below which a worker is a straggler.
+	stragglerSpeed = 0.4
 	// maxStragglerFraction is the maximum fraction of the workers with a known speed that may be stragglers; if there are
 	// more, the median is not a valid reference and no worker counts as a straggler.
 	maxStragglerFraction = 0.3
@@ -41,8 +40,6 @@
 type progressRate struct {
 	percent float64
 	seconds float64
-	// moved holds the indexes of the tasks that were moved with their checkpoints on the mere suspicion that their workers are slow.
-	moved map[int]bool
 }
 
 // isKnown reports whether the rate covers enough running time.
@@ -60,8 +57,7 @@
 	elapsedSeconds float64
 	// at is when progress was last added.
 	at time.Time
-	// suspected means that its tasks were found slow by the latest comparison, and straggler that this is likely due to the worker.
-	suspected bool
+	// straggler means that the worker was found slow by the latest comparison.
 	straggler bool
 }
 
@@ -109,7 +105,6 @@
 			if r.isKnown() {
 				typical += r.secondsFor(n)
 				elapsed += d
-				a.pace.add(p, a, r, n, d)
 			}
 			r.percent += n
 			r.seconds += d
@@ -119,13 +114,12 @@
 	if elapsed > 0 {
 		w.speed.add(typical, elapsed, now)
 	}
-	p.collectPaces(w, now)
 }
 
 // recordCompletion adds the progress of a finished task since the latest report of its attempt to the rate of its step, since
 // short tasks are seldom reported while they run. Where an attempt that did not run the whole task began is known only from
 // a report.
-func (p *Planner) recordCompletion(w *worker, a *attempt, now time.Time) {
+func (p *Planner) recordCompletion(a *attempt, now time.Time) {
 	if a.phase != phaseRunning {
 		return
 	}
@@ -138,13 +132,8 @@
 	}
 	r := p.progressRate(a.task)
 	// The value of fullSpeed also stands for 100 percent of progress.
-	n := float64(fullSpeed - a.measuredPercent)
-	d := now.Sub(from).Seconds() * float64(max(a.effectiveSpeedPercent(), minMeasuredSpeedPercent)) / fullSpeed
-	if r.isKnown() {
-		w.addFinishedPace(p.finalPace(a, r, n, d), now)
-	}
-	r.percent += n
-	r.seconds += d
+	r.percent += float64(fullSpeed - a.measuredPercent)
+	r.seconds += now.Sub(from).Seconds() * float64(max(a.effectiveSpeedPercent(), minMeasuredSpeedPercent)) / fullSpeed
 }
 
 // progressRate returns the progress rate of a task's step.
@@ -196,65 +185,37 @@
 	limit := stragglerSpeed * p.medianSpeed
 	n, _ := slices.BinarySearch(l, limit)
 	tooMany := float64(n) > maxStragglerFraction*float64(len(l))
-	p.updateFleet()
 	for _, w := range p.workerList {
-		w.speed.suspected = !tooMany && w.speed.isKnown(now) && w.speed.ratio() < limit
-		slow := w.speed.suspected && p.isSlowWorker(w)
+		slow := !tooMany && w.speed.isKnown(now) && w.speed.ratio() < limit
 		if slow != w.speed.straggler {
 			w.speed.straggler = slow
 			p.Logger.Info().Str("Worker", w.ID).Bool("Slow", slow).Float64("Speed", w.speed.typicalSeconds/max(w.speed.elapsedSeconds, 0.001)).Float64("UsualSpeed", p.medianSpeed).
-				Dur("Age", now.Sub(w.speed.at)).Float64("SlowProbability", w.paces.SlowProbability(p.fleet)).Float64("LongFraction", p.fleet.LongFraction).
-				Int("SlowTasks", w.paces.Slow()).Int("OtherTasks", w.paces.Normal()).Str("Decision", "WorkerSpeed").Msg("straggler state of worker changed")
+				Dur("Age", now.Sub(w.speed.at)).Str("Decision", "WorkerSpeed").Msg("straggler state of worker changed")
 		}
 	}
 }
 
-// rescheduleFromStragglers stops tasks that are slow because of their workers, if they are expected to finish much earlier on
-// another worker. Long tasks stay where they are.
+// rescheduleFromStragglers stops tasks on stragglers if they are expected to finish much earlier on another worker.
 func (p *Planner) rescheduleFromStragglers(now time.Time) {
 	n := 0
 	for _, w := range p.workerList {
-		if !w.speed.suspected && !w.hasHeavyNeighbours {
+		if !w.speed.straggler {
 			continue
 		}
 		for _, a := range w.attemptList {
 			if n == maxReschedulesPerPlan {
 				return
 			}
-			c := p.moveCause(w, a)
-			if c == straggler.CauseNone || !p.finishesEarlierElsewhere(w, a) || !p.hasCapacityElsewhere(w, a, now) {
-				continue
+			if p.finishesEarlierElsewhere(w, a) && p.hasCapacityElsewhere(w, a, now) {
+				p.stop(w, a, "worker is a straggler", now)
+				n++
 			}
-			p.counts.addMoved(c)
-			p.progressRate(a.task).recordMove(a.task)
-			p.stop(w, a, moveReasons[c], now)
-			n++
 		}
 	}
 }
 
-// moveReasons holds the reasons of stops by cause.
-var moveReasons = map[straggler.Cause]string{
-	straggler.CauseSlowWorker:      "worker is a straggler",
-	straggler.CauseHeavyNeighbours: "best-effort tasks are slow beside others of the worker",
-}
-
-// recordMove records that a task was moved.
-func (r *progressRate) recordMove(t *jobs.Task) {
-	if r.moved == nil {
-		r.moved = make(map[int]bool)
-	}
-	r.moved[t.Index] = true
-}
-
-// mayTryElsewhere reports whether a task is moved on the mere suspicion that its worker is slow: with a checkpoint that costs
-// little, and a task that is slow again afterwards is long.
-func (r *progressRate) mayTryElsewhere(t *jobs.Task) bool {
-	return t.Spec.Checkpoints && !r.moved[t.Index]
-}
-
-// finishesEarlierElsewhere reports whether the expected remaining time of a task on its worker is more than minRescheduleGain
-// times the remaining time on a worker of median speed, rescheduleCost included.
+// finishesEarlierElsewhere reports whether the expected remaining time of a task on a straggler is more than
+// minRescheduleGain times the remaining time on a worker of median speed, rescheduleCost included.
 func (p *Planner) finishesEarlierElsewhere(w *worker, a *attempt) bool {
 	s := a.task.Spec
 	r := p.progressRate(a.task)
@@ -262,20 +223,14 @@
 		return false
 	}
 	// The value of fullSpeed also stands for 100 percent of progress.
-	m := straggler.Move{
-		Remaining: r.secondsFor(float64(fullSpeed - a.progressPercent)), Repeated: r.secondsFor(fullSpeed), Cost: rescheduleCost.Seconds(),
-		Pace: w.speed.ratio(), UsualPace: p.medianSpeed, SlowWorker: w.paces.SlowProbability(p.fleet),
-	}
+	remaining := r.secondsFor(float64(fullSpeed - a.progressPercent))
+	elsewhere := r.secondsFor(fullSpeed)
 	if s.Checkpoints {
-		m.Repeated = m.Remaining
-	}
-	if r.mayTryElsewhere(a.task) {
-		m.SlowWorker = 1
-	}
-	if w.hasHeavyNeighbours && !w.speed.straggler {
-		m.Pace, m.SlowWorker = a.pace.ratio*p.usualSpeed(), w.paces.BestEffortSlowProbability(p.fleet)
+		elsewhere = remaining
 	}
-	return m.Gain() > minRescheduleGain
+	stay := remaining / max(w.speed.ratio(), 0.01)
+	move := rescheduleCost.Seconds() + elsewhere/max(p.medianSpeed, 0.01)
+	return stay > minRescheduleGain*move
 }
 
 // isFastEnough reports whether the speed of a worker allows tasks of a step: stragglers get long-running tasks only.
--- a/internal/dispatch/stragglers_test.go
+++ b/internal/dispatch/stragglers_test.go
@@ -7,7 +7,6 @@
 	"github.com/stretchr/testify/require"
 
 	"currantknot.dev/currantknot/internal/jobs"
-	"currantknot.dev/currantknot/internal/straggler"
 )
 
 const (
@@ -26,11 +25,6 @@
 	// stopped and started count the executed stops and starts by worker.
 	stopped map[string]int
 	started map[string]int
-	// odd holds, by job, what its tasks report as their progress at each tick instead of what is done.
-	odd   map[string]func(tick int) int
-	ticks int
-	// stoppedTasks lists the tasks that were stopped.
-	stoppedTasks []jobs.Ref
 }
 
 func newStragglerFleet(t *testing.T, speeds map[string]float64) *stragglerFleet {
@@ -51,10 +45,8 @@
 	for _, o := range x[OrderStop] {
 		f.p.HandleStopResult(o, ResultAccepted, f.now)
 		f.stopped[o.Worker]++
-		f.stoppedTasks = append(f.stoppedTasks, o.Ref)
 	}
 	f.advance(stragglerTick)
-	f.ticks++
 	for _, w := range f.p.workerList {
 		speed, ok := f.speeds[w.ID]
 		if !ok {
@@ -66,11 +58,7 @@
 				continue
 			}
 			f.doneFraction[a.task.Ref] += speed * float64(stragglerTick) / float64(stragglerRunTime)
-			n := int(min(99, fullSpeed*f.doneFraction[a.task.Ref]))
-			if x := f.odd[a.task.Job]; x != nil {
-				n = x(f.ticks)
-			}
-			l = append(l, RunningAttempt{Ref: a.task.Ref, Run: a.run, ProgressPercent: n})
+			l = append(l, RunningAttempt{Ref: a.task.Ref, Run: a.run, ProgressPercent: int(min(99, fullSpeed*f.doneFraction[a.task.Ref]))})
 		}
 		f.report(w.ID, l)
 	}
@@ -136,61 +124,3 @@
 	}
 	require.False(t, f.p.workers["i-03"].speed.straggler)
 }
-
-// A long task alone on its worker is no sign of a slow worker where long tasks are frequent; all tasks of a worker are.
-func TestCausesOfSlowAttemptsAreTold(t *testing.T) {
-	f := newStragglerFleet(t, map[string]float64{"i-03": 0.15})
-	f.p.AddJob(testJob(testID(1), f.now, plainStep(40)), f.now)
-	for range 6 {
-		f.tick()
-	}
-	c := f.p.TakeCounts()
-	require.Equal(t, map[string]int{string(straggler.CauseSlowWorker): 5}, c.SlowAttempts)
-	require.Equal(t, map[string]int{string(straggler.CauseSlowWorker): 5}, c.MovedAttempts)
-}
-
-// A task with a checkpoint may try another worker once on suspicion. If it is slow there as well, it is long.
-func TestTaskWithCheckpointIsMovedOnSuspicionOnce(t *testing.T) {
-	s := newSimulation(t, 2)
-	step := plainStep(1)
-	step.Checkpoints = true
-	j := testJob(testID(1), s.now, step)
-	s.p.AddJob(j, s.now)
-	o := s.plan()[OrderStart][0]
-	s.p.HandleStartResult(o, ResultAccepted, s.now)
-	w := s.p.workers[o.Worker]
-	a := w.attempts[o.Ref]
-	r := s.p.progressRate(a.task)
-	r.percent, r.seconds = 1000, 40
-	w.speed = speed{typicalSeconds: 0.2, elapsedSeconds: 2, at: s.now, suspected: true}
-	s.p.medianSpeed, s.p.fleet.LongFraction = 1, 0.2
-	w.paces.Reserved.Slow = 1
-	require.Equal(t, straggler.CauseSlowWorker, s.p.moveCause(w, a))
-	require.True(t, s.p.finishesEarlierElsewhere(w, a))
-	r.recordMove(a.task)
-	require.Equal(t, straggler.CauseNone, s.p.moveCause(w, a))
-	require.False(t, s.p.finishesEarlierElsewhere(w, a))
-}
-
-// Reports may be repeated, and progress may jump or go back. The other tasks of the worker must not be stopped for it.
-func TestProgressThatJumpsAffectsNoOtherTask(t *testing.T) {
-	for name, progress := range map[string]func(n int) int{
-		"jumps":      func(n int) int { return 99 * (n % 2) },
-		"goes back":  func(n int) int { return max(0, 90-10*n) },
-		"stands":     func(int) int { return 50 },
-		"is invalid": func(n int) int { return []int{-1 << 40, 1 << 40}[n%2] },
-	} {
-		t.Run(name, func(t *testing.T) {
-			f := newStragglerFleet(t, nil)
-			f.p.AddJob(testJob(testID(1), f.now, plainStep(24)), f.now)
-			f.p.AddJob(testJob(testID(2), f.now, plainStep(8)), f.now)
-			f.odd = map[string]func(int) int{testID(2): progress}
-			for range 15 {
-				f.tick()
-			}
-			for _, r := range f.stoppedTasks {
-				require.NotEqual(t, testID(1), r.Job)
-			}
-		})
-	}
-}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"currantknot.dev/currantknot/internal/jobs"
-	"currantknot.dev/currantknot/internal/straggler"
 )
 
 // WorkerInfo is an entry of the platform's list of workers.
@@ -109,8 +108,6 @@
 	// added to the rate of the step at the next report is the difference from measuredPercent.
 	measuredPercent int
 	measuredAt      time.Time
-	// pace is the progress of the attempt relative to the usual progress of its step.
-	pace attemptPace
 	// firstPercent is the progress in the first report that was measured, at firstMeasuredAt.
 	firstPercent    int
 	firstMeasuredAt time.Time
@@ -183,11 +180,6 @@
 	// backoff the next failure starts another backoff.
 	failedAttempts int
 	speed          speed
-	// paces counts the attempts by pace, and finishedPaces holds the paces of those that finished of late.
-	paces         straggler.Worker
-	finishedPaces []finishedPace
-	// hasHeavyNeighbours means that the best-effort attempts of the worker are slow and the others are not.
-	hasHeavyNeighbours bool
 	// throttledAt is when a speed limit on the worker was last changed, and interferenceAt when the worker's samples were last
 	// used for the interference model.
 	throttledAt    time.Time
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -29,8 +29,6 @@
 	{metricLostWorkers, "counter", "workers that were lost with attempts, by how this owner knows it (label `cause`)"},
 	{metricLostAttempts, "counter", "attempts that were lost with their workers"},
 	{metricGivenUp, "counter", "jobs that were given up since workers were lost under one of their tasks"},
-	{metricSlowAttempts, "counter", "attempts that were found slow, by the cause that was found first (label `cause`)"},
-	{metricMovedAttempts, "counter", "attempts that were stopped to run elsewhere since they were slow, by cause (label `cause`)"},
 	{metricIsolating, "gauge", "workers that get no other task while they run one under which workers were lost; 0 on other instances"},
 	{metricSetAside, "gauge", "jobs that made this owner panic and are not scheduled any more; 0 on other instances"},
 	{metricWorkersAge, "gauge", "age of the list of workers by which this owner starts tasks, in seconds; 0 on other instances"},
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -30,8 +30,6 @@
 	metricLostWorkers      = "currantknot_lost_workers_total"
 	metricLostAttempts     = "currantknot_lost_attempts_total"
 	metricGivenUp          = "currantknot_jobs_given_up_total"
-	metricSlowAttempts     = "currantknot_slow_attempts_total"
-	metricMovedAttempts    = "currantknot_moved_attempts_total"
 	metricSetAside         = "currantknot_jobs_set_aside"
 	metricIsolating        = "currantknot_isolating_workers"
 	metricWaitingTasks     = "currantknot_waiting_tasks"
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -256,12 +256,6 @@
 	if c.LostAttempts > 0 {
 		o.Metrics.Add(metricLostAttempts, "", c.LostAttempts)
 	}
-	for cause, n := range c.SlowAttempts {
-		o.Metrics.Add(metricSlowAttempts, label("cause", cause), n)
-	}
-	for cause, n := range c.MovedAttempts {
-		o.Metrics.Add(metricMovedAttempts, label("cause", cause), n)
-	}
 	if c.GivenUp > 0 {
 		o.Metrics.Add(metricGivenUp, "", c.GivenUp)
 	}
