Metrics by account: running cores, waiting tasks, dominant share, at cap

Cause: operators could not see which account fills the workers or waits for its cap.

Change: once a second the owner sets gauges for the 20 accounts with the most running CPU and for the others together, and removes those of accounts that are no longer among them and all of them when its ownership ends.

--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -27,6 +27,10 @@
 	cappedSince map[string]time.Time
 	// underSince holds since when accounts use less than half of their shares and have waiting work.
 	underSince map[poolAccount]time.Time
+	// waiting holds the number of tasks of each account that the latest plan left waiting, and capped the accounts of which it passed
+	// over a step since they were at their caps.
+	waiting map[string]int
+	capped  map[string]bool
 }
 
 // poolAccount is an account in a pool.
@@ -35,7 +39,7 @@
 func poolAccountOf(j *jobs.Job) poolAccount { return poolAccount{j.Queue.Pool, j.Account} }
 
 func newAccounts() *accounts {
-	return &accounts{ledger: quota.NewLedger(), rates: quota.NewRates(), shares: quota.NewShares(), cappedSince: make(map[string]time.Time)}
+	return &accounts{ledger: quota.NewLedger(), rates: quota.NewRates(), shares: quota.NewShares(), cappedSince: make(map[string]time.Time), waiting: make(map[string]int), capped: make(map[string]bool)}
 }
 
 // SetAccounts sets the accounts of the newest configuration, which the planner keeps and the caller must not change. It costs
@@ -122,6 +126,7 @@
 	if !p.accounts.inUse() {
 		return
 	}
+	clear(p.accounts.capped)
 	m := make(map[string]jobs.Resources)
 	for _, w := range p.workerList {
 		if p.departureExclusion(w) == notExcluded {
@@ -174,6 +179,7 @@
 	if p.accounts.fits(c) {
 		return false
 	}
+	p.accounts.capped[c.job.Account] = true
 	if p.waits.skips {
 		p.logCapWait(c, now)
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -24,6 +24,7 @@
 	p.beginShares(l, now)
 	p.placeSteps(l, now)
 	p.waiting = countWaiting(p.withinCaps(l))
+	p.accounts.recordWaiting(l)
 	p.drainWorkers(now)
 	p.rescheduleFromStragglers(now)
 	p.advanceWaves(now)
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -36,6 +36,10 @@
 	metricWorkersAge       = "currantknot_worker_list_age_seconds"
 	metricOperatorsAge     = "currantknot_operators_age_seconds"
 	metricRequestsAge      = "currantknot_requests_age_seconds"
+	metricAccountCPU       = "currantknot_account_running_cores"
+	metricAccountWaiting   = "currantknot_account_waiting_tasks"
+	metricAccountShare     = "currantknot_account_dominant_share"
+	metricAccountAtCap     = "currantknot_account_at_cap"
 	metricLinesDropped     = "currantknot_log_lines_dropped_total"
 )
 
@@ -69,6 +73,20 @@
 // Set registers a gauge with a fixed value.
 func (m *Metrics) Set(name string, n int) { m.Gauge(name, func() float64 { return float64(n) }) }
 
+// SetSeries replaces all gauges of a metric with labels by those with the given values; labels are the keys.
+func (m *Metrics) SetSeries(name string, values map[string]float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for k := range m.gauges {
+		if strings.HasPrefix(k, name+"{") {
+			delete(m.gauges, k)
+		}
+	}
+	for l, x := range values {
+		m.gauges[series(name, l)] = func() float64 { return x }
+	}
+}
+
 // Add adds n to a counter; label holds the pairs of name and quoted value, or is empty.
 func (m *Metrics) Add(name, label string, n int) { m.counters.Add(series(name, label), int64(n)) }
 
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -97,6 +97,8 @@
 	// snapshotAt is the time of the latest snapshot, and committedAt that of the latest successful commit.
 	snapshotAt  time.Time
 	committedAt time.Time
+	// accountMetricsAt is when the metrics by account were last set.
+	accountMetricsAt time.Time
 	// listRead is the read of the worker list in progress.
 	listRead pendingRead
 
@@ -134,6 +136,7 @@
 	}
 	defer o.Replica.DropProgress()
 	defer o.recordIdle(dispatch.Idle{})
+	defer o.Metrics.setAccountMetrics([]dispatch.AccountUsage{})
 	o.Metrics.Gauge(metricWorkersAge, func() float64 { return o.workersAge().Seconds() })
 	defer o.Metrics.Set(metricWorkersAge, 0)
 	o.publishStates(ctx, o.restoredStates)
@@ -184,7 +187,7 @@
 	o.refreshViews(now)
 	o.planner.SetWaves(o.State.Waves())
 	o.planner.Plan(now)
-	idle, counts := o.planner.Idle(now), o.planner.TakeCounts()
+	idle, counts, usages := o.planner.Idle(now), o.planner.TakeCounts(), o.accountUsages(now)
 	changed, orders := o.planner.TakeChanges()
 	committedStates := statesOf(changed)
 	r, err := o.encodeRecords(changed, now)
@@ -197,6 +200,7 @@
 	o.mu.Unlock()
 	o.recordIdle(idle)
 	o.addCounts(counts)
+	o.Metrics.setAccountMetrics(usages)
 	if err != nil {
 		return err
 	}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -98,6 +98,13 @@
 
 func isWithin(used, limit int) bool { return limit == 0 || used <= limit }
 
+// ForEach calls f with each account that has attempts and what they use.
+func (l *Ledger) ForEach(f func(account string, used jobs.Resources)) {
+	for n, u := range l.used {
+		f(n, u)
+	}
+}
+
 // Used returns what the attempts of an account use.
 func (l *Ledger) Used(account string) jobs.Resources { return l.used[account] }
 
