--- a/internal/dispatch/accounts_test.go
+++ b/internal/dispatch/accounts_test.go
@@ -333,3 +333,30 @@
 		p.Plan(now)
 	}
 }
+
+// Guards against plans whose cost grows with the number of configured accounts.
+func BenchmarkPlanOfManyAccounts(b *testing.B) {
+	now := time.Unix(1_700_000_000, 0)
+	p := New(Config{Lease: testLease, StoreLossGrace: testStoreLossGrace, Logger: zerolog.Nop()}, now)
+	var l []WorkerInfo
+	for i := range 670 {
+		l = append(l, testWorker(i))
+	}
+	p.SetWorkers(l, now)
+	for _, w := range l {
+		p.HandleReport(Report{Worker: w.ID, Incarnation: testIncarnation, RequestedAt: now}, now)
+	}
+	a := make([]account.Account, 20_000)
+	for i := range a {
+		a[i] = account.Account{Name: testID(i), Weight: 18, Cap: jobs.Resources{MilliCPU: 1 << 30}}
+	}
+	p.SetAccounts(a)
+	for n := range 1000 {
+		p.AddJob(jobs.New(jobs.Spec{ID: testID(n), Account: a[n].Name, Queue: testQueue(), Steps: []jobs.Step{batchStep(16)}, SubmittedAt: now}), now)
+	}
+	p.Plan(now)
+	for b.Loop() {
+		p.Plan(now)
+		p.AccountUsages(20)
+	}
+}
