--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -108,6 +108,8 @@
 	// runTimesAt is the time of the latest record of the run times.
 	runTimesAt  time.Time
 	committedAt time.Time
+	// accountMetricsAt is when the metrics by account were last set.
+	accountMetricsAt time.Time
 	// listRead is the read of the worker list in progress.
 	listRead pendingRead
 
@@ -149,6 +151,7 @@
 		defer o.Announce(nil)
 	}
 	defer o.recordIdle(dispatch.Idle{})
+	defer o.Metrics.setAccountMetrics([]dispatch.AccountUsage{})
 	o.Metrics.Gauge(metricWorkersAge, func() float64 { return o.workersAge().Seconds() })
 	defer o.Metrics.Set(metricWorkersAge, 0)
 	o.publishStates(ctx, o.restoredStates)
@@ -199,7 +202,7 @@
 	o.refreshViews(now)
 	o.planner.SetWaves(o.State.Waves())
 	o.planner.Plan(now)
-	idle, counts := o.planner.Idle(now), o.planner.TakeCounts()
+	idle, counts, usages := o.planner.Idle(now), o.planner.TakeCounts(), o.accountUsages(now)
 	changed, orders := o.planner.TakeChanges()
 	committedStates := statesOf(changed)
 	r, err := o.encodeRecords(changed, now)
@@ -212,6 +215,7 @@
 	o.mu.Unlock()
 	o.recordIdle(idle)
 	o.addCounts(counts)
+	o.Metrics.setAccountMetrics(usages)
 	if err != nil {
 		return err
 	}
