Shares of what jobs without an account leave; starved accounts go first after 3 s

Cause: an account counted as below half of its share of the whole pool, and went first at once. On a fleet that is mostly used by services without an account every account counted so, and the order by rank was lost. Change: shares are of what attempts without an account leave of a pool, and an account goes first only after 3 s below half of its share with waiting work.

--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -156,6 +156,14 @@
 	a.underSince = m
 }
 
+// starvedAfter is how long an account with waiting work uses less than half of its share before it goes first.
+const starvedAfter = 3 * time.Second
+
+// isStarved reports whether the account of a job goes first, since it has used less than half of its share for long.
+func (a *accounts) isStarved(j *jobs.Job, now time.Time) bool {
+	return a.level(j) == quota.Under && now.Sub(a.underFrom(j)) >= starvedAfter
+}
+
 // underFrom returns since when the account of a job uses less than half of its share and has waiting work.
 func (a *accounts) underFrom(j *jobs.Job) time.Time { return a.underSince[poolAccountOf(j)] }
 
--- a/internal/dispatch/turns.go
+++ b/internal/dispatch/turns.go
@@ -17,9 +17,11 @@
 
 // placeSteps assigns the ready tasks of all steps: sound ones in the given order, and then those that may run only isolated.
 //
-// A task of an account that uses less than half of its share goes first within its
-// priority, and that of the account that has waited so for longest first. By the
-// order of ranks, it could wait for ever behind new jobs of many accounts. A step
+// A task of an account that has used less than half of its share for starvedAfter
+// goes first within its priority, and that of the account that has waited so for
+// longest first. By the order of ranks alone, it could wait for ever behind new
+// jobs of many accounts; without the delay, accounts that come and go would
+// replace the order of ranks. A step
 // is put off from where its account is over its share of the pool. If it is over
 // its share only for a while, the others of the step's rank go first; if its
 // whole work is far more than its share, all others go first, of any priority.
@@ -54,7 +56,7 @@
 	}
 	var under, far []*candidateStep
 	for _, c := range l {
-		if t.p.accounts.level(c.job) == quota.Under {
+		if t.p.accounts.isStarved(c.job, t.now) {
 			under = append(under, c)
 		}
 	}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -9,9 +9,11 @@
 // Shares tells which accounts use more than their share of a pool of workers.
 //
 // The dominant share of an account is the largest of its fractions of the pool's
-// CPU, memory and accelerators. The account is over its share if that is above
+// CPU, memory and accelerators that jobs without an account leave: these have no
+// share, and where they are most of the pool, every account would seem to use
+// little of it. The account is over its share if that is above
 // its weight divided by the weights of all accounts with running or waiting work
-// in the pool. A job without an account has no share and is never over it.
+// in the pool. A job without an account is never over its share.
 type Shares struct {
 	weights Weights
 	pools   map[string]*pool
@@ -19,7 +21,9 @@
 
 // pool holds the use of a pool of workers.
 type pool struct {
+	// capacity is what attempts without an account leave of the pool, as of the beginning of the plan, and unowned what they use.
 	capacity jobs.Resources
+	unowned  jobs.Resources
 	// used holds what the attempts of each account use, and waiting what its waiting work needs in addition, as of the beginning of
 	// the plan, and what it used then.
 	used    map[string]jobs.Resources
@@ -45,18 +49,21 @@
 
 // Add adds an attempt of an account in a pool.
 func (s *Shares) Add(pool, account string, r jobs.Resources) {
-	if account != "" {
-		p := s.pool(pool)
-		p.used[account] = p.used[account].Plus(r)
+	p := s.pool(pool)
+	if account == "" {
+		p.unowned = p.unowned.Plus(r)
+		return
 	}
+	p.used[account] = p.used[account].Plus(r)
 }
 
 // Remove removes an attempt that was added.
 func (s *Shares) Remove(pool, account string, r jobs.Resources) {
+	p := s.pool(pool)
 	if account == "" {
+		p.unowned = p.unowned.Minus(r)
 		return
 	}
-	p := s.pool(pool)
 	u := p.used[account].Minus(r)
 	if u == (jobs.Resources{}) {
 		delete(p.used, account)
@@ -67,17 +74,28 @@
 
 // Begin begins a plan, given the capacity of each pool. The accounts with waiting work are told next, by Wait.
 func (s *Shares) Begin(capacity map[string]jobs.Resources) {
-	maps.DeleteFunc(s.pools, func(_ string, p *pool) bool { return len(p.used) == 0 && len(p.waiting) == 0 })
+	maps.DeleteFunc(s.pools, func(_ string, p *pool) bool { return p.isIdle() })
+	for n := range capacity {
+		s.pool(n)
+	}
 	for n, p := range s.pools {
-		p.capacity, p.weight = capacity[n], 0
+		p.capacity, p.weight = leftOf(capacity[n], p.unowned), 0
 		clear(p.waiting)
 		for a := range p.used {
 			p.weight += s.weights.Of(a)
 		}
 	}
-	for n, c := range capacity {
-		s.pool(n).capacity = c
-	}
+}
+
+// isIdle reports whether nothing runs or waits in the pool.
+func (p *pool) isIdle() bool {
+	return len(p.used) == 0 && len(p.waiting) == 0 && p.unowned == jobs.Resources{}
+}
+
+// leftOf returns what is left of a capacity beside u, at least 0: best-effort attempts may use more than the capacity.
+func leftOf(capacity, u jobs.Resources) jobs.Resources {
+	r := capacity.Minus(u)
+	return jobs.Resources{MilliCPU: max(0, r.MilliCPU), MemoryMB: max(0, r.MemoryMB), Accelerators: max(0, r.Accelerators)}
 }
 
 // Wait records that an account has waiting work in a pool, which needs r.
