--- a/internal/jobserve/service.go
+++ b/internal/jobserve/service.go
@@ -15,7 +15,7 @@
 const (
 	// maxStateAge is the maximum age of the replica's data that callers get without another read of the store.
 	maxStateAge = 80 * time.Millisecond
-	// firstCheckTimeout bounds the read that tells whether a submission was the first with its ID; a read takes 2 to 4 ms.
+	// firstCheckTimeout bounds the read that tells whether a submission was the first with its ID.
 	firstCheckTimeout = 500 * time.Millisecond
 )
 
--- a/internal/jobserve/storemonitor.go
+++ b/internal/jobserve/storemonitor.go
@@ -22,7 +22,8 @@
 	maxMonitorGap = 300 * time.Millisecond
 	// suspectFor is how long a path stays Suspect after the latest evidence.
 	suspectFor = time.Second
-	// suspectAfter, downAfter and maxDownAfter bound how long a call is overdue. A slow store responds within 240 ms.
+	// suspectAfter, downAfter and maxDownAfter bound how long a call is overdue. They are longer than the responses of a store that is
+	// slow and still of use.
 	suspectAfter = 250 * time.Millisecond
 	downAfter    = 400 * time.Millisecond
 	maxDownAfter = 1200 * time.Millisecond
@@ -52,8 +53,8 @@
 	probeTimeout     = 700 * time.Millisecond
 	minProbeInterval = 100 * time.Millisecond
 	maxProbeInterval = 400 * time.Millisecond
-	// returnPeriod is the time after the store's return in which an instance makes at most returnAppends appends a second. With 45
-	// instances these are fewer than the 1,200 write calls a second that the store takes.
+	// returnPeriod is the time after the store's return in which an instance makes at most returnAppends appends a second, so that
+	// the appends of all instances together stay below what the store accepts.
 	returnPeriod  = 2 * time.Second
 	returnAppends = 20
 	// handOverTimeout bounds an append through a peer. It is below the 500 ms in which a caller is answered.
