Review, case 2: a wave stops a service for good when its owner is lost

Cause: which instances have begun their maintenance is known to the owner alone. The next owner begins again with the executor that came after the upkeep, takes the platform's 200 for a new one, and waits for ever, while that executor is cordoned.

Change: the second case, with a planned stop as a variant.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -262,6 +262,24 @@
 	})
 }
 
+// terminate sends SIGTERM to the process of an instance, which starts again after restartDelay from its end.
+func (f *fleet) terminate(i int) {
+	n := f.nodes[i]
+	n.mu.Lock()
+	exited := n.exited
+	_ = n.process.Process.Signal(syscall.SIGTERM)
+	n.mu.Unlock()
+	f.rec.add("trouble: %s gets SIGTERM", n.name)
+	go func() {
+		<-exited
+		f.rec.add("%s has ended", n.name)
+		time.Sleep(restartDelay)
+		if err := f.start(n); err != nil {
+			f.rec.add("platform: %v", err)
+		}
+	}()
+}
+
 // close ends the processes and the platform. The logs of the processes stay beside the record if REVIEW_LOGS is set.
 func (f *fleet) close() {
 	for _, n := range f.nodes {
