--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +18,8 @@
 	tickInterval = 10 * time.Millisecond
 	// maxHoldWait is the longest time for which a hold waits for an end.
 	maxHoldWait = 2 * time.Second
+	// maxListedEnds is the most ends that one answer lists: "500 at a time".
+	maxListedEnds = 500
 	// gangWait is how long a member waits for the others.
 	gangWait = 3 * time.Second
 )
@@ -49,6 +50,7 @@
 	task   string
 	run    int
 	how    string
+	seen   *taskRun
 }
 
 // executor is one executor at an address; a crash ends its life and return begins the next one, under the same id.
@@ -164,7 +166,7 @@
 	delete(e.works, w.task)
 	e.lastRun[w.task] = max(e.lastRun[w.task], w.run)
 	e.number++
-	e.ends = append(e.ends, end{e.number, w.task, w.run, how})
+	e.ends = append(e.ends, end{e.number, w.task, w.run, how, w.seen})
 	e.p.history.ended(w.seen, how)
 	e.p.endInGang(w, how)
 	close(e.changed)
@@ -304,7 +306,10 @@
 	if o.DueMs > 0 {
 		e.extend(o.DueMs)
 	}
-	e.ends = slices.DeleteFunc(e.ends, func(x end) bool { return x.number <= o.Acked })
+	for len(e.ends) > 0 && e.ends[0].number <= o.Acked {
+		e.p.history.acknowledged(e.ends[0].seen)
+		e.ends = e.ends[1:]
+	}
 	if len(e.ends) == 0 && o.Wait > 0 {
 		changed, born := e.changed, e.born
 		e.mu.Unlock()
@@ -328,7 +333,7 @@
 	for _, x := range e.works {
 		running = append(running, []any{x.task, x.run, "", x.percent(), 0})
 	}
-	for _, x := range e.ends {
+	for _, x := range e.ends[:min(len(e.ends), maxListedEnds)] {
 		ends = append(ends, []any{x.number, x.task, x.run, x.how, ""})
 	}
 	m := map[string]any{"clock_ms": e.clock(), "born": e.born, "running": running, "ended": ends}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -248,14 +248,17 @@
 }
 
 // kill kills the process of an instance, which starts again after restartDelay.
-func (f *fleet) kill(i int) {
+func (f *fleet) kill(i int) { f.killFor(i, restartDelay) }
+
+// killFor kills the process of an instance, which starts again after some time.
+func (f *fleet) killFor(i int, d time.Duration) {
 	n := f.nodes[i]
 	n.mu.Lock()
 	_ = n.process.Process.Signal(syscall.SIGKILL)
 	<-n.exited
 	n.mu.Unlock()
 	f.rec.add("trouble: %s was killed", n.name)
-	time.AfterFunc(restartDelay, func() {
+	time.AfterFunc(d, func() {
 		if err := f.start(n); err != nil {
 			f.rec.add("platform: %v", err)
 		}
--- a/review/standin/history.go
+++ b/review/standin/history.go
@@ -16,6 +16,8 @@
 	startAt  time.Time
 	endedAt  time.Time
 	how      string
+	// ackedAt is when an acked_upto reached the end, zero before that.
+	ackedAt time.Time
 }
 
 // history holds all runs, in the order of their starts.
@@ -41,6 +43,13 @@
 	h.rec.add("executor %s: %s run %d ends %s", r.executor, r.task, r.run, how)
 }
 
+// acknowledged records that an acked_upto has reached the end of a run.
+func (h *history) acknowledged(r *taskRun) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.ackedAt = time.Now()
+}
+
 // of returns copies of the runs of the tasks whose names begin with a prefix.
 func (h *history) of(prefix string) []taskRun {
 	h.mu.Lock()
@@ -54,6 +63,13 @@
 	return l
 }
 
+// count returns the number of runs.
+func (h *history) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.runs)
+}
+
 // isRunning reports whether any task whose name begins with a prefix runs.
 func (h *history) isRunning(prefix string) bool {
 	for _, r := range h.of(prefix) {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -21,6 +21,8 @@
 	mu sync.Mutex
 	// answer is how long each answer takes, from its execution on.
 	answer time.Duration
+	// down means that the store refuses all calls.
+	down bool
 	// leader is the instance that last wrote under a condition, -1 if none did.
 	leader  int
 	servers []*http.Server
@@ -46,6 +48,10 @@
 func (s *store) handler(instance int) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conditional := r.URL.Query().Has("producer") || r.URL.Query().Has("at") && r.URL.Query().Get("part") != "0"
+		if s.isDown() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		b := httptest.NewRecorder()
 		s.log.ServeHTTP(b, r)
 		s.mu.Lock()
@@ -69,6 +75,18 @@
 	s.answer = d
 }
 
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 func (s *store) lastWriter() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
