Review, case 5: a gang on a queue with advice never runs again

Cause: a gang under which an executor was lost right after its start is placed by a path that asks for no advice, so that it waits for ever once its permits have expired.

Change: this takes the place of the case of gangs that are given up too early, which stays as a scenario. The stand-in has an advisor.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # case could not run. TROUBLE=0 leaves the disruption out. The record is record.txt beside this script.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/currantknot ] && [ -x target/review-standin ] || { echo "NOT RUN: build first"; exit 2; }
-exec target/review-standin gang review/5/record.txt
+exec target/review-standin advised review/5/record.txt
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -175,13 +175,14 @@
 
 // order is the body of a call to an executor.
 type order struct {
-	Task  string `json:"task"`
-	Run   int    `json:"run"`
-	Spec  string `json:"spec"`
-	DueMs int64  `json:"due_ms"`
-	Fence int64  `json:"fence"`
-	Acked int64  `json:"acked_upto"`
-	Wait  int64  `json:"wait_ms"`
+	Task   string `json:"task"`
+	Run    int    `json:"run"`
+	Spec   string `json:"spec"`
+	DueMs  int64  `json:"due_ms"`
+	Fence  int64  `json:"fence"`
+	Acked  int64  `json:"acked_upto"`
+	Wait   int64  `json:"wait_ms"`
+	Ticket string `json:"ticket"`
 }
 
 // ServeHTTP serves the calls of PROTOCOL, "Running tasks".
@@ -264,6 +265,9 @@
 	case o.DueMs <= e.clock():
 		return http.StatusConflict, "late"
 	}
+	if e.p.advisor != nil && !e.p.advisor.isValid(e, o) {
+		return http.StatusConflict, "ticket"
+	}
 	s, ok := stepOf(o)
 	if !ok {
 		return http.StatusBadRequest, ""
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -85,12 +85,16 @@
 	if err := f.listen(); err != nil {
 		return err
 	}
+	route := map[string]any{
+		"name": "r-1", "host": host, "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": 250,
+		"priority": 0, "service": pool, "max_attempts": maxAttempts, "stretch": 1.5,
+	}
+	if f.advisor != nil {
+		route["advice"] = map[string]any{"decide_ms": decideTime.Milliseconds(), "each_ms": eachTime.Milliseconds(), "valid_ms": ticketTime.Milliseconds()}
+	}
 	f.store.log.Put("keyed.op", "config", map[string]any{
-		"version": 3,
-		"routes": []map[string]any{{
-			"name": "r-1", "host": host, "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": 250,
-			"priority": 0, "service": pool, "max_attempts": maxAttempts, "stretch": 1.5,
-		}},
+		"version":  3,
+		"routes":   []map[string]any{route},
 		"services": []map[string]any{{"name": pool, "enforces_capacity": true}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
@@ -140,6 +144,7 @@
 heartbeat_ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","places","platform","advice","upkeep","sharing"]
 orders = "invoke"
+advice = %q
 [zones]
 accra-a = "gh-south"
 tema-b = "gh-south"
@@ -212,7 +217,11 @@
 		return fmt.Errorf("port of %s: %w", n.name, err)
 	}
 	n.settings = filepath.Join(f.dir, n.name+".toml")
-	text := fmt.Sprintf(settingsText, n.name, zones[i], port, port, n.front, n.ready, f.maxLease.Milliseconds(), store, f.address)
+	advice := ""
+	if f.advisor != nil {
+		advice = f.advisor.address
+	}
+	text := fmt.Sprintf(settingsText, n.name, zones[i], port, port, advice, n.front, n.ready, f.maxLease.Milliseconds(), store, f.address)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil { //nolint:gosec // in a temporary folder of this process
 		return fmt.Errorf("write settings: %w", err)
 	}
@@ -297,6 +306,9 @@
 			_ = os.Rename(filepath.Join(f.dir, n.name+".log"), filepath.Join(d, n.name+".log")) //nolint:gosec // a folder that the caller names
 		}
 	}
+	if f.advisor != nil {
+		_ = f.advisor.server.Close()
+	}
 	f.platform.close()
 	f.store.close()
 }
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -36,6 +36,8 @@
 
 // platform is the platform apart from its store: machines, their executors, and the service that takes them down.
 type platform struct {
+	// advisor is the service that allows executors to run a step, nil if the queue asks none.
+	advisor *advisor
 	// maxLease is hold_max_ms.
 	maxLease time.Duration
 	store    *store
