Requests for permits are limited, so that their answers are in time

Cause: each waiting step asked the advisor on its own, all at once. The advisor handles the calls of an instance one after another and refuses those beyond 32 that wait. Permits count from their request, and the call ends after 3 s, so that behind some 25 calls of 100 ms each answer was too late to be used; the step asked again, at the end of the same queue. It did not end while steps waited.

Change: a plan collects the requests, and sends at most four at a time, one while answers take over a second or fail. Steps whose latest request was longest ago come first. What is left out is decided anew by the next plan, which follows each answer.

--- /dev/null
+++ b/internal/dispatch/advicecalls_test.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// testAdviceTime is how long the test advisor takes for a call, and testAdvicePatience how long the caller waits for an answer.
+	testAdviceTime     = 100 * time.Millisecond
+	testAdvicePatience = 3 * time.Second
+	// testAdviceQueue is the number of calls that may wait at the test advisor; it refuses more.
+	testAdviceQueue = 32
+)
+
+// serialAdvisor permits all candidates, and handles one call after another, also those whose callers have left.
+type serialAdvisor struct {
+	s      *simulation
+	calls  []adviceCall
+	freeAt time.Time
+}
+
+// adviceCall is a call at the advisor. answered means that the caller has got an answer or has left.
+type adviceCall struct {
+	order    Order
+	madeAt   time.Time
+	doneAt   time.Time
+	answered bool
+}
+
+// add adds a call, or refuses it if too many wait.
+func (a *serialAdvisor) add(o Order) {
+	if len(a.calls) > testAdviceQueue {
+		a.s.p.HandleAdvice(o, nil, time.Time{}, false, a.s.now)
+		return
+	}
+	a.freeAt = laterOf(a.freeAt, a.s.now).Add(testAdviceTime)
+	a.calls = append(a.calls, adviceCall{order: o, madeAt: a.s.now, doneAt: a.freeAt})
+}
+
+// run answers the calls that are done, and lets the callers of others leave that have waited for too long. Permits count from the call.
+func (a *serialAdvisor) run() {
+	now := a.s.now
+	for i := range a.calls {
+		c := &a.calls[i]
+		switch {
+		case c.answered:
+		case now.Sub(c.madeAt) >= testAdvicePatience:
+			c.answered = true
+			a.s.p.HandleAdvice(c.order, nil, time.Time{}, false, now)
+		case !now.Before(c.doneAt):
+			c.answered = true
+			var l []Permit
+			for _, id := range c.order.Candidates {
+				l = append(l, Permit{id, "permit"})
+			}
+			a.s.p.HandleAdvice(c.order, l, c.madeAt.Add(testPermitLifetime), true, now)
+		}
+	}
+	for len(a.calls) > 0 && !now.Before(a.calls[0].doneAt) {
+		a.calls = a.calls[1:]
+	}
+}
+
+// Many steps that waited for permits asked the advisor all at once, so that each answer came too late for its permits to be used, and
+// none of them ran while others kept asking.
+func TestStepsThatWaitForPermitsDoNotMakeAllAnswersLate(t *testing.T) {
+	const steps = 100
+	s := newSimulation(t, 20)
+	a := &serialAdvisor{s: s}
+	for i := range steps {
+		s.p.AddJob(advisedJob(s, i, plainStep(1)), s.now)
+	}
+	started := 0
+	// The advisor takes steps * testAdviceTime for one call a step; no step may wait for more than twice that.
+	for began := s.now; s.now.Sub(began) < 2*steps*testAdviceTime; s.advance(10 * time.Millisecond) {
+		for _, w := range s.p.workerList {
+			s.reportAll(w)
+		}
+		a.run()
+		x := s.plan()
+		started += len(x[OrderStart])
+		for _, o := range x[OrderAdvise] {
+			a.add(o)
+		}
+	}
+	require.Equal(t, steps, started)
+}
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -43,8 +43,10 @@
 	requested map[string]int64
 	// permits holds the latest permits, which may have expired, by worker ID.
 	permits map[string]recordedPermit
-	// pending holds the incarnations of the workers that the request in flight names, by worker ID, nil if there is no request.
-	pending map[string]int64
+	// pending holds the incarnations of the workers that the request in flight names, by worker ID, nil if there is no request, and
+	// requestedAt is when the latest request was made.
+	pending     map[string]int64
+	requestedAt time.Time
 	// retryAt is the earliest time of the next request after a failed one.
 	retryAt time.Time
 }
@@ -74,8 +76,8 @@
 	return ok && x.incarnation == w.Incarnation && now.Add(permitMargin).Before(x.validUntil)
 }
 
-// requestAdvice orders an advice request about the workers that have capacity for the step, that the advisor may permit and that have
-// no permit, if the step needs permits and a task of it could start. It does nothing while a request about the step is in flight or a backoff lasts.
+// requestAdvice requests permits for the workers that could get a task of the step with one, if the step needs permits and a task of it
+// could start.
 //
 // It is called after each turn of a step, whatever the way in which the step was
 // placed, so that no step is left without a worker and without a request.
@@ -84,32 +86,33 @@
 		return
 	}
 	t := p.taskToAdviseOn(c, now)
-	if t == nil {
-		return
-	}
-	a := p.adviceOf(c.ref())
-	if a.pending != nil || now.Before(a.retryAt) {
+	if t == nil || !p.adviceOf(c.ref()).mayRequest(now) {
 		return
 	}
 	var l []*worker
 	for _, w := range p.workerList {
-		if p.isEligible(w, c.job, c.step, now) && p.hasRoom(w, c, t, now) && a.mayBePermitted(w) && !a.isInForce(w, now) {
+		if p.isEligible(w, c.job, c.step, now) && p.hasRoom(w, c, t, now) {
 			l = append(l, w)
 		}
 	}
+	p.requestPermits(t, l, now)
+}
+
+// requestPermits requests permits with which a task could run on the workers in l, for those that the advisor may permit and that have
+// no permit. It does nothing while a request about the step is in flight or a backoff lasts.
+func (p *Planner) requestPermits(t *jobs.Task, l []*worker, now time.Time) {
+	a := p.adviceOf(stepRef(t))
+	if !a.mayRequest(now) {
+		return
+	}
+	l = slices.DeleteFunc(l, func(w *worker) bool { return !a.mayBePermitted(w) || a.isInForce(w, now) })
 	if len(l) == 0 {
 		return
 	}
 	slices.SortFunc(l, func(x, y *worker) int {
 		return cmp.Or(cmp.Compare(y.free().MilliCPU, x.free().MilliCPU), cmp.Compare(x.ID, y.ID))
 	})
-	o := Order{Kind: OrderAdvise, Ref: t.Ref}
-	a.pending = make(map[string]int64)
-	for _, w := range l[:min(len(l), maxAdviceCandidates)] {
-		o.Candidates = append(o.Candidates, w.ID)
-		a.pending[w.ID] = w.Incarnation
-	}
-	p.orders = append(p.orders, o)
+	p.adviceRequests = append(p.adviceRequests, adviceRequest{a, t.Ref, l[:min(len(l), maxAdviceCandidates)]})
 }
 
 // taskToAdviseOn returns a task of a step that found no worker in its turn and may start now. It prefers tasks that are not bound to a
@@ -128,6 +131,9 @@
 	return bound
 }
 
+// mayRequest reports whether no request is in flight, and no backoff lasts.
+func (a *advice) mayRequest(now time.Time) bool { return a.pending == nil && !now.Before(a.retryAt) }
+
 // mayBePermitted reports whether the advisor may permit a worker: the advisor has not been asked about this incarnation of
 // the worker, or the advisor permitted the worker when last asked.
 func (a *advice) mayBePermitted(w *worker) bool {
@@ -148,6 +154,7 @@
 // if the request failed. They count for the incarnations that the request named, which may have ended meanwhile.
 func (p *Planner) HandleAdvice(o Order, l []Permit, until time.Time, ok bool, now time.Time) {
 	a := p.adviceOf(StepRef{o.Job, o.Occurrence, o.Step})
+	p.adviceCalls.end(now.Sub(a.requestedAt), ok)
 	named := a.pending
 	a.pending = nil
 	if !ok {
@@ -163,5 +170,5 @@
 			a.permits[x.Worker] = recordedPermit{x.Token, until, incarnation}
 		}
 	}
-	p.Logger.Info().Str("Task", o.String()).Int("Asked", len(o.Candidates)).Int("Permitted", len(l)).Time("Until", until).Str("Decision", "Advised").Msg("placement advisor responded")
+	p.Logger.Info().Str("Task", o.String()).Int("Asked", len(o.Candidates)).Int("Permitted", len(l)).Time("Until", until).Dur("Took", now.Sub(a.requestedAt)).Str("Decision", "Advised").Msg("placement advisor responded")
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,6 +33,7 @@
 	p.advanceWaves(now)
 	p.adjustThrottles(now)
 	p.relocateThrottled(now)
+	p.sendAdviceRequests(now)
 	p.logModel(now)
 	p.logHolds(now)
 	p.observeInterruptions(now)
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -93,7 +93,11 @@
 	waits        waitTracker
 	overdue      overdueBudget
 	racks        rackWaits
-	advice       map[StepRef]*advice
+	// advice holds what the placement advisor said about each step, adviceRequests what the current plan wants to ask, and
+	// adviceCalls limits the requests in flight.
+	advice         map[StepRef]*advice
+	adviceRequests []adviceRequest
+	adviceCalls    adviceCalls
 	// waves holds the maintenance waves by number, and instances the platform's list of instances by ID.
 	waves     map[int]*waveState
 	instances map[string]Instance
