Permits are requested for each worker that a task may go to

Cause: which workers the advisor is asked about, and which a task may go to, were decided twice. A long-running task may go to avoided workers after 1 s and then goes by free capacity alone, whatever is reserved; the request left both out, so that the task had no permit for them until nothing was avoided or reserved any more.

Change: couldTake names the workers for the request by the same conditions as findWorker, findWorkerByCapacity and mayTakeMember.

--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -91,13 +91,24 @@
 	}
 	var l []*worker
 	for _, w := range p.workerList {
-		if p.isEligible(w, c.job, c.step, now) && p.hasRoom(w, c, t, now) {
+		if p.couldTake(w, c, t, now) {
 			l = append(l, w)
 		}
 	}
 	p.requestPermits(t, l, now)
 }
 
+// couldTake reports whether a worker could get a task if it had a permit. A long-running task may also get avoided and reserved workers
+// once it has waited for too long, as findWorker and findWorkerByCapacity have it.
+func (p *Planner) couldTake(w *worker, c *candidateStep, t *jobs.Task, now time.Time) bool {
+	byCapacity := c.step.LongRunning && p.goesByCapacity(t, now)
+	mayBeAvoided := byCapacity || c.step.LongRunning && !c.step.Gang && p.waits.waited(t, now) >= avoidedWorkerDelay
+	if e := p.workerExclusion(w, now); e != notExcluded && (e != excludedAvoided || !mayBeAvoided) {
+		return false
+	}
+	return stepExclusion(w, c.job, c.step) == notExcluded && p.taskExclusion(w, c, t, constraints{byCapacity: byCapacity}, now) == notExcluded
+}
+
 // requestPermits requests permits with which a task could run on the workers in l, for those that the advisor may permit and that have
 // no permit. It does nothing while a request about the step is in flight or a backoff lasts.
 func (p *Planner) requestPermits(t *jobs.Task, l []*worker, now time.Time) {
--- /dev/null
+++ b/internal/dispatch/permitplaces_test.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantknot.dev/currantknot/internal/jobs"
+)
+
+// interruptedAdvisedService returns a job with a long-running task that needs a permit and had a run before.
+func (s *simulation) interruptedAdvisedService() *jobs.Job {
+	j := advisedJob(s, 1, serviceStep(1, 8000))
+	t := j.Tasks[0][0][0]
+	require.True(s, j.Assign(t, "i-gone", testIncarnation, s.now))
+	j.Release(t)
+	s.p.AddJob(j, s.now)
+	return j
+}
+
+// advice returns the requests for advice that are made now, without a plan.
+func (s *simulation) advice() []Order {
+	s.p.sendAdviceRequests(s.now)
+	_, l := s.p.TakeChanges()
+	return slices.DeleteFunc(l, func(o Order) bool { return o.Kind != OrderAdvise })
+}
+
+// timeUntilAdvisedStart plans for at most the given time, lets the advisor permit all that it is asked about, and returns the time until the
+// first start.
+func (s *simulation) timeUntilAdvisedStart(limit time.Duration) time.Duration {
+	for began := s.now; s.now.Sub(began) < limit; s.advance(maxTestPlanInterval) {
+		for _, w := range s.p.workerList {
+			s.reportAll(w)
+		}
+		x := s.plan()
+		s.permitAll(x[OrderAdvise])
+		if len(x[OrderStart]) > 0 {
+			return s.now.Sub(began)
+		}
+	}
+	return limit
+}
+
+// A long-running task waited for a permit for the only worker with capacity until that was no longer avoided, since the advisor was
+// asked about other workers than those that the task may go to.
+func TestLongRunningTaskIsAdvisedOnAnAvoidedWorker(t *testing.T) {
+	s := newSimulation(t, 1)
+	s.p.workers["i-00"].avoidUntil = s.now.Add(failureBackoff)
+	s.interruptedAdvisedService()
+	require.LessOrEqual(t, s.timeUntilAdvisedStart(failureBackoff), avoidedWorkerDelay+2*maxTestPlanInterval)
+}
+
+// A long-running task waited for a permit for the only worker with capacity for as long as that was reserved for another task.
+func TestLongRunningTaskIsAdvisedOnAReservedWorker(t *testing.T) {
+	s := newSimulation(t, 1)
+	s.p.reservations.add("i-00", reservation{ref: jobs.Ref{Job: testID(9)}, size: jobs.Resources{MilliCPU: 30000, MemoryMB: 1000}, freeAt: s.now})
+	j := s.interruptedAdvisedService()
+	c := &candidateStep{job: j, step: &j.Steps[0], tasks: j.Tasks[0][0]}
+	s.p.waits.since[c.tasks[0].Ref] = s.now.Add(-maxInterruptedWait)
+	s.p.requestAdvice(c, s.now)
+	x := s.advice()
+	require.Len(t, x, 1)
+	require.Equal(t, []string{"i-00"}, x[0].Candidates)
+}
