A task is stopped for another worker only if that has a permit

What callers saw: on a queue with advice, services on a worker that was to leave were stopped and then had no run, though the worker would have run them for seconds more; tasks on slow workers were stopped again and again, and began anew each time.

Cause: a drain, a straggler and a slow best-effort task look for a worker with capacity elsewhere, and took one that the advisor refuses, or was never asked about, for a place.

Change: workerElsewhereIf is the one search for such a place. It returns a worker with a permit in force; if only others suit, it requests permits for them, and the task stays where it is until one is there.

--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -34,14 +34,28 @@
 // workerElsewhere returns another worker than w that may get the task of an attempt and has capacity for it. It returns nil if there
 // is none, or if the account's cap does not allow another start once the attempt has stopped.
 func (p *Planner) workerElsewhere(w *worker, a *attempt, now time.Time) *worker {
+	return p.workerElsewhereIf(w, a, func(*worker, *candidateStep) bool { return true }, now)
+}
+
+// workerElsewhereIf is workerElsewhere among the workers that suit. A worker that needs a permit of the placement advisor has to have
+// one, since the task would be stopped for nothing if the advisor refused it. If only such workers suit, permits are requested for them.
+func (p *Planner) workerElsewhereIf(w *worker, a *attempt, suits func(*worker, *candidateStep) bool, now time.Time) *worker {
 	if p.accounts.isOverCap(a.job) {
 		return nil
 	}
 	c := &candidateStep{job: a.job, step: a.task.Spec}
+	var unpermitted []*worker
 	for _, o := range p.workerList {
-		if o != w && p.isEligible(o, a.job, a.task.Spec, now) && p.hasRoom(o, c, a.task, now) {
+		if o == w || !p.isEligible(o, a.job, a.task.Spec, now) || !p.hasRoom(o, c, a.task, now) || !suits(o, c) {
+			continue
+		}
+		if _, ok := p.permitFor(o, a.job, stepRef(a.task), now); ok {
 			return o
 		}
+		unpermitted = append(unpermitted, o)
+	}
+	if len(unpermitted) > 0 {
+		p.requestPermits(a.task, unpermitted, now)
 	}
 	return nil
 }
--- a/internal/dispatch/permitplaces_test.go
+++ b/internal/dispatch/permitplaces_test.go
@@ -64,3 +64,57 @@
 	require.Len(t, x, 1)
 	require.Equal(t, []string{"i-00"}, x[0].Candidates)
 }
+
+// refuseAll lets the advisor refuse all candidates of the requests.
+func (s *simulation) refuseAll(l []Order) {
+	for _, o := range l {
+		s.p.HandleAdvice(o, nil, s.now.Add(testPermitLifetime), true, s.now)
+	}
+}
+
+// A service on a worker that was to leave was stopped for a worker that the advisor refuses, and then had no run.
+func TestDrainStopsNoServiceForAWorkerThatTheAdvisorRefuses(t *testing.T) {
+	for name, answer := range map[string]func(*simulation, []Order){"refused": (*simulation).refuseAll, "permitted": (*simulation).permitAll} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, 2)
+			j := advisedJob(s, 1, serviceStep(1, 8000))
+			require.True(t, j.Assign(j.Tasks[0][0][0], "i-01", testIncarnation, s.now))
+			s.p.AddJob(j, s.now)
+			running := []RunningAttempt{{Ref: j.Tasks[0][0][0].Ref, Run: 1}}
+			draining := testWorker(1)
+			draining.Draining = true
+			s.p.SetWorkers([]WorkerInfo{testWorker(0), draining}, s.now)
+			stops := 0
+			for range 10 {
+				s.report("i-00", nil)
+				s.report("i-01", running)
+				x := s.plan()
+				stops += len(x[OrderStop])
+				answer(s, x[OrderAdvise])
+				s.advance(maxTestPlanInterval)
+			}
+			if name == "refused" {
+				require.Zero(t, stops, "the task has no other place")
+				return
+			}
+			require.NotZero(t, stops, "the task moves once another worker is permitted")
+		})
+	}
+}
+
+// A task on a straggler was stopped again and again for faster workers that the advisor refuses.
+func TestTaskStaysOnAStragglerIfTheAdvisorRefusesAllOthers(t *testing.T) {
+	s := newSimulation(t, 2)
+	j := advisedJob(s, 1, plainStep(1))
+	x := j.Tasks[0][0][0]
+	require.True(t, j.Assign(x, "i-01", testIncarnation, s.now))
+	s.p.AddJob(j, s.now)
+	s.report("i-01", []RunningAttempt{{Ref: x.Ref, Run: 1}})
+	w := s.p.workers["i-01"]
+	a := w.attempts[x.Ref]
+	require.Nil(t, s.p.workerElsewhere(w, a, s.now), "the advisor was not asked yet")
+	s.refuseAll(s.advice())
+	require.False(t, s.p.hasCapacityElsewhere(w, a, s.now))
+	require.False(t, s.p.hasFasterWorker(w, a, s.now))
+	require.Empty(t, s.advice(), "a refusal holds for the incarnation")
+}
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -67,17 +67,8 @@
 // hasFasterWorker reports whether another worker has capacity for the task and is expected to run it at minExpectedSpeed
 // or more.
 func (p *Planner) hasFasterWorker(w *worker, a *attempt, now time.Time) bool {
-	if p.accounts.isOverCap(a.job) {
-		return false
-	}
-	c := &candidateStep{job: a.job, step: a.task.Spec}
-	for _, o := range p.workerList {
-		if o == w || !p.isEligible(o, a.job, a.task.Spec, now) || !p.hasRoom(o, c, a.task, now) {
-			continue
-		}
-		if _, e := p.bestEffortScore(o, c, now); e == notExcluded {
-			return true
-		}
-	}
-	return false
+	return p.workerElsewhereIf(w, a, func(o *worker, c *candidateStep) bool {
+		_, e := p.bestEffortScore(o, c, now)
+		return e == notExcluded
+	}, now) != nil
 }
