An instance has left a wave only if two lists in a row leave it out

What operators saw (by reading; shown by tests): a wave is `completed`, and an instance of it that stays has not had its maintenance. Nothing looks again after that, since the list is read only while a wave is unfinished.

What one list left out counted as gone: no maintenance remained, an accepted maintenance was complete, and the worker was open to tasks while its instance went down.

Change: an instance of a wave, or under maintenance, has left once two lists in a row leave it out. Until then it remains, and its worker is cordoned if its maintenance has begun. A maintenance that was not ordered yet is still given up at once, so that the wave goes on.

--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -19,5 +19,8 @@
 		return true
 	}
 	i, listed := p.instances[m.instance]
-	return listed && (!i.Up || i.Worker == m.worker)
+	if !listed {
+		return !p.hasLeft(m.instance)
+	}
+	return !i.Up || i.Worker == m.worker
 }
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -17,6 +17,8 @@
 	maintenanceEffectTimeout = time.Second
 	// maxInstanceListAge is the age of the list of instances from which on waves are not continued by it.
 	maxInstanceListAge = 4 * time.Second
+	// minAbsences is the number of lists in a row without an instance from which on it counts as gone.
+	minAbsences = 2
 	// maintenanceRefusalTimeout is the time after the first refusal from which on a maintenance whose orders are refused is given up,
 	// and maintenanceRefusalBackoff the time after which it may begin again.
 	maintenanceRefusalTimeout = 3 * time.Second
@@ -155,6 +157,7 @@
 	for _, i := range l {
 		p.instances[i.ID] = i
 	}
+	p.recordAbsences()
 	for _, w := range p.waves {
 		for _, m := range w.active {
 			if p.isComplete(m, asOf) {
@@ -165,6 +168,23 @@
 	p.updateCordons()
 }
 
+// recordAbsences records which instances of the waves the latest list leaves out.
+func (p *Planner) recordAbsences() {
+	absences := make(map[string]int)
+	for _, w := range p.waves {
+		for _, id := range slices.AppendSeq(slices.Clone(w.Instances), maps.Keys(w.active)) {
+			if _, listed := p.instances[id]; !listed {
+				absences[id] = p.absences[id] + 1
+			}
+		}
+	}
+	p.absences = absences
+}
+
+// hasLeft reports whether an instance is gone for good: minAbsences lists in a row have left it out. A list is read in pages, which are
+// no snapshot, so that a single one may leave out an instance that is still there.
+func (p *Planner) hasLeft(instance string) bool { return p.absences[instance] >= minAbsences }
+
 // completeMaintenance records that a maintenance is complete.
 func (p *Planner) completeMaintenance(w *waveState, m *maintenance, now time.Time) {
 	delete(w.active, m.instance)
@@ -185,7 +205,7 @@
 }
 
 // isComplete reports whether the list of instances as of the given time shows that a maintenance is complete: an order for it was
-// accepted, and the instance is up with another worker or no longer listed.
+// accepted, and the instance is up with another worker or has left.
 //
 // The platform also accepts an order for what was done before, such as for an
 // earlier owner whose records were lost. It then takes nothing down, which the
@@ -197,7 +217,7 @@
 	i, listed := p.instances[m.instance]
 	switch {
 	case !listed:
-		return true
+		return p.hasLeft(m.instance)
 	case !i.Up:
 		return false
 	case i.Worker != m.worker:
@@ -240,12 +260,11 @@
 	}
 	remaining, taken := 0, 0
 	for _, id := range w.Instances {
-		i, listed := p.instances[id]
-		if w.done[id] || !listed {
+		if w.done[id] || p.hasLeft(id) {
 			continue
 		}
 		remaining++
-		if w.active[id] != nil || i.InMaintenance {
+		if w.active[id] != nil || p.instances[id].InMaintenance {
 			taken++
 		}
 	}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -101,8 +101,10 @@
 	// waves holds the maintenance waves by number, and instances the platform's list of instances by ID.
 	waves     map[int]*waveState
 	instances map[string]Instance
-	// instancesAt is as of when the planner knows the list of instances.
+	// instancesAt is as of when the planner knows the list of instances, and absences holds, by instance ID, how many lists in a row
+	// have left out an instance of a wave.
 	instancesAt time.Time
+	absences    map[string]int
 	// cordons holds, by ID, the workers that get no new tasks since their instances are due for maintenance. updateCordons derives it
 	// from the waves. It is independent of Draining and of the drained failure domains.
 	cordons map[string]*maintenance
