A commit that can't name all silent workers says so

What callers would see (by reading; shown by a test): a task runs twice, where an owner with over 2,048 silent workers is lost right after its takeover and starts again on the same instance.

A commit names the workers that its owner has not reached, so that the next one counts their leases from the owners before. Beyond 2,048 it named none, which reads like "all were reached"; the next owner then counted all leases from the end of the former process, though the owner before that may have granted some later.

Change: beyond the limit a commit has one entry for all workers, with the longest of the leases, under the empty ID. The record keeps its form: earlier versions know no worker of that ID and do as before.

A test is replaced: TestCommitNamesNoWorkersOfALargeFleetThatIsSilent wanted an empty map, which is the fault. It guards the size of a commit, and as TestCommitHasOneEntryForALargeFleetThatIsSilent wants exactly the one entry with its value.

--- a/internal/dispatch/inheritedlease.go
+++ b/internal/dispatch/inheritedlease.go
@@ -1,9 +1,18 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
-// maxInheritedLeases bounds the workers that a commit names, so that its size is bounded; a planner with more names none.
-const maxInheritedLeases = 2048
+const (
+	// maxInheritedLeases bounds the workers that a commit names, so that its size is bounded. A planner with more names anyWorker alone.
+	maxInheritedLeases = 2048
+	// anyWorker stands for all workers in a commit, with the longest of their leases. It is the ID of none, so that versions that don't
+	// know it ignore it.
+	anyWorker = ""
+)
 
 // InheritedLeases returns, by worker ID, the milliseconds until the leases of earlier owners have expired, for the workers that
 // hold attempts and have not responded to this owner, which has granted them none. The caller stores them at the end of each
@@ -21,10 +30,12 @@
 		}
 	}
 	if len(m) > maxInheritedLeases {
-		clear(m)
+		m = map[string]int64{anyWorker: slices.Max(slices.Collect(maps.Values(m)))}
 	}
 	for id := range m {
-		p.workers[id].leaseInherited = true
+		if w := p.workers[id]; w != nil {
+			w.leaseInherited = true
+		}
 	}
 	p.inherited = m
 	return m
@@ -58,17 +69,24 @@
 // before that one may have granted them, which GrantsEndedAt does not tell.
 func (p *Planner) RestoreInheritedLeases(m map[string]int64) {
 	all := p.leaseExpiry(p.LastCommitAt.Add(p.StoreLossGrace))
+	expiry := func(ms int64) time.Time {
+		return p.LastCommitAt.Add(min(max(0, time.Duration(ms)*time.Millisecond), all.Sub(p.LastCommitAt)))
+	}
 	var longest time.Duration
 	n := 0
-	for id, ms := range m {
-		w := p.workers[id]
-		if w == nil {
+	for _, w := range p.workerList {
+		ms, named := m[w.ID]
+		ofAny, any := m[anyWorker]
+		switch {
+		case named:
+			w.leaseUntil = expiry(ms)
+		case any:
+			w.leaseUntil = laterOf(w.leaseUntil, expiry(ofAny))
+		default:
 			continue
 		}
 		n++
-		left := min(max(0, time.Duration(ms)*time.Millisecond), all.Sub(p.LastCommitAt))
-		longest = max(longest, left)
-		w.leaseUntil = p.LastCommitAt.Add(left)
+		longest = max(longest, w.leaseUntil.Sub(p.LastCommitAt))
 	}
 	if n > 0 {
 		p.Logger.Info().Int("Workers", n).Dur("Longest", longest).Str("Decision", "InheritLeases").Msg("the latest owner had no response from workers, and granted them no lease")
--- a/internal/dispatch/inheritedlease_test.go
+++ b/internal/dispatch/inheritedlease_test.go
@@ -91,7 +91,7 @@
 }
 
 // The commit of an owner of a large fleet must not exceed what the store takes.
-func TestCommitNamesNoWorkersOfALargeFleetThatIsSilent(t *testing.T) {
+func TestCommitHasOneEntryForALargeFleetThatIsSilent(t *testing.T) {
 	s := newSimulation(t, 0)
 	step := plainStep(maxInheritedLeases + 1)
 	j := testJob(testID(1), s.now, step)
@@ -99,6 +99,40 @@
 		require.True(t, j.Assign(x, testWorker(i).ID, testIncarnation, s.now))
 	}
 	s.p.AddJob(j, s.now)
-	require.Empty(t, s.p.InheritedLeases(s.now))
-	require.True(t, s.p.NeedsLease(testWorker(0).ID), "the commit says nothing of the worker")
+	longest := s.p.workers[testWorker(0).ID].leaseUntil.Sub(s.now).Milliseconds() + 1
+	require.Equal(t, map[string]int64{anyWorker: longest}, s.p.InheritedLeases(s.now))
+	require.True(t, s.p.NeedsLease(testWorker(0).ID), "the commit names no worker that is to be granted none")
+}
+
+// An owner with more silent workers than a commit names named none, as if it had granted all of them their leases, so that the next owner,
+// on the same instance, counted those of the owner before as ended with the process of this one.
+func TestLeasesOfMoreWorkersThanACommitNamesAreInherited(t *testing.T) {
+	const workers = maxInheritedLeases + 1
+	now := time.Unix(1_700_000_000, 0)
+	step := plainStep(workers)
+	step.MaxPerWorker = 1
+	job := testJob(testID(1), now, step)
+	var list []WorkerInfo
+	for i, x := range job.Tasks[0][0] {
+		w := testWorker(i)
+		list = append(list, w)
+		require.True(t, job.Assign(x, w.ID, testIncarnation, now))
+	}
+	takeOver := func(c Config, inherited map[string]int64) *Planner {
+		c.Lease, c.StoreLossGrace, c.Logger = testLease, testStoreLossGrace, zerolog.Nop()
+		p := New(c, now)
+		p.SetWorkers(list, now)
+		p.AddJob(job, now)
+		p.RestoreInheritedLeases(inherited)
+		return p
+	}
+	// The first owner commits and goes on to grant leases; the second one reaches no worker, commits and ends at once.
+	second := takeOver(Config{LastCommitAt: now}, nil)
+	granted := second.worker(list[0].ID).leaseUntil
+	inherited := second.InheritedLeases(now)
+	require.LessOrEqual(t, len(inherited), maxInheritedLeases)
+	third := takeOver(Config{LastCommitAt: now, GrantsEndedAt: now.Add(100 * time.Millisecond)}, inherited)
+	for _, w := range third.workerList {
+		require.False(t, w.leaseUntil.Before(granted), "the first owner may have granted the worker a lease until then")
+	}
 }
