Requests for permits name fewer workers while answers are late

What callers would see: a task on a queue whose advisor takes long for each worker waits for ever beside free workers.

A request always named up to 30 workers. Where that takes the advisor longer than permits are valid, or than the call may take, each answer is of no use, and the same request is made again.

Change: while one request at a time is answered late or not at all, each names half as many workers as the one before, at least one; answers in time double the number again, and then the requests in flight.

--- a/internal/dispatch/advicecalls.go
+++ b/internal/dispatch/advicecalls.go
@@ -23,24 +23,34 @@
 	candidates []*worker
 }
 
-// adviceCalls limits the advice requests in flight by how late the answers are.
+// adviceCalls limits the advice requests in flight, and then the workers that each of them names, by how late the answers are.
 type adviceCalls struct {
 	inFlight int
 	// withheld is by how many requests the limit is below maxAdviceCalls.
 	withheld int
+	// halvings is how often the number of candidates is halved.
+	halvings int
 }
 
 // limit returns how many requests may be in flight, at least one.
 func (c *adviceCalls) limit() int { return maxAdviceCalls - c.withheld }
 
+// candidates returns how many workers a request may name, at least one.
+func (c *adviceCalls) candidates() int { return max(1, maxAdviceCandidates>>c.halvings) }
+
 // end records the end of a request that took the given time; ok is false if it failed.
 func (c *adviceCalls) end(took time.Duration, ok bool) {
 	c.inFlight = max(0, c.inFlight-1)
-	if ok && took < slowAdvice {
+	switch {
+	case ok && took < slowAdvice && c.halvings > 0:
+		c.halvings--
+	case ok && took < slowAdvice:
 		c.withheld = max(0, c.withheld-1)
-		return
+	case c.limit() > 1:
+		c.withheld = maxAdviceCalls - c.limit()/2
+	case c.candidates() > 1:
+		c.halvings++
 	}
-	c.withheld = maxAdviceCalls - max(1, c.limit()/2)
 }
 
 // sendAdviceRequests orders the requests that the plan wants to make as far as the limit allows. Steps whose latest request was longest
@@ -64,7 +74,7 @@
 func (p *Planner) sendAdviceRequest(r adviceRequest, now time.Time) {
 	o := Order{Kind: OrderAdvise, Ref: r.task}
 	r.advice.pending, r.advice.requestedAt = make(map[string]int64), now
-	for _, w := range r.candidates {
+	for _, w := range r.candidates[:min(len(r.candidates), p.adviceCalls.candidates())] {
 		o.Candidates = append(o.Candidates, w.ID)
 		r.advice.pending[w.ID] = w.Incarnation
 	}
--- a/internal/dispatch/advicecalls_test.go
+++ b/internal/dispatch/advicecalls_test.go
@@ -17,9 +17,11 @@
 
 // serialAdvisor permits all candidates, and handles one call after another, also those whose callers have left.
 type serialAdvisor struct {
-	s      *simulation
-	calls  []adviceCall
-	freeAt time.Time
+	s *simulation
+	// eachTime is how long the advisor takes for each worker that a call names, beside testAdviceTime.
+	eachTime time.Duration
+	calls    []adviceCall
+	freeAt   time.Time
 }
 
 // adviceCall is a call at the advisor. answered means that the caller has got an answer or has left.
@@ -36,7 +38,7 @@
 		a.s.p.HandleAdvice(o, nil, time.Time{}, false, a.s.now)
 		return
 	}
-	a.freeAt = laterOf(a.freeAt, a.s.now).Add(testAdviceTime)
+	a.freeAt = laterOf(a.freeAt, a.s.now).Add(testAdviceTime + time.Duration(len(o.Candidates))*a.eachTime)
 	a.calls = append(a.calls, adviceCall{order: o, madeAt: a.s.now, doneAt: a.freeAt})
 }
 
@@ -73,18 +75,32 @@
 	for i := range steps {
 		s.p.AddJob(advisedJob(s, i, plainStep(1)), s.now)
 	}
-	started := 0
 	// The advisor takes steps * testAdviceTime for one call a step; no step may wait for more than twice that.
-	for began := s.now; s.now.Sub(began) < 2*steps*testAdviceTime; s.advance(10 * time.Millisecond) {
+	require.Equal(t, steps, a.startsWithin(2*steps*testAdviceTime))
+}
+
+// startsWithin plans for a time, and returns the number of starts.
+func (a *serialAdvisor) startsWithin(d time.Duration) int {
+	s, n := a.s, 0
+	for began := s.now; s.now.Sub(began) < d; s.advance(10 * time.Millisecond) {
 		for _, w := range s.p.workerList {
 			s.reportAll(w)
 		}
 		a.run()
 		x := s.plan()
-		started += len(x[OrderStart])
+		n += len(x[OrderStart])
 		for _, o := range x[OrderAdvise] {
 			a.add(o)
 		}
 	}
-	require.Equal(t, steps, started)
+	return n
+}
+
+// A task waited for ever at an advisor that takes long for each worker, since requests named so many workers that no answer came in time.
+func TestRequestsForPermitsNameFewerWorkersIfAnswersAreLate(t *testing.T) {
+	s := newSimulation(t, maxAdviceCandidates)
+	a := &serialAdvisor{s: s, eachTime: testAdvicePatience / (maxAdviceCandidates - 2)}
+	s.p.AddJob(advisedJob(s, 1, plainStep(1)), s.now)
+	// Each call that is too late costs the caller its patience, and the advisor its whole time.
+	require.Equal(t, 1, a.startsWithin(5*testAdvicePatience))
 }
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxAdviceCandidates is the maximum number of workers that one advice request names.
+	// maxAdviceCandidates is the maximum number of workers that one advice request names, while answers are in time.
 	maxAdviceCandidates = 30
 	// adviceRetryBackoff is the least time from a failed advice request to the next request.
 	adviceRetryBackoff = 250 * time.Millisecond
@@ -123,7 +123,7 @@
 	slices.SortFunc(l, func(x, y *worker) int {
 		return cmp.Or(cmp.Compare(y.free().MilliCPU, x.free().MilliCPU), cmp.Compare(x.ID, y.ID))
 	})
-	p.adviceRequests = append(p.adviceRequests, adviceRequest{a, t.Ref, l[:min(len(l), maxAdviceCandidates)]})
+	p.adviceRequests = append(p.adviceRequests, adviceRequest{a, t.Ref, l})
 }
 
 // taskToAdviseOn returns a task of a step that found no worker in its turn and may start now. It prefers tasks that are not bound to a
