What the advisor said about a finished job is dropped

Change: they go with the planning state of the job; an answer to a request about a finished job only ends the request.

Evidence and result: TestAdviceOnFinishedJobsIsDropped found three entries of three finished jobs before, and none now.

--- a/internal/dispatch/advicecalls.go
+++ b/internal/dispatch/advicecalls.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// forget records the end of a request about a job that has finished, of which it is not known how long it took.
+func (c *adviceCalls) forget() { c.inFlight = max(0, c.inFlight-1) }
+
 // sendAdviceRequests orders the requests that the plan wants to make as far as the limit allows. Steps whose latest request was longest
 // ago come first, so that none waits for ever behind others that need new permits again and again. What is left out is requested by a
 // later plan, if it is still wanted.
--- a/internal/dispatch/advicecalls_test.go
+++ b/internal/dispatch/advicecalls_test.go
@@ -104,3 +104,20 @@
 	// Each call that is too late costs the caller its patience, and the advisor its whole time.
 	require.Equal(t, 1, a.startsWithin(5*testAdvicePatience))
 }
+
+// What the advisor said about finished jobs was kept for as long as the owner lasted, and a late answer created it again.
+func TestAdviceOnFinishedJobsIsDropped(t *testing.T) {
+	s := newSimulation(t, 1)
+	for i := range 3 {
+		s.p.AddJob(advisedJob(s, i, plainStep(1)), s.now)
+	}
+	x := s.plan()[OrderAdvise]
+	require.Len(t, x, 3)
+	for i := range 3 {
+		s.p.Cancel(testID(i), s.now)
+		s.p.finalizeJob(s.p.Job(testID(i)), s.now)
+	}
+	s.permitAll(x)
+	require.Empty(t, s.p.advice)
+	require.Zero(t, s.p.adviceCalls.inFlight)
+}
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -60,6 +60,18 @@
 	return a
 }
 
+// removeAdvice drops what the advisor said about the steps of a finished job.
+func (p *Planner) removeAdvice(j *jobs.Job) {
+	if !j.Queue.NeedsPermit {
+		return
+	}
+	for k := range j.Tasks {
+		for i := range j.Steps {
+			delete(p.advice, StepRef{j.ID, k, i})
+		}
+	}
+}
+
 // permitFor returns the token of a worker's permit for a step, and whether the worker may run the step. If the job's queue
 // needs no permits, the token is empty and any worker may.
 func (p *Planner) permitFor(w *worker, j *jobs.Job, r StepRef, now time.Time) (string, bool) {
@@ -164,7 +176,12 @@
 // HandleAdvice handles the response to an advice request: the permits l, which are valid until the given time. ok is false
 // if the request failed. They count for the incarnations that the request named, which may have ended meanwhile.
 func (p *Planner) HandleAdvice(o Order, l []Permit, until time.Time, ok bool, now time.Time) {
-	a := p.adviceOf(StepRef{o.Job, o.Occurrence, o.Step})
+	a := p.advice[StepRef{o.Job, o.Occurrence, o.Step}]
+	if a == nil || a.pending == nil {
+		// The job has finished meanwhile.
+		p.adviceCalls.forget()
+		return
+	}
 	p.adviceCalls.end(now.Sub(a.requestedAt), ok)
 	named := a.pending
 	a.pending = nil
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -200,6 +200,7 @@
 		return false
 	}
 	delete(p.jobs, id)
+	p.removeAdvice(j)
 	p.accounts.removeJob(id)
 	delete(p.active, id)
 	return true
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -164,6 +164,7 @@
 	delete(p.overdue.jobs, j.ID)
 	p.accounts.finishJob(j)
 	p.removeRates(j)
+	p.removeAdvice(j)
 	p.isolation.removeJob(j)
 	j.Compact()
 	delete(p.active, j.ID)
