A reserved worker isolates no other task

Cause: a reservation keeps capacity, an isolation takes the whole worker.

Change: rateByRisk leaves out workers that are reserved for others, for isolation only. A contained task that has waited for 16 s goes by no reservation, as before, and other suspects share a worker after their deadline.

--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -192,7 +192,7 @@
 	t := c.tasks[0]
 	contained := p.isContained(t)
 	for _, w := range p.schedulable {
-		if !w.canShare(x, now) {
+		if !w.canShare(x, now) || x == shareNone && p.isReservedForOthers(w, t) {
 			continue
 		}
 		if _, e := p.rate(w, c, now); e == notExcluded {
@@ -206,6 +206,12 @@
 	return l
 }
 
+// isReservedForOthers reports whether a worker is reserved for other tasks than t, which could not start there while it isolates t,
+// whatever capacity is left.
+func (p *Planner) isReservedForOthers(w *worker, t *jobs.Task) bool {
+	return slices.ContainsFunc(p.reservations.byWorker[w.ID], func(x reservation) bool { return x.ref != t.Ref })
+}
+
 // canShare reports whether a worker runs only what a task may run beside.
 func (w *worker) canShare(x sharing, now time.Time) bool {
 	return w.isolated == 0 && (x == shareAny || x == shareIsolated || !slices.ContainsFunc(w.attemptList, func(a *attempt) bool {
