Permits are requested before a lease expires

What callers saw: on a queue with advice, a service whose worker was lost was without a run for as long as its lease lasted, and then for as long as the advisor took to answer.

Permits are requested for tasks that wait, which those of a lost worker do only once the lease has expired.

Change: a second before that, permits are requested for the long-running tasks that are to be released, about the workers that could take them.

--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -13,7 +13,8 @@
 	maxAdviceCandidates = 30
 	// adviceRetryBackoff is the least time from a failed advice request to the next request.
 	adviceRetryBackoff = 250 * time.Millisecond
-	// adviceLead is the time before the end of the delay of a suspect from which on permits for it are requested.
+	// adviceLead is the time before the end of the delay of a suspect, or of the lease of a lost worker, from which on permits are
+	// requested for what waits for that.
 	adviceLead = time.Second
 	// permitMargin is the remaining validity that a permit must have, so that the permit is valid when the start call
 	// arrives.
@@ -101,13 +102,18 @@
 	if t == nil || !p.adviceOf(c.ref()).mayRequest(now) {
 		return
 	}
+	p.requestPermits(t, p.takersOf(c, t, now), now)
+}
+
+// takersOf returns the workers that could get a task of a step if they had permits.
+func (p *Planner) takersOf(c *candidateStep, t *jobs.Task, now time.Time) []*worker {
 	var l []*worker
 	for _, w := range p.workerList {
 		if p.couldTake(w, c, t, now) {
 			l = append(l, w)
 		}
 	}
-	p.requestPermits(t, l, now)
+	return l
 }
 
 // couldTake reports whether a worker could get a task if it had a permit. A long-running task may also get avoided and reserved workers
--- a/internal/dispatch/permitplaces_test.go
+++ b/internal/dispatch/permitplaces_test.go
@@ -118,3 +118,26 @@
 	require.False(t, s.p.hasFasterWorker(w, a, s.now))
 	require.Empty(t, s.advice(), "a refusal holds for the incarnation")
 }
+
+// A service whose worker was lost waited for its permit only once the lease had expired, in addition to that time.
+func TestPermitsAreRequestedBeforeALeaseExpires(t *testing.T) {
+	s := newSimulation(t, 2)
+	j := advisedJob(s, 1, serviceStep(1, 8000))
+	x := j.Tasks[0][0][0]
+	require.True(t, j.Assign(x, "i-01", testIncarnation, s.now))
+	s.p.AddJob(j, s.now)
+	s.report("i-01", []RunningAttempt{{Ref: x.Ref, Run: 1}})
+	expiry := s.p.workers["i-01"].leaseUntil
+	for s.now.Before(expiry) {
+		s.advance(maxTestPlanInterval)
+		s.report("i-00", nil)
+		o := s.plan()
+		require.True(t, len(o[OrderAdvise]) == 0 || expiry.Sub(s.now) <= adviceLead, "the permit would expire")
+		s.permitAll(o[OrderAdvise])
+		if len(o[OrderStart]) > 0 {
+			require.Equal(t, "i-00", o[OrderStart][0].Worker)
+			return
+		}
+	}
+	require.Fail(t, "the task did not start when the lease expired")
+}
--- a/internal/dispatch/recovery_test.go
+++ b/internal/dispatch/recovery_test.go
@@ -591,8 +591,7 @@
 		j := f.p.Job(id)
 		for _, t := range waitingTasks(j, f.now) {
 			d := f.now.Sub(laterOf(f.lastRun[t.Ref], j.SubmittedAt))
-			// The last run ended, and the next one begins, at any moment within a step.
-			if t.Spec.LongRunning && d > interruptionLimit+capacityLimit+2*recoveryStep && !f.interrupted[t.Ref] {
+			if t.Spec.LongRunning && d > interruptionLimit+capacityLimit && !f.interrupted[t.Ref] {
 				f.interrupted[t.Ref] = true
 				f.interruptions = append(f.interruptions, fmt.Sprintf("%v of calm, %v without a run: %s", calm, d, f.describe(j, t)))
 			}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -125,6 +125,7 @@
 	p.requestForWaiting(wanted, l, now)
 	p.requestForLost(wanted, now)
 	p.requestForMoved(wanted, now)
+	soon := p.releasedSoon(wanted, now)
 	maps.DeleteFunc(p.reservations.lapsedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= reservationBackoff })
 	p.reservations.retain(func(id string, x reservation) bool {
 		q, ok := wanted[x.ref]
@@ -135,6 +136,23 @@
 		return true
 	})
 	p.reserveWorkers(wanted, now)
+	for _, q := range soon {
+		c := &candidateStep{job: q.job, step: q.task.Spec, tasks: []*jobs.Task{q.task}}
+		p.requestPermits(q.task, p.takersOf(c, q.task, now), now)
+	}
+}
+
+// releasedSoon returns the requests for tasks that need a permit and are released within adviceLead, sorted by task. Their permits are
+// requested ahead, so that none of them waits for an answer besides.
+func (p *Planner) releasedSoon(m map[jobs.Ref]reservationRequest, now time.Time) []reservationRequest {
+	var l []reservationRequest
+	for _, q := range m {
+		if q.job.Queue.NeedsPermit && q.task.State != jobs.TaskWaiting && !now.Add(adviceLead).Before(q.after) {
+			l = append(l, q)
+		}
+	}
+	slices.SortFunc(l, func(a, b reservationRequest) int { return cmp.Compare(a.task.String(), b.task.String()) })
+	return l
 }
 
 // requestForWaiting adds the tasks of long-running steps for which the latest plan found no worker, if they had an earlier
