Real processes with a slow advisor, and fewer workers from those named

Cause: requests that were answered late named half of 30 workers next, also where the late one had named four, so that several more late answers passed before a request named fewer than before.

Change: the next request names half as many as the late one did.

--- a/internal/dispatch/advicecalls.go
+++ b/internal/dispatch/advicecalls.go
@@ -28,28 +28,34 @@
 	inFlight int
 	// withheld is by how many requests the limit is below maxAdviceCalls.
 	withheld int
-	// halvings is how often the number of candidates is halved.
-	halvings int
+	// maxNamed is how many workers a request may name, 0 if maxAdviceCandidates.
+	maxNamed int
 }
 
 // limit returns how many requests may be in flight, at least one.
 func (c *adviceCalls) limit() int { return maxAdviceCalls - c.withheld }
 
 // candidates returns how many workers a request may name, at least one.
-func (c *adviceCalls) candidates() int { return max(1, maxAdviceCandidates>>c.halvings) }
+func (c *adviceCalls) candidates() int {
+	if c.maxNamed == 0 {
+		return maxAdviceCandidates
+	}
+	return c.maxNamed
+}
 
-// end records the end of a request that took the given time; ok is false if it failed.
-func (c *adviceCalls) end(took time.Duration, ok bool) {
+// end records the end of a request that named some workers and took the given time; ok is false if it failed.
+func (c *adviceCalls) end(named int, took time.Duration, ok bool) {
 	c.inFlight = max(0, c.inFlight-1)
+	inTime := ok && took < slowAdvice
 	switch {
-	case ok && took < slowAdvice && c.halvings > 0:
-		c.halvings--
-	case ok && took < slowAdvice:
+	case inTime && c.candidates() < maxAdviceCandidates:
+		c.maxNamed = min(2*c.maxNamed, maxAdviceCandidates)
+	case inTime:
 		c.withheld = max(0, c.withheld-1)
 	case c.limit() > 1:
 		c.withheld = maxAdviceCalls - c.limit()/2
-	case c.candidates() > 1:
-		c.halvings++
+	default:
+		c.maxNamed = max(1, min(named, c.candidates())/2)
 	}
 }
 
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -188,7 +188,7 @@
 		p.adviceCalls.forget()
 		return
 	}
-	p.adviceCalls.end(now.Sub(a.requestedAt), ok)
+	p.adviceCalls.end(len(o.Candidates), now.Sub(a.requestedAt), ok)
 	named := a.pending
 	a.pending = nil
 	if !ok {
