The age of an exclusion goes on with the next owner

Their age began anew with each one, so that a series of owners showed no exclusion that lasts: the gauge of the longest one fell to 0 and no `Excluded` line named the worker for 8 s.

The next owner goes on with the age if it finds the worker excluded for the same reason within 8 s; at first, all workers are silent to it.

--- a/internal/dispatch/exclusionwatch.go
+++ b/internal/dispatch/exclusionwatch.go
@@ -49,6 +49,9 @@
 type exclusionWatch struct {
 	byWorker  map[string]*workerExclusion
 	checkedAt time.Time
+	// restored holds, by worker ID, the exclusions that an earlier owner saw, which count until restoredUntil.
+	restored      map[string]workerExclusion
+	restoredUntil time.Time
 }
 
 func newExclusionWatch() exclusionWatch {
@@ -92,6 +95,12 @@
 // record records that a worker gets no tasks, and why.
 func (x *exclusionWatch) record(worker string, e exclusion, now time.Time) {
 	o := x.byWorker[worker]
+	if o == nil || o.reason != e {
+		if r := x.takeRestored(worker, e, now); r != nil {
+			x.byWorker[worker] = r
+			return
+		}
+	}
 	switch {
 	case o == nil:
 		x.byWorker[worker] = &workerExclusion{reason: e, since: now, reasonSince: now}
@@ -102,6 +111,7 @@
 
 // endExclusion forgets that a worker got no tasks, and logs it if it was logged before.
 func (p *Planner) endExclusion(id string, now time.Time) {
+	delete(p.exclusions.restored, id)
 	x := p.exclusions.byWorker[id]
 	if x == nil {
 		return
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -50,6 +50,11 @@
 	WorkersRestart bool
 }
 
+// isEmpty reports whether the record holds nothing that the next owner would restore.
+func (r *snapshotRecord) isEmpty() bool {
+	return len(r.Images) == 0 && len(r.RunTimes) == 0 && len(r.Maintained) == 0 && len(r.Unresponsive) == 0 && len(r.Interrupted) == 0 && !r.WorkersRestart
+}
+
 // errEmptySnapshot means that the record of the snapshot has no value.
 var errEmptySnapshot = errors.New("decode planner snapshot: no value")
 
@@ -71,11 +76,11 @@
 		}
 		r.Images = append(r.Images, x)
 	}
-	l, late := p.maintenanceRecords(), p.lateStartRecords(now)
-	if len(r.Images) == 0 && len(late) == 0 && len(r.RunTimes) == 0 && len(r.Maintained) == 0 && len(l) == 0 && len(r.Unresponsive) == 0 && len(r.Interrupted) == 0 && !r.WorkersRestart && !p.unresponsiveChanged && !p.maintenanceChanged {
+	l, late, excluded := p.maintenanceRecords(), p.lateStartRecords(now), p.exclusions.exclusionRecords(now)
+	if r.isEmpty() && len(l)+len(late)+len(excluded) == 0 && !p.unresponsiveChanged && !p.maintenanceChanged {
 		return nil, nil
 	}
-	b, err := encodeSnapshot(&r, l, late)
+	b, err := encodeSnapshot(&r, l, late, excluded)
 	if err != nil {
 		return nil, fmt.Errorf("encode planner snapshot: %w", err)
 	}
@@ -83,15 +88,19 @@
 	return b, nil
 }
 
-// encodeSnapshot encodes a snapshot, the maintenances that are not complete, and the starts that may be executed late.
-func encodeSnapshot(r *snapshotRecord, l []maintenanceRecord, late []lateStartRecord) ([]byte, error) {
+// encodeSnapshot encodes a snapshot, the maintenances that are not complete, the starts that may be executed late, and the exclusions of
+// workers.
+func encodeSnapshot(r *snapshotRecord, l []maintenanceRecord, late []lateStartRecord, excluded []exclusionRecord) ([]byte, error) {
 	values := []any{r}
-	if len(l) > 0 || len(late) > 0 {
+	if len(l) > 0 || len(late) > 0 || len(excluded) > 0 {
 		values = append(values, l)
 	}
-	if len(late) > 0 {
+	if len(late) > 0 || len(excluded) > 0 {
 		values = append(values, late)
 	}
+	if len(excluded) > 0 {
+		values = append(values, excluded)
+	}
 	var b []byte
 	for _, v := range values {
 		x, err := msgpack.Marshal(v)
@@ -162,10 +171,11 @@
 	var r snapshotRecord
 	var l []maintenanceRecord
 	var late []lateStartRecord
+	var excluded []exclusionRecord
 	if len(b) == 0 {
 		return errEmptySnapshot
 	}
-	if err := msgpackcheck.UnmarshalSequence(b, &r, &l, &late); err != nil {
+	if err := msgpackcheck.UnmarshalSequence(b, &r, &l, &late, &excluded); err != nil {
 		return fmt.Errorf("decode planner snapshot: %w", err)
 	}
 	for q, x := range r.RunTimes {
@@ -176,6 +186,7 @@
 	}
 	p.restoreMaintenances(l)
 	p.restoreLateStarts(late)
+	p.exclusions.restore(excluded, p.LastCommitAt, p.takeoverAt.Add(exclusionBound))
 	p.unresponsive = r.Unresponsive
 	// Earlier owners granted their last leases StoreLossGrace after their latest commit.
 	longest := p.leaseExpiry(p.LastCommitAt.Add(p.StoreLossGrace)).Sub(p.LastCommitAt).Milliseconds()
