recoveryFleet plays slow advisors and lists that leave instances out

Instances were listed also after all waves had been reported as completed, which an owner does not do, and a wave that was completed too early was not looked for.

Change: answers of the advisor may take up to 3 s in trouble and 0.2 s after it; lists leave out each instance now and then, never twice in a row, and are read while a wave is unfinished; a completed wave must have maintained each of its instances.

--- a/internal/dispatch/recovery_test.go
+++ b/internal/dispatch/recovery_test.go
@@ -31,9 +31,11 @@
 	recoveryUnlist      = 4500 * time.Millisecond
 	recoverySnapshot    = 3 * time.Second
 	recoveryPermit      = 3 * time.Second
-	recoveryTaskTime    = time.Second
-	recoveryLease       = 6 * time.Second
-	recoveryGrace       = 2500 * time.Millisecond
+	// recoveryAdviceTime is how long a slow advisor takes for an answer once there is no trouble.
+	recoveryAdviceTime = 200 * time.Millisecond
+	recoveryTaskTime   = time.Second
+	recoveryLease      = 6 * time.Second
+	recoveryGrace      = 2500 * time.Millisecond
 )
 
 // recoverySeeds is the number of fleets that are played with each set of faults.
@@ -52,6 +54,19 @@
 	Variety bool
 	// SameIDs means that a worker that crashed starts again under its ID.
 	SameIDs bool
+	// SlowAdvice means that the answers of the advisor come late, and so late for a while that their permits are of no use.
+	SlowAdvice bool
+	// PartialLists means that lists of instances leave some of them out, none twice in a row.
+	PartialLists bool
+}
+
+// recoveryAnswer is an answer of the advisor on its way to the owner that asked.
+type recoveryAnswer struct {
+	owner     *Planner
+	order     Order
+	permits   []Permit
+	until, at time.Time
+	ok        bool
 }
 
 // recoveryWorker is the worker of an instance of a recoveryFleet, or the instance without one.
@@ -108,6 +123,9 @@
 	maintained map[string]bool
 	reported   map[int]string
 	lastRun    map[jobs.Ref]time.Time
+	// leftOut holds the instances that the latest list leaves out, and answers the answers of the advisor that are on their way.
+	leftOut map[string]bool
+	answers []recoveryAnswer
 	// failedRuns holds the numbers of the failed attempts by task, those of a gang by its first task.
 	failedRuns map[jobs.Ref]map[int]bool
 	// interrupted holds the long-running tasks that were found without a run in calm, and interruptions the findings.
@@ -120,7 +138,7 @@
 	f := &recoveryFleet{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 2)), faults: faults, logger: zerolog.Nop(),
 		specs: make(map[string]jobs.Spec), progress: make(map[string][]byte), suspicions: make(map[string][]byte),
-		maintained: make(map[string]bool), reported: make(map[int]string), lastRun: make(map[jobs.Ref]time.Time), failedRuns: make(map[jobs.Ref]map[int]bool), interrupted: make(map[jobs.Ref]bool),
+		maintained: make(map[string]bool), reported: make(map[int]string), lastRun: make(map[jobs.Ref]time.Time), failedRuns: make(map[jobs.Ref]map[int]bool), interrupted: make(map[jobs.Ref]bool), leftOut: make(map[string]bool),
 	}
 	for i := range recoveryWorkers {
 		w := &recoveryWorker{instance: fmt.Sprintf("m-%d", i), number: i}
@@ -184,6 +202,10 @@
 		if w.ID != "" && (!w.isDown() || f.now.Sub(w.downAt) < recoveryUnlist) {
 			workers = append(workers, w.WorkerInfo)
 		}
+		f.leftOut[w.instance] = f.faults.PartialLists && !f.leftOut[w.instance] && f.chance(0.1)
+		if f.leftOut[w.instance] {
+			continue
+		}
 		i := Instance{ID: w.instance, Up: !w.isDown()}
 		if i.Up {
 			i.Worker = w.ID
@@ -198,7 +220,9 @@
 	f.p.SetDrainedDomains(drained)
 	f.p.SetWorkers(workers, f.now)
 	f.p.SetWaves(f.waves)
-	f.p.SetInstances(instances, f.now)
+	if f.p.HasUnfinishedWave() {
+		f.p.SetInstances(instances, f.now)
+	}
 }
 
 // chance returns true with a probability per step.
@@ -294,6 +318,7 @@
 		f.sync(w)
 	}
 	f.syncFormer()
+	f.answerAdvice()
 	f.cycle()
 }
 
@@ -498,7 +523,37 @@
 			l = append(l, Permit{w.ID, "permit"})
 		}
 	}
-	f.p.HandleAdvice(o, l, f.now.Add(recoveryPermit), !failed, f.now)
+	x := recoveryAnswer{f.p, o, l, f.now.Add(recoveryPermit), f.now, !failed}
+	switch {
+	case !f.faults.SlowAdvice:
+		f.answer(x)
+		return
+	case f.now.Before(f.calmAt):
+		x.at = f.now.Add(time.Duration(f.random.IntN(int(recoveryPermit/recoveryStep))) * recoveryStep)
+	default:
+		x.at = f.now.Add(recoveryAdviceTime)
+	}
+	f.answers = append(f.answers, x)
+}
+
+// answer gives the owner an answer that it has asked for.
+func (f *recoveryFleet) answer(x recoveryAnswer) {
+	f.p.HandleAdvice(x.order, x.permits, x.until, x.ok, f.now)
+}
+
+// answerAdvice gives the owner the answers that have arrived, and drops those to earlier owners.
+func (f *recoveryFleet) answerAdvice() {
+	l := f.answers
+	f.answers = nil
+	for _, x := range l {
+		switch {
+		case x.owner != f.p:
+		case f.now.Before(x.at):
+			f.answers = append(f.answers, x)
+		default:
+			f.answer(x)
+		}
+	}
 }
 
 // loses reports whether trouble with orders affects the present one.
@@ -509,7 +564,7 @@
 // maintain ends the worker of an instance for its maintenance, unless that has been done for the wave.
 func (f *recoveryFleet) maintain(o Order) {
 	w := f.workers[slices.IndexFunc(f.workers, func(w *recoveryWorker) bool { return w.instance == o.Instance })]
-	k := fmt.Sprint(o.Instance, " ", o.Wave)
+	k := maintenanceKey(o.Instance, o.Wave)
 	switch {
 	case f.maintained[k]:
 		f.p.HandleMaintenanceResult(o, ResultAccepted, f.now)
@@ -527,6 +582,9 @@
 	}
 }
 
+// maintenanceKey names the maintenance of an instance for a wave.
+func maintenanceKey(instance string, wave int) string { return fmt.Sprint(instance, " ", wave) }
+
 func (f *recoveryFleet) executeAtWorker(o Order) {
 	i := slices.IndexFunc(f.workers, func(w *recoveryWorker) bool { return w.ID == o.Worker })
 	if i < 0 || !f.workers[i].isReachable(f.now) {
@@ -617,6 +675,11 @@
 		if f.reported[w.Number] != WaveCompleted {
 			l = append(l, fmt.Sprintf("wave %d of %v is %q", w.Number, w.Instances, f.reported[w.Number]))
 		}
+		for _, id := range w.Instances {
+			if f.reported[w.Number] == WaveCompleted && !f.maintained[maintenanceKey(id, w.Number)] {
+				l = append(l, fmt.Sprintf("wave %d is completed without %s", w.Number, id))
+			}
+		}
 	}
 	for _, w := range f.p.workerList {
 		if e := f.p.workerExclusion(w, f.now); w.listed && e != notExcluded && !f.isolates(w) {
@@ -684,6 +747,9 @@
 	"clocks and owners":               {Owners: true, Crashes: true, Clocks: true, SameIDs: true, Cuts: true},
 	"waves":                           {Owners: true, Waves: true},
 	"waves, workers and cuts":         {Owners: true, Waves: true, Crashes: true, Cuts: true},
+	"slow advice":                     {Owners: true, Crashes: true, Starts: true, Cuts: true, SlowAdvice: true},
+	"slow advice under the same ID":   {Owners: true, Crashes: true, Orders: true, Drains: true, SameIDs: true, SlowAdvice: true},
+	"waves and partial lists":         {Owners: true, Waves: true, Crashes: true, PartialLists: true},
 	"waves, clocks and the same ID":   {Owners: true, Waves: true, Crashes: true, Clocks: true, SameIDs: true},
 }
 
