Inherited leases and exclusions read more plainly

Cause: a variable named any hid the type of that name, a line said that the latest owner had granted no lease where that is not known of each worker, and record decided twice whether the reason of an exclusion had changed.

Change: names, one condition a step, and a field Unnamed in InheritLeases lines; no decision changes.

Result: the tests of leases, commits and exclusions passed.

--- a/internal/dispatch/exclusionwatch.go
+++ b/internal/dispatch/exclusionwatch.go
@@ -95,18 +95,18 @@
 // record records that a worker gets no tasks, and why.
 func (x *exclusionWatch) record(worker string, e exclusion, now time.Time) {
 	o := x.byWorker[worker]
-	if o == nil || o.reason != e {
-		if r := x.takeRestored(worker, e, now); r != nil {
-			x.byWorker[worker] = r
-			return
-		}
+	if o != nil && o.reason == e {
+		return
 	}
-	switch {
-	case o == nil:
+	if r := x.takeRestored(worker, e, now); r != nil {
+		x.byWorker[worker] = r
+		return
+	}
+	if o == nil {
 		x.byWorker[worker] = &workerExclusion{reason: e, since: now, reasonSince: now}
-	case o.reason != e:
-		o.reason, o.reasonSince = e, now
+		return
 	}
+	o.reason, o.reasonSince = e, now
 }
 
 // endExclusion forgets that a worker got no tasks, and logs it if it was logged before.
--- a/internal/dispatch/inheritedlease.go
+++ b/internal/dispatch/inheritedlease.go
@@ -72,16 +72,17 @@
 	expiry := func(ms int64) time.Time {
 		return p.LastCommitAt.Add(min(max(0, time.Duration(ms)*time.Millisecond), all.Sub(p.LastCommitAt)))
 	}
+	unnamed, stored := m[anyWorker]
 	var longest time.Duration
 	n := 0
 	for _, w := range p.workerList {
 		ms, named := m[w.ID]
-		ofAny, any := m[anyWorker]
 		switch {
 		case named:
 			w.leaseUntil = expiry(ms)
-		case any:
-			w.leaseUntil = laterOf(w.leaseUntil, expiry(ofAny))
+		case stored:
+			// The latest owner may have granted the worker a lease as well.
+			w.leaseUntil = laterOf(w.leaseUntil, expiry(unnamed))
 		default:
 			continue
 		}
@@ -89,7 +90,7 @@
 		longest = max(longest, w.leaseUntil.Sub(p.LastCommitAt))
 	}
 	if n > 0 {
-		p.Logger.Info().Int("Workers", n).Dur("Longest", longest).Str("Decision", "InheritLeases").Msg("the latest owner had no response from workers, and granted them no lease")
+		p.Logger.Info().Int("Workers", n).Dur("Longest", longest).Bool("Unnamed", stored).Str("Decision", "InheritLeases").Msg("the latest owner had no response from workers, and granted them no lease; if they are unnamed, which ones is not known")
 	}
 }
 
