A record that the store never takes does not stop its owner

Cause: the record of a job's suspicions has about 165 bytes for each task under which a worker was lost, and no bound; beyond record_bytes the store answers 400, which commitBatch took for a lost response and repeated without end, while the instance stayed owner. Change: records of any kind are stored in parts, and the suspicions of a job are bounded (512 KiB, the heaviest are kept).

Related paths: a refused submission no longer rejects those that were sent with it, a refused state is not repeated, and the list of workers at which a task failed is bounded.

--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -112,6 +112,8 @@
 	maintenanceChanged bool
 	// maintained holds, by wave number, the instances whose maintenance is complete.
 	maintained map[int][]string
+	// snapshotsReduced means that snapshots have no learned estimates.
+	snapshotsReduced bool
 	// unresponsive holds, by worker ID, the remaining milliseconds of the leases of the unresponsive workers in the latest
 	// snapshot. unresponsiveChanged means that these workers have changed, so that a new snapshot is due.
 	unresponsive        map[string]int64
--- a/internal/dispatch/setaside.go
+++ b/internal/dispatch/setaside.go
@@ -19,6 +19,15 @@
 	f()
 }
 
+// SetAside stops to schedule a job whose changes the store refuses for good, so that nothing starts that a later owner doesn't know of.
+func (p *Planner) SetAside(id string, cause error) {
+	j := p.jobs[id]
+	if j == nil || p.aside[id] {
+		return
+	}
+	p.setAside(j, cause)
+}
+
 // setAside stops to schedule a job, and drops its starts and changes that are not committed. Attempts that run go on.
 func (p *Planner) setAside(j *jobs.Job, cause any) {
 	p.aside[j.ID] = true
@@ -32,5 +41,5 @@
 			}
 		}
 	}
-	p.Logger.Error().Str("Job", j.ID).Str("Cause", fmt.Sprint(cause)).Str("Stack", string(debug.Stack())).Str("Decision", "SetAside").Msg("the job made its owner panic and is not scheduled any more")
+	p.Logger.Error().Str("Job", j.ID).Str("Cause", fmt.Sprint(cause)).Str("Stack", string(debug.Stack())).Str("Decision", "SetAside").Msg("the job made its owner panic, or the store refuses it, and it is not scheduled any more")
 }
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -58,6 +58,28 @@
 // errEmptySnapshot means that the record of the snapshot has no value.
 var errEmptySnapshot = errors.New("decode planner snapshot: no value")
 
+// ReduceSnapshots leaves out of later snapshots what the next owner learns again, since the store refuses a whole one.
+func (p *Planner) ReduceSnapshots() {
+	if p.snapshotsReduced {
+		return
+	}
+	p.snapshotsReduced = true
+	p.Logger.Warn().Str("Decision", "ReduceSnapshots").Msg("the store refuses the snapshot; from now on it has no learned estimates")
+}
+
+// records returns the records of all sensitivities.
+func (m *interferenceModel) records() []imageRecord {
+	var l []imageRecord
+	for i, s := range m.sensitivities {
+		x := imageRecord{Image: i, MinTail: s.minTail, Samples: s.samples}
+		for f, e := range s.pairs {
+			x.Pairs = append(x.Pairs, pairRecord{Image: f, Mean: e.Mean, Variance: e.Variance})
+		}
+		l = append(l, x)
+	}
+	return l
+}
+
 // restoredVariance is added to the variance of restored estimates, since the interference may have changed.
 const restoredVariance = 0.05
 
@@ -65,16 +87,12 @@
 // names these workers. It returns nil if there is nothing to store. The caller calls SnapshotCommitted once the snapshot
 // is stored.
 func (p *Planner) PrepareSnapshot(now time.Time) ([]byte, error) {
-	r := snapshotRecord{RunTimes: p.runTimes.Factors(), Maintained: p.maintained, Unresponsive: p.withholdLeases(now), Interrupted: p.interruptions.encode(now), WorkersRestart: p.WorkersRestart}
+	r := snapshotRecord{Maintained: p.maintained, Unresponsive: p.withholdLeases(now), WorkersRestart: p.WorkersRestart}
 	if p.reserve.initialized {
 		r.Demand = p.reserve.demand
 	}
-	for i, s := range p.interference.sensitivities {
-		x := imageRecord{Image: i, MinTail: s.minTail, Samples: s.samples}
-		for f, e := range s.pairs {
-			x.Pairs = append(x.Pairs, pairRecord{Image: f, Mean: e.Mean, Variance: e.Variance})
-		}
-		r.Images = append(r.Images, x)
+	if !p.snapshotsReduced {
+		r.RunTimes, r.Interrupted, r.Images = p.runTimes.Factors(), p.interruptions.encode(now), p.interference.records()
 	}
 	l, late, excluded := p.maintenanceRecords(), p.lateStartRecords(now), p.exclusions.exclusionRecords(now)
 	if r.isEmpty() && len(l)+len(late)+len(excluded) == 0 && !p.unresponsiveChanged && !p.maintenanceChanged {
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -273,7 +273,7 @@
 // recordFailure records a failed attempt. It fails the job once MaxAttempts attempts of the task, or as many runs of its gang, have
 // failed, unless the task is long-running or MaxAttempts is 0.
 func (j *Job) recordFailure(t *Task, run int, worker string) {
-	t.FailedAt = append(t.FailedAt, worker)
+	t.FailedAt = latest(append(t.FailedAt, worker))
 	if t.Spec.Gang && !j.recordFailedGangRun(t, run) {
 		return
 	}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -173,8 +174,11 @@
 	Suspicion
 }
 
+// maxSuspicionBytes bounds the suspicions in the record of a job.
+const maxSuspicionBytes = 512 << 10
+
 // EncodeSuspicions encodes the record of the suspicions, the failed runs of gangs and the failure of a job, nil if there is nothing to record. It reports
-// whether they changed since the latest call.
+// whether they changed since the latest call. Of the suspicions, the record has those of most weight, up to maxSuspicionBytes.
 func (j *Job) EncodeSuspicions() ([]byte, bool, error) {
 	changed := j.suspicionsChanged
 	j.suspicionsChanged = false
@@ -185,13 +189,35 @@
 	if r.FailureReason == "" && len(r.Tasks) == 0 && len(r.Gangs) == 0 {
 		return nil, changed, nil
 	}
-	b, err := msgpack.Marshal(&r)
+	b, err := r.encode()
 	if err != nil {
 		return nil, changed, fmt.Errorf("encode suspicions of %s: %w", j.ID, err)
 	}
 	return b, changed, nil
 }
 
+// encode encodes the record. Without all suspicions it is about maxSuspicionBytes long at most; what is left out, the next owner doesn't
+// know.
+func (r *suspicionRecord) encode() ([]byte, error) {
+	b, err := msgpack.Marshal(r)
+	if err != nil || len(b) <= maxSuspicionBytes {
+		return b, err
+	}
+	slices.SortStableFunc(r.Tasks, func(a, b taskSuspicion) int { return b.compareWeight(&a.Suspicion) })
+	size := 0
+	for i := range r.Tasks {
+		x, err := msgpack.Marshal(&r.Tasks[i])
+		if err != nil {
+			return nil, err
+		}
+		if size += len(x); size > maxSuspicionBytes {
+			r.Tasks = r.Tasks[:i]
+			break
+		}
+	}
+	return msgpack.Marshal(r)
+}
+
 // RestoreSuspicions applies the record of the suspicions of a job; it ignores tasks that the job does not hold any more.
 func (j *Job) RestoreSuspicions(b []byte) error {
 	var r suspicionRecord
--- a/internal/jobs/suspicion.go
+++ b/internal/jobs/suspicion.go
@@ -85,7 +85,7 @@
 	s.Each = latest(s.Each)
 }
 
-// latest returns the last maxStoredLosses elements of a list.
+// latest returns the last maxStoredLosses elements of a list that grows as long as its task runs.
 func latest[T any](l []T) []T { return l[max(0, len(l)-maxStoredLosses):] }
 
 // remove takes back the loss with the given index in Each.
@@ -163,6 +163,17 @@
 	return s.Crashes >= probableCauseCrashes && s.Isolated > 0 || s.Crashes >= probableCauseLosses || s.Losses >= probableCauseLosses && s.Isolated >= minIsolatedLosses
 }
 
+// compareWeight returns a number that is negative if less counts against the task than by another suspicion, and positive if more.
+func (s *Suspicion) compareWeight(o *Suspicion) int {
+	weigh := func(x *Suspicion) int {
+		if x.IsProbableCause() {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(weigh(s), weigh(o)), cmp.Compare(s.Losses, o.Losses))
+}
+
 // IsClearedBy reports whether an attempt that has run for the given time clears the task: it has run for twice as long as any
 // that was lost.
 func (s *Suspicion) IsClearedBy(ranFor time.Duration) bool {
--- a/internal/jobs/task.go
+++ b/internal/jobs/task.go
@@ -82,7 +82,7 @@
 	// Worker and Incarnation identify the worker of the assigned attempt; they are empty and 0 if no attempt is assigned.
 	Worker      string
 	Incarnation int64
-	// FailedAt lists the workers on which attempts failed, so that the next attempt avoids these workers.
+	// FailedAt lists the workers on which the latest attempts failed, so that the next attempt avoids these workers.
 	FailedAt []string
 	// Suspicion is what counts against the task after workers were lost under it.
 	Suspicion Suspicion
--- a/internal/jobserve/appendlimits.go
+++ b/internal/jobserve/appendlimits.go
@@ -19,7 +19,7 @@
 	recordOverheadBytes = 8
 	// maxKeyBytes is the maximum size of a key.
 	maxKeyBytes = 255
-	// partPrefix is the prefix of the keys of the further parts of large progress records; a key with it is not a valid job ID.
+	// partPrefix is the prefix of the keys of the further parts of large records; a key with it is not a valid job ID.
 	partPrefix = "part/"
 )
 
@@ -37,41 +37,52 @@
 	return l.AppendBytes
 }
 
-// partKey returns the key of a part of a job's progress. The first part has the job's ID, as progress of one part has.
-func partKey(id string, part int) string {
+// partKey returns the key of a part of a record. The first part has the key of the record, as a record of one part has.
+func partKey(key string, part int) string {
 	if part == 0 {
-		return id
+		return key
 	}
-	return partPrefix + id + "/" + strconv.Itoa(part)
+	return partPrefix + key + "/" + strconv.Itoa(part)
 }
 
-// jobOfKey returns the ID of the job to which a key of the progress partition belongs, or the key if it belongs to none.
-func jobOfKey(k string) string {
-	if s, ok := strings.CutPrefix(k, partPrefix); ok {
-		id, _, _ := strings.Cut(s, "/")
-		return id
+// baseKey returns the key of the first part of the record to which a key belongs.
+func baseKey(k string) string {
+	s, ok := strings.CutPrefix(k, partPrefix)
+	if !ok {
+		return k
 	}
-	return strings.TrimPrefix(k, suspicionPrefix)
+	if i := strings.LastIndex(s, "/"); i >= 0 {
+		return s[:i]
+	}
+	return s
 }
 
-// split returns the records of a job's progress, each within the limit.
-func (l AppendLimits) split(id string, progress []byte) []Record {
+// jobOfKey returns the ID of the job to which a key of the progress partition belongs, or the key without its part if it belongs to
+// none.
+func jobOfKey(k string) string { return strings.TrimPrefix(baseKey(k), suspicionPrefix) }
+
+// split returns the parts of a record, each within the limit.
+func (l AppendLimits) split(key string, value []byte) []Record {
 	n := l.recordBytes() - maxKeyBytes - recordOverheadBytes
-	r := []Record{{Key: id, Value: progress[:min(n, len(progress))]}}
-	for len(progress) > n {
-		progress = progress[n:]
-		r = append(r, Record{Key: partKey(id, len(r)), Value: progress[:min(n, len(progress))]})
+	r := []Record{{Key: key, Value: value[:min(n, len(value))]}}
+	for len(value) > n {
+		value = value[n:]
+		r = append(r, Record{Key: partKey(key, len(r)), Value: value[:min(n, len(value))]})
 	}
 	return r
 }
 
 // batches divides records into appends within the limit. The records of a job, which follow one another, stay together, so that
-// the store has all of them or none.
+// the store has all of them or none, unless they are too large for one append; the parts of a record stay together in any case.
 func (l AppendLimits) batches(r []Record) [][]Record {
 	var b [][]Record
 	size := 0
 	for len(r) > 0 {
-		n, bytes := leadingGroup(r)
+		n := leadingGroup(r, jobOfKey)
+		if recordBytes(r[:n]) > l.appendBytes() {
+			n = leadingGroup(r, baseKey)
+		}
+		bytes := recordBytes(r[:n])
 		if len(b) == 0 || size+bytes > l.appendBytes() {
 			b, size = append(b, nil), 0
 		}
@@ -82,11 +93,20 @@
 	return b
 }
 
-// leadingGroup returns the number of the leading records that belong to the same job, and their size.
-func leadingGroup(r []Record) (n, bytes int) {
-	for n < len(r) && jobOfKey(r[n].Key) == jobOfKey(r[0].Key) {
-		bytes += recordOverheadBytes + len(r[n].Key) + len(r[n].Value)
+// leadingGroup returns the number of the leading records whose keys belong to the same group.
+func leadingGroup(r []Record, groupOf func(key string) string) int {
+	n := 0
+	for n < len(r) && groupOf(r[n].Key) == groupOf(r[0].Key) {
 		n++
 	}
-	return n, bytes
+	return n
+}
+
+// recordBytes returns the size of records in an append.
+func recordBytes(r []Record) int {
+	n := 0
+	for _, x := range r {
+		n += recordOverheadBytes + len(x.Key) + len(x.Value)
+	}
+	return n
 }
--- a/internal/jobserve/appendlimits_test.go
+++ b/internal/jobserve/appendlimits_test.go
@@ -21,14 +21,14 @@
 	offset := int64(0)
 	for _, n := range []int{10, 3000, 700, 738, 2000, 0, 1} {
 		b := bytes.Repeat([]byte{byte(n)}, n)
-		l := o.progressRecords(id, b)
+		l := o.partRecords(id, b)
 		for _, x := range l {
 			require.LessOrEqual(t, len(x.Key)+len(x.Value)+recordOverheadBytes, 1000)
 			require.Equal(t, id, jobOfKey(x.Key))
 		}
 		r.ApplyCommitted(l, offset)
 		offset += int64(len(l))
-		require.True(t, bytes.Equal(b, r.progressOf(id)), n)
+		require.True(t, bytes.Equal(b, r.joined(id)), n)
 	}
 	require.Len(t, r.progress, 1)
 }
--- a/internal/jobserve/batcher.go
+++ b/internal/jobserve/batcher.go
@@ -78,6 +78,8 @@
 	// append may have had an effect.
 	rejections   int
 	maybeApplied bool
+	// alone means that the store refuses a batch with the record for a reason that will not pass, so that it is sent by itself.
+	alone bool
 	// taken means that the record is being sent or was sent, and withdrawn that its caller has left before that. The mutex of the
 	// batcher guards both.
 	taken     bool
@@ -270,6 +272,9 @@
 		if suspect && len(l) > 0 && l[0].maybeApplied && !p.maybeApplied {
 			break
 		}
+		if len(l) > 0 && (p.alone || l[0].alone) {
+			break
+		}
 		b.waiting = b.waiting[1:]
 		if p.ctx.Err() == nil && !p.withdrawn {
 			p.taken = true
@@ -342,6 +347,9 @@
 		return false
 	}
 	b.logger.Warn().Err(err).Int("Records", len(l)).Bool("NotDone", isNotApplied(err)).Str("Decision", "AppendAgain").Msg("append failed")
+	if isRefused(err) {
+		return b.separate(l, err)
+	}
 	rejected := rejectedOf(l, err)
 	var retry []*pendingRecord
 	for _, p := range l {
@@ -361,3 +369,20 @@
 	b.waiting = append(retry, b.waiting...)
 	return len(retry) > 0
 }
+
+// separate handles a batch that the store refuses for a reason that will not pass: one of its records is at fault, so that each is sent
+// by itself, and one that is refused by itself is given up. It reports whether there are records to send.
+func (b *batcher) separate(l []*pendingRecord, err error) bool {
+	if len(l) == 1 {
+		b.logger.Error().Err(err).Str("Key", l[0].record.Key).Int("Bytes", len(l[0].record.Value)).Str("Decision", "RecordRefused").Msg("the store refuses a record for a reason that will not pass")
+		l[0].result <- &RefusedRecordError{Key: l[0].record.Key, Cause: err}
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range l {
+		p.alone = true
+	}
+	b.waiting = append(l, b.waiting...)
+	return true
+}
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -160,7 +160,7 @@
 	i.Metrics.Add(metricTakeovers, "", 1)
 	RunOwner(ctx, OwnerConfig{
 		Identity: i.Identity.String(), Predecessor: predecessor, ListeningSince: i.listeningSince, Store: i.Store, Replica: i.Replica, Workers: i.Workers, Directory: i.Directory, Advisor: i.Advisor, Maintenance: i.Maintenance,
-		State: i.State, WorkersRestart: i.WorkersRestart, MaintenanceDelay: i.MaintenanceDelay, Announce: i.owner.Store,
+		State: i.State, WorkersRestart: i.WorkersRestart, MaintenanceDelay: i.MaintenanceDelay, Announce: i.owner.Store, Resign: i.member.Resign,
 		Commits: i.Commits, Lease: i.Lease, MaxLease: i.MaxLease, FinishedJobRetention: i.FinishedJobRetention, StoreLossGrace: storeLossGrace, StartBounds: i.StartBounds, OffRackFactor: i.OffRackFactor, AppendLimits: i.AppendLimits, Metrics: i.Metrics, Logger: i.Logger,
 	})
 }
--- a/internal/jobserve/member.go
+++ b/internal/jobserve/member.go
@@ -55,6 +55,8 @@
 	lateMembershipWindow = lateCallWindow + memberLease
 	// leaveTimeout bounds the call that gives up the membership.
 	leaveTimeout = 700 * time.Millisecond
+	// resignDelay is how long an instance stays out of the group after the store has refused all commits of its owner.
+	resignDelay = 10 * time.Second
 )
 
 // MemberConfig holds the dependencies and callbacks of a member.
@@ -93,6 +95,9 @@
 	MemberConfig
 	// renewed means that a renewal has succeeded since this instance last left the group.
 	renewed atomic.Bool
+	// resigned means that the owner of this instance stopped since the store refuses its commits, and that this instance is to leave
+	// the group.
+	resigned atomic.Bool
 	// unansweredAt is the end of the latest join without a response, which the store may still execute; nil if there was none.
 	unansweredAt atomic.Pointer[time.Time]
 	// joins are the joins that wait for a response.
@@ -144,6 +149,11 @@
 	sleep(ctx, m.joinDelay+rand.N(maxJoinJitter))
 	for ctx.Err() == nil {
 		switch {
+		case m.resigned.Swap(false):
+			m.Logger.Warn().Dur("For", resignDelay).Str("Decision", "Resign").Msg("leaving the group: the store refuses the commits of this instance")
+			m.leave()
+			sleep(ctx, resignDelay)
+			continue
 		case !m.joined && !m.isNeededAfterDelay(ctx):
 			sleep(ctx, groupPollInterval)
 			continue
@@ -160,6 +170,9 @@
 	}
 }
 
+// Resign makes this instance leave the group for resignDelay, so that another one owns the jobs.
+func (m *Member) Resign() { m.resigned.Store(true) }
+
 // isNeededAfterDelay reports whether the group needs this instance even after instances with more CPU had time to join.
 func (m *Member) isNeededAfterDelay(ctx context.Context) bool {
 	first := !m.checkedBefore
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -17,6 +17,7 @@
 	metricWorkerCalls      = "currantknot_worker_call_seconds"
 	metricRequests         = "currantknot_request_seconds"
 	metricCommits          = "currantknot_commit_records_total"
+	metricRefusedRecords   = "currantknot_refused_records_total"
 	metricOrders           = "currantknot_orders_total"
 	metricFinishedAttempts = "currantknot_ends_total"
 	metricTakeovers        = "currantknot_takeovers_total"
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,8 +91,11 @@
 	MaintenanceDelay time.Duration
 	// Announce is called with the owner once it has taken over, and with nil when it stops.
 	Announce func(*Owner)
-	Metrics  *Metrics
-	Logger   zerolog.Logger
+	// Resign is called when the owner stops because the store refuses all its commits, so that another instance takes over. It may be
+	// nil.
+	Resign  func()
+	Metrics *Metrics
+	Logger  zerolog.Logger
 }
 
 // Owner schedules all jobs for as long as this instance owns them.
@@ -103,6 +106,9 @@
 	sequence   int64
 	latency    latencyEstimator
 	planSignal chan struct{}
+	// refused holds, by their keys without parts, the records of the latest commit that the store refuses for a reason that will not
+	// pass.
+	refused map[string]error
 	// syncLoops holds the sync loops by worker ID.
 	syncLoops  map[string]syncLoop
 	goroutines sync.WaitGroup
@@ -138,8 +144,8 @@
 	number      int64
 }
 
-// RunOwner takes over the jobs and schedules them until the context ends, another owner has taken over, or a record cannot be
-// encoded.
+// RunOwner takes over the jobs and schedules them until the context ends, another owner has taken over, a record cannot be encoded, or
+// the store refuses all commits.
 func RunOwner(ctx context.Context, c OwnerConfig) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -177,6 +183,10 @@
 	o.mu.Unlock()
 	o.startSyncLoops(ctx, targets)
 	err := o.runCycles(ctx)
+	var refused *CommitRefusedError
+	if errors.As(err, &refused) && o.Resign != nil {
+		o.Resign()
+	}
 	o.Logger.Info().AnErr("Cause", err).Int64("Epoch", o.epoch).Str("Decision", "OwnerStops").Msg("owner stopped")
 }
 
@@ -222,7 +232,7 @@
 	idle, counts, usages, interruptions := o.planner.Idle(now), o.planner.TakeCounts(), o.accountUsages(now), o.planner.Interruptions(now)
 	exclusions := o.planner.LongestExclusions(now)
 	changed, orders := o.planner.TakeChanges()
-	committedStates := statesOf(changed)
+	states := statesOf(changed)
 	r, err := o.encodeRecords(changed, now)
 	acks := make(map[string]acknowledgement)
 	targets := o.planner.SyncTargets()
@@ -239,16 +249,10 @@
 	if err != nil {
 		return err
 	}
-	if err := o.commit(ctx, r); err != nil {
-		return err
-	}
-	o.publishStates(ctx, committedStates)
-	o.retention.recordFinished(committedStates, now)
-	if err := o.removeExpired(ctx, now); err != nil {
+	if err := o.store(ctx, r, states, now); err != nil {
 		return err
 	}
 	o.mu.Lock()
-	o.recordCommitted(r)
 	o.acknowledged = acks
 	committedAt := time.Now()
 	o.refreshViews(committedAt)
@@ -261,13 +265,48 @@
 	return nil
 }
 
-// recordCommitted tells the planner which of what its leases depend on is committed with the records of a cycle; o.mu is held.
+// store commits the records of a cycle, publishes the states that follow from them, and removes what has expired.
+func (o *Owner) store(ctx context.Context, r []Record, l []jobState, now time.Time) error {
+	if err := o.commit(ctx, r); err != nil {
+		return err
+	}
+	o.recordCommitted(r)
+	l = o.setRefusedAside(l)
+	o.publishStates(ctx, l)
+	o.retention.recordFinished(l, now)
+	return o.removeExpired(ctx, now)
+}
+
+// setRefusedAside sets the jobs aside whose progress the store refuses, and returns the states of the others. What a refused record
+// says must have no effect: the next owner would not know of it.
+func (o *Owner) setRefusedAside(l []jobState) []jobState {
+	if len(o.refused) == 0 {
+		return l
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.DeleteFunc(l, func(x jobState) bool {
+		err := o.refused[x.job]
+		if err != nil {
+			o.planner.SetAside(x.job, err)
+		}
+		return err != nil
+	})
+}
+
+// recordCommitted tells the planner which of what its leases depend on is committed with the records of a cycle. A snapshot that the
+// store refuses is made again without what the next owner can do without.
 func (o *Owner) recordCommitted(r []Record) {
 	if len(r) == 0 {
 		return
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.planner.InheritedLeasesCommitted()
-	if r[len(r)-1].Key == snapshotKey {
+	switch {
+	case o.refused[snapshotKey] != nil:
+		o.planner.ReduceSnapshots()
+	case baseKey(r[len(r)-1].Key) == snapshotKey:
 		o.planner.SnapshotCommitted()
 	}
 }
@@ -329,13 +368,13 @@
 		if err != nil {
 			return nil, err
 		}
-		r = append(r, o.progressRecords(j.ID, b)...)
+		r = append(r, o.partRecords(j.ID, b)...)
 		s, changed, err := j.EncodeSuspicions()
 		if err != nil {
 			return nil, err
 		}
 		if changed {
-			r = append(r, Record{Key: suspicionPrefix + j.ID, Value: s})
+			r = append(r, o.partRecords(suspicionPrefix+j.ID, s)...)
 		}
 	}
 	x, err := o.runTimesRecords(len(r) > 0, now)
@@ -350,7 +389,7 @@
 			return nil, err
 		}
 		if b != nil {
-			r = append(r, Record{Key: snapshotKey, Value: b})
+			r = append(r, o.partRecords(snapshotKey, b)...)
 		}
 	}
 	if len(r) == 0 && (now.Sub(o.committedAt) >= keepAliveInterval || o.planner.HasOutdatedInheritedLeases()) {
@@ -360,12 +399,11 @@
 	return r, nil
 }
 
-// progressRecords returns the records of a job's progress, and the deletion of the parts that an earlier, larger one has beyond
-// them.
-func (o *Owner) progressRecords(id string, b []byte) []Record {
-	r := o.AppendLimits.split(id, b)
-	for o.Replica.Progress(partKey(id, len(r))) != nil {
-		r = append(r, Record{Key: partKey(id, len(r))})
+// partRecords returns the parts of a record, and the deletion of the parts that an earlier, larger one has beyond them.
+func (o *Owner) partRecords(key string, value []byte) []Record {
+	r := o.AppendLimits.split(key, value)
+	for o.Replica.Progress(partKey(key, len(r))) != nil {
+		r = append(r, Record{Key: partKey(key, len(r))})
 	}
 	return r
 }
@@ -410,73 +448,6 @@
 	}
 }
 
-// commit appends progress records, in several appends if they are too large for one.
-func (o *Owner) commit(ctx context.Context, r []Record) error {
-	n, err := maxCommitRecordBytes(o.inherited)
-	if err != nil {
-		return fmt.Errorf("encode commit record: %w", err)
-	}
-	l := o.AppendLimits
-	l.AppendBytes = l.appendBytes() - n
-	for _, b := range l.batches(r) {
-		if err := o.commitBatch(ctx, b); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// commitBatch makes one append, ended by a commit record, and retries until the store has it, another owner has taken over, or the context ends.
-//
-// A success extends the time in which leases are granted, from the start of the first attempt: a later attempt may succeed
-// without a new append, after the store has executed an earlier one.
-func (o *Owner) commitBatch(ctx context.Context, r []Record) error {
-	o.sequence++
-	w := &Writer{Epoch: o.epoch, Sequence: o.sequence}
-	firstAt, sentAt := bootclock.Now(), time.Now()
-	c := commitRecord{Epoch: o.epoch, SentAt: firstAt, InheritedLeases: o.inherited}
-	last, err := c.record()
-	if err != nil {
-		return fmt.Errorf("encode commit record: %w", err)
-	}
-	r = append(r, last)
-	for {
-		start := time.Now()
-		call, cancel := context.WithTimeout(ctx, o.latency.timeout())
-		end, err := o.Store.Append(call, PartitionProgress, r, w)
-		cancel()
-		if !isNotApplied(err) {
-			o.latency.observe(time.Since(start))
-		}
-		switch {
-		case err == nil:
-			o.committedAt = start
-			o.extendGrants(firstAt)
-			o.Commits.observeOwn(end, c, sentAt)
-			o.abandonOverdueReads(time.Since(start))
-			o.Replica.ApplyCommitted(r, end-int64(len(r)))
-			o.Metrics.Add(metricCommits, "", len(r))
-			return nil
-		case errors.Is(err, ErrFenced):
-			return err
-		case ctx.Err() != nil:
-			return ctx.Err()
-		}
-		o.Logger.Warn().Err(err).Int64("Epoch", o.epoch).Int64("Sequence", o.sequence).Int("Records", len(r)).Msg("commit was not confirmed; it is retried")
-		sleep(ctx, storeBackoff)
-	}
-}
-
-// extendGrants lets the owner grant leases until StoreLossGrace after the start of a commit.
-func (o *Owner) extendGrants(start time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.grantsUntil = start + o.StoreLossGrace
-}
-
-// mayGrantLeases reports whether the owner committed recently enough to grant leases; o.mu is held.
-func (o *Owner) mayGrantLeases() bool { return bootclock.Now() < o.grantsUntil }
-
 // sleep waits for a duration or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -345,7 +345,7 @@
 	if !ok {
 		return jobs.New(s)
 	}
-	j, err := jobs.Restore(s, r.progressOf(id))
+	j, err := jobs.Restore(s, r.joined(id))
 	if err != nil {
 		r.reportMalformed(x, err)
 		return nil
@@ -354,11 +354,18 @@
 	return j
 }
 
-// progressOf returns the progress of a job, joined from its parts; r.mu is held.
-func (r *Replica) progressOf(id string) []byte {
-	b := r.progress[id].Value
+// Joined returns the newest value of a key of the progress partition, joined from its parts, or nil if there is none.
+func (r *Replica) Joined(key string) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.joined(key)
+}
+
+// joined implements Joined; r.mu is held.
+func (r *Replica) joined(key string) []byte {
+	b := r.progress[key].Value
 	for n := 1; ; n++ {
-		x, ok := r.progress[partKey(id, n)]
+		x, ok := r.progress[partKey(key, n)]
 		if !ok {
 			return b
 		}
@@ -373,7 +380,7 @@
 	if !ok {
 		return
 	}
-	if err := j.RestoreSuspicions(x.Value); err != nil {
+	if err := j.RestoreSuspicions(r.joined(x.Key)); err != nil {
 		r.reportMalformed(x, err)
 	}
 }
@@ -384,14 +391,14 @@
 	defer r.mu.Unlock()
 	var l []string
 	for k := range r.progress {
-		if id := jobOfKey(k); id != k && r.specs[id] == nil {
+		if id := jobOfKey(k); id != k && id != snapshotKey && r.specs[id] == nil {
 			l = append(l, k)
 		}
 	}
 	return l
 }
 
-// Progress returns the value of the newest progress record of a key, or nil if there is none.
+// Progress returns the value of the newest progress record of a key, without further parts, or nil if there is none.
 func (r *Replica) Progress(key string) []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/jobserve/service.go
+++ b/internal/jobserve/service.go
@@ -23,6 +23,23 @@
 // Callers receive the text of the error.
 var ErrNotAccepted = errors.New("the store takes no records now")
 
+// RefusedRecordError reports that the store never takes a record, so that it must not be repeated. It is an ErrNotAccepted.
+type RefusedRecordError struct {
+	Key   string
+	Cause error
+}
+
+// Error names the record and the cause.
+func (e *RefusedRecordError) Error() string {
+	return fmt.Sprintf("the store refuses record %s: %v", e.Key, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RefusedRecordError) Unwrap() error { return e.Cause }
+
+// Is reports whether the target is ErrNotAccepted.
+func (e *RefusedRecordError) Is(target error) bool { return target == ErrNotAccepted }
+
 // ErrOutcomeUnknown means that a request may or may not have an effect. Callers receive the text of the error.
 var ErrOutcomeUnknown = errors.New("the store did not answer in time")
 
--- a/internal/jobserve/statepublisher.go
+++ b/internal/jobserve/statepublisher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/rs/zerolog"
 
@@ -58,8 +59,14 @@
 	p.appendRecord(ctx, Record{Key: statePrefix + x.job, Value: []byte(x.state)})
 }
 
+// appendRecord appends a record. It retries until the append succeeds, the store refuses the record for good, or the context ends.
 func (p *statePublisher) appendRecord(ctx context.Context, r Record) {
-	for ctx.Err() == nil && p.batcher.append(ctx, r) != nil {
+	for ctx.Err() == nil {
+		err := p.batcher.append(ctx, r)
+		var refused *RefusedRecordError
+		if err == nil || errors.As(err, &refused) {
+			return
+		}
 		sleep(ctx, storeBackoff)
 	}
 }
--- a/internal/jobserve/store.go
+++ b/internal/jobserve/store.go
@@ -67,7 +67,7 @@
 // Store keeps the records of the jobs and names the next owner of the jobs.
 type Store interface {
 	// Append adds records and returns the offset after the last one. With a writer, it returns ErrFenced if the store has seen
-	// a higher epoch; without a writer, the append is not fenced.
+	// a higher epoch, and ErrOutOfSequence if it expects another append of the epoch; without a writer, the append is not fenced.
 	Append(ctx context.Context, p Partition, r []Record, w *Writer) (int64, error)
 	// AppendAt adds records if the partition ends at the given offset, and otherwise returns ErrConflict.
 	AppendAt(ctx context.Context, p Partition, at int64, r []Record) error
@@ -93,13 +93,17 @@
 // ErrFenced means that another owner has taken over.
 var ErrFenced = errors.New("another owner has taken over")
 
+// ErrOutOfSequence means that the store expects another sequence number of the epoch than the append has.
+var ErrOutOfSequence = errors.New("the store expects another sequence number")
+
 // StoreError reports a failed call to the store.
 type StoreError struct {
 	Call string
 	// Status is the HTTP status, 0 if there was no response.
 	Status int
-	// NotApplied means that the call had no effect and never will.
+	// NotApplied means that the call had no effect and never will. Refused means besides that the same call never succeeds.
 	NotApplied bool
+	Refused    bool
 	Cause      error
 }
 
@@ -119,3 +123,9 @@
 	var e *StoreError
 	return errors.As(err, &e) && e.NotApplied
 }
+
+// isRefused reports whether a call failed for a reason that will not pass, so that it must not be repeated.
+func isRefused(err error) bool {
+	var e *StoreError
+	return errors.As(err, &e) && e.Refused
+}
--- a/internal/jobserve/takeover.go
+++ b/internal/jobserve/takeover.go
@@ -121,7 +121,7 @@
 			o.Logger.Warn().Err(err).Msg("run times were not restored; their means are taken from the snapshot")
 		}
 	}
-	if b := o.Replica.Progress(snapshotKey); b != nil {
+	if b := o.Replica.Joined(snapshotKey); b != nil {
 		if err := p.RestoreSnapshot(b); err != nil {
 			o.Logger.Warn().Err(err).Msg("snapshot was not restored; learned estimates are lost")
 		}
