--- a/internal/dispatch/maintenancerecord.go
+++ b/internal/dispatch/maintenancerecord.go
@@ -2,9 +2,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
+// maxStoredMaintained bounds the instances in a snapshot whose maintenance is complete, except for those of requested waves.
+const maxStoredMaintained = 4096
+
 // maintenanceRecord is the encoded maintenance of an instance that is not complete. The records follow the snapshotRecord, where
 // versions that don't know them ignore them.
 type maintenanceRecord struct {
@@ -49,3 +53,22 @@
 		p.Logger.Info().Str("WorkerInstance", r.Instance).Str("Worker", r.Worker).Int("Wave", r.Wave).Bool("Ordered", r.Ordered).Bool("Accepted", r.Accepted).Str("Decision", "InheritMaintenance").Msg("an earlier owner began the maintenance of the instance")
 	}
 }
+
+// maintainedRecord returns, by wave number, the instances whose maintenance is complete: those of the requested waves, and of the others
+// those of the latest ones up to maxStoredMaintained. Of an earlier wave nothing is left to do; the platform takes an instance down only
+// once for a wave in any case.
+func (p *Planner) maintainedRecord() map[int][]string {
+	m := make(map[int][]string)
+	n := 0
+	for _, number := range slices.Backward(slices.Sorted(maps.Keys(p.maintained))) {
+		l := p.maintained[number]
+		w := p.waves[number]
+		if requested := w != nil && w.requested; !requested {
+			if n += len(l); n > maxStoredMaintained {
+				continue
+			}
+		}
+		m[number] = l
+	}
+	return m
+}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -67,19 +67,6 @@
 	p.Logger.Warn().Str("Decision", "ReduceSnapshots").Msg("the store refuses the snapshot; from now on it has no learned estimates")
 }
 
-// records returns the records of all sensitivities.
-func (m *interferenceModel) records() []imageRecord {
-	var l []imageRecord
-	for i, s := range m.sensitivities {
-		x := imageRecord{Image: i, MinTail: s.minTail, Samples: s.samples}
-		for f, e := range s.pairs {
-			x.Pairs = append(x.Pairs, pairRecord{Image: f, Mean: e.Mean, Variance: e.Variance})
-		}
-		l = append(l, x)
-	}
-	return l
-}
-
 // restoredVariance is added to the variance of restored estimates, since the interference may have changed.
 const restoredVariance = 0.05
 
@@ -87,12 +74,12 @@
 // names these workers. It returns nil if there is nothing to store. The caller calls SnapshotCommitted once the snapshot
 // is stored.
 func (p *Planner) PrepareSnapshot(now time.Time) ([]byte, error) {
-	r := snapshotRecord{Maintained: p.maintained, Unresponsive: p.withholdLeases(now), WorkersRestart: p.WorkersRestart}
+	r := snapshotRecord{Maintained: p.maintainedRecord(), Unresponsive: p.withholdLeases(now), WorkersRestart: p.WorkersRestart}
 	if p.reserve.initialized {
 		r.Demand = p.reserve.demand
 	}
 	if !p.snapshotsReduced {
-		r.RunTimes, r.Interrupted, r.Images = p.runTimes.Factors(), p.interruptions.encode(now), p.interference.records()
+		r.RunTimes, r.Interrupted, r.Images = p.runTimes.Factors(), p.interruptions.encode(now), p.interference.records(maxStoredEstimateBytes)
 	}
 	l, late, excluded := p.maintenanceRecords(), p.lateStartRecords(now), p.exclusions.exclusionRecords(now)
 	if r.isEmpty() && len(l)+len(late)+len(excluded) == 0 && !p.unresponsiveChanged && !p.maintenanceChanged {
