Leases by the clock of a former incarnation are counted in full

Cause: a start or a renewal that was sent before a worker started again reached its next incarnation, whose clock began anew, and gave it a lease of the longest time that it accepts (10 s), while the owner counted 6 s. It knew so only of a sync call with a response, and the first response of the new incarnation shortened what it counted. Change: package lease keeps the calls that grant leases, each with its reason, the incarnation that dates it, its token and its end. A new incarnation's first responses extend its lease for the calls that it may have executed, and for no others.

--- a/internal/dispatch/inheritedlease.go
+++ b/internal/dispatch/inheritedlease.go
@@ -68,7 +68,7 @@
 // RestoreInheritedLeases restores the leases that the latest commit of an earlier owner names, after the jobs were added. Owners
 // before that one may have granted them, which GrantsEndedAt does not tell.
 func (p *Planner) RestoreInheritedLeases(m map[string]int64) {
-	all := p.leaseExpiry(p.LastCommitAt.Add(p.StoreLossGrace))
+	all := p.maxLeaseExpiry(p.LastCommitAt.Add(p.StoreLossGrace))
 	expiry := func(ms int64) time.Time {
 		return p.LastCommitAt.Add(min(max(0, time.Duration(ms)*time.Millisecond), all.Sub(p.LastCommitAt)))
 	}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -112,6 +112,8 @@
 	maintenanceChanged bool
 	// maintained holds, by wave number, the instances whose maintenance is complete.
 	maintained map[int][]string
+	// overlongChanged means that a lease has become overlong since the latest snapshot was prepared.
+	overlongChanged bool
 	// snapshotsReduced means that snapshots have no learned estimates.
 	snapshotsReduced bool
 	// unresponsive holds, by worker ID, the remaining milliseconds of the leases of the unresponsive workers in the latest
@@ -180,6 +182,7 @@
 		w := p.worker(t.Worker)
 		a := &attempt{job: j, task: t, run: t.Run, incarnation: t.Incarnation, phase: phaseUncertain, restored: true, plannedAt: now, speedPercent: unknownSpeed}
 		w.add(a)
+		p.inheritCalls(w, t.Incarnation)
 		if t.Suspicion.IsSuspect() {
 			w.isolate(a)
 		}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -7,6 +7,7 @@
 
 	"currantknot.dev/currantknot/internal/incarnation"
 	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/lease"
 )
 
 const (
@@ -33,6 +34,7 @@
 	case incarnation.Same:
 	}
 	if r.RequestedAt.Before(w.lastRequestedAt) {
+		p.settleCalls(w, r, now)
 		return true
 	}
 	w.lastRequestedAt = r.RequestedAt
@@ -42,11 +44,12 @@
 	if !w.fenced {
 		// From now on the worker refuses calls of earlier owners, so that the leases of earlier owners were granted before now.
 		w.fenced = true
-		w.leaseUntil = earlier(w.leaseUntil, p.leaseExpiry(now))
+		w.leaseUntil = laterOf(w.overlongUntil, earlier(w.leaseUntil, p.leaseExpiry(now)))
 	}
 	if r.OverlongLease {
-		w.leaseUntil = laterOf(w.leaseUntil, p.maxLeaseExpiry(now))
+		p.extendLease(w, []lease.Call{{Reason: lease.ReasonSync, SentAt: r.RequestedAt, EndsAt: now}}, now)
 	}
+	p.settleCalls(w, r, now)
 	w.synced, w.failedCalls, w.lastResponseAt, w.staleIncarnation = true, 0, now, 0
 	p.withdrawLosses(w, r.RequestedAt)
 	p.recordCompleteness(w, r)
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -81,34 +81,37 @@
 	if !p.snapshotsReduced {
 		r.RunTimes, r.Interrupted, r.Images = p.runTimes.Factors(), p.interruptions.encode(now), p.interference.records(maxStoredEstimateBytes)
 	}
-	l, late, excluded := p.maintenanceRecords(), p.lateStartRecords(now), p.exclusions.exclusionRecords(now)
-	if r.isEmpty() && len(l)+len(late)+len(excluded) == 0 && !p.unresponsiveChanged && !p.maintenanceChanged {
+	l, late, excluded, overlong := p.maintenanceRecords(), p.lateStartRecords(now), p.exclusions.exclusionRecords(now), p.overlongRecords(now)
+	if r.isEmpty() && len(l)+len(late)+len(excluded)+len(overlong) == 0 && !p.unresponsiveChanged && !p.maintenanceChanged {
 		return nil, nil
 	}
-	b, err := encodeSnapshot(&r, l, late, excluded)
+	b, err := encodeSnapshot(&r, extension(l), extension(late), extension(excluded), extension(overlong))
 	if err != nil {
 		return nil, fmt.Errorf("encode planner snapshot: %w", err)
 	}
-	p.maintenanceChanged = false
+	p.maintenanceChanged, p.overlongChanged = false, false
 	return b, nil
 }
 
-// encodeSnapshot encodes a snapshot, the maintenances that are not complete, the starts that may be executed late, and the exclusions of
-// workers.
-func encodeSnapshot(r *snapshotRecord, l []maintenanceRecord, late []lateStartRecord, excluded []exclusionRecord) ([]byte, error) {
-	values := []any{r}
-	if len(l) > 0 || len(late) > 0 || len(excluded) > 0 {
-		values = append(values, l)
-	}
-	if len(late) > 0 || len(excluded) > 0 {
-		values = append(values, late)
+// snapshotExtension is a list of records that follows the snapshotRecord.
+type snapshotExtension struct {
+	records any
+	isEmpty bool
+}
+
+func extension[T any](l []T) snapshotExtension { return snapshotExtension{l, len(l) == 0} }
+
+// encodeSnapshot encodes a snapshot with its extensions, in the order in which versions added them; empty ones at the end are left out.
+func encodeSnapshot(r *snapshotRecord, l ...snapshotExtension) ([]byte, error) {
+	for len(l) > 0 && l[len(l)-1].isEmpty {
+		l = l[:len(l)-1]
 	}
-	if len(excluded) > 0 {
-		values = append(values, excluded)
+	b, err := msgpack.Marshal(r)
+	if err != nil {
+		return nil, err
 	}
-	var b []byte
-	for _, v := range values {
-		x, err := msgpack.Marshal(v)
+	for _, e := range l {
+		x, err := msgpack.Marshal(e.records)
 		if err != nil {
 			return nil, err
 		}
@@ -177,10 +180,11 @@
 	var l []maintenanceRecord
 	var late []lateStartRecord
 	var excluded []exclusionRecord
+	var overlong []overlongRecord
 	if len(b) == 0 {
 		return errEmptySnapshot
 	}
-	if err := msgpackcheck.UnmarshalSequence(b, &r, &l, &late, &excluded); err != nil {
+	if err := msgpackcheck.UnmarshalSequence(b, &r, &l, &late, &excluded, &overlong); err != nil {
 		return fmt.Errorf("decode planner snapshot: %w", err)
 	}
 	for q, x := range r.RunTimes {
@@ -194,7 +198,7 @@
 	p.exclusions.restore(excluded, p.LastCommitAt, p.takeoverAt.Add(exclusionBound))
 	p.unresponsive = r.Unresponsive
 	// Earlier owners granted their last leases StoreLossGrace after their latest commit.
-	longest := p.leaseExpiry(p.LastCommitAt.Add(p.StoreLossGrace)).Sub(p.LastCommitAt).Milliseconds()
+	longest := p.maxLeaseExpiry(p.LastCommitAt.Add(p.StoreLossGrace)).Sub(p.LastCommitAt).Milliseconds()
 	for id, ms := range r.Unresponsive {
 		w := p.worker(id)
 		w.leaseUntil = p.LastCommitAt.Add(time.Duration(min(max(ms, 0), longest)) * time.Millisecond)
@@ -202,6 +206,7 @@
 		// if it holds attempts.
 		w.leaseWithheld, w.failedCalls = true, unresponsiveCalls
 	}
+	p.restoreOverlong(overlong)
 	p.WorkersRestart = p.WorkersRestart || r.WorkersRestart
 	p.interruptions.restore(r.Interrupted, p.LastCommitAt)
 	if r.Demand > 0 {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -6,6 +6,7 @@
 
 	"currantknot.dev/currantknot/internal/incarnation"
 	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/lease"
 )
 
 // WorkerInfo is an entry of the platform's list of workers.
@@ -51,6 +52,9 @@
 	Incarnation int64
 	// RequestedAt is when the sync call was sent.
 	RequestedAt time.Time
+	// Fence is the fencing token of the sync call, and LeaseCall the ID of the call if it granted a lease.
+	Fence     int64
+	LeaseCall uint64
 	// OverlongLease means that the call granted a lease by the clock of an earlier incarnation than the one that responded, which
 	// holds it for as long as it accepts.
 	OverlongLease bool
@@ -181,7 +185,11 @@
 	headroom   map[string]float64
 	headroomAt time.Time
 	// leaseUntil is when the last lease that any owner may have granted has certainly expired.
-	leaseUntil     time.Time
+	leaseUntil time.Time
+	// calls holds the calls that may give the worker a longer lease than it was granted, and overlongUntil is when the lease has
+	// certainly expired that such a call may have given it, zero if there is none.
+	calls          lease.Calls
+	overlongUntil  time.Time
 	lastResponseAt time.Time
 	// lastRequestedAt is the RequestedAt of the latest applied report.
 	lastRequestedAt time.Time
--- a/internal/dispatch/workerlist.go
+++ b/internal/dispatch/workerlist.go
@@ -85,6 +85,9 @@
 	w.Incarnation, w.entryValidFrom = number, now.Add(unnumberedEntryWait)
 	w.synced, w.fenced, w.takenDown, w.answersNoOrder = false, false, false, false
 	w.ackNumber, w.moreFinished = 0, false
+	// What the former incarnation held is over; what the new one may hold is in the calls that were sent before.
+	w.overlongUntil = time.Time{}
+	p.extendLease(w, w.calls.Misdated(number), now)
 	p.raiseFence(w)
 	w.clearOrphans()
 	for _, a := range slices.Clone(w.attemptList) {
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -430,7 +430,7 @@
 func (o *Owner) isSnapshotDue(hasRecords bool, now time.Time) bool {
 	age := now.Sub(o.snapshotAt)
 	switch {
-	case o.planner.HasMaintenanceChanged():
+	case o.planner.HasMaintenanceChanged(), o.planner.HasOverlongChanged():
 		return true
 	case o.planner.DetectUnresponsiveChange():
 		return age >= unresponsiveSnapshotInterval
--- a/internal/jobserve/sync.go
+++ b/internal/jobserve/sync.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantknot.dev/currantknot/internal/dispatch"
+	"currantknot.dev/currantknot/internal/lease"
 )
 
 const (
@@ -118,7 +119,7 @@
 	if err != nil || ctx.Err() != nil {
 		return r, err
 	}
-	r.RequestedAt = s.PreparedAt
+	r.RequestedAt, r.Fence, r.LeaseCall = s.PreparedAt, s.Fence, s.LeaseCall
 	if !o.handleReport(ctx, r) {
 		return r, &StaleReportError{s.Worker, r.Incarnation}
 	}
@@ -148,7 +149,7 @@
 	}
 	if !first && failures == 0 && o.planner.NeedsLease(w.ID) && o.mayGrantLeases() {
 		s.LeaseUntil = now.Add(o.Lease)
-		o.planner.LeaseGranted(w.ID, now)
+		s.LeaseCall = o.planner.GrantLease(w.ID, lease.ReasonSync, s.Incarnation, now)
 	}
 	return s
 }
@@ -241,9 +242,11 @@
 func (o *Owner) executeAtWorker(ctx context.Context, x dispatch.Order) {
 	f := FencedOrder{Order: x, Fence: o.fenceOf(x.Worker)}
 	now := time.Now()
+	var leaseCall uint64
 	if x.Kind == dispatch.OrderStart {
+		var reason string
 		f.LeaseUntil = now.Add(o.Lease)
-		if reason := o.prepareStart(x, now); reason != "" {
+		if leaseCall, reason = o.prepareStart(x, now); reason != "" {
 			o.Logger.Warn().Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Str("Reason", reason).Str("Decision", "StartWithheld").Msg("start was not sent")
 			o.handleOrderResult(x, dispatch.ResultNotSent)
 			return
@@ -265,6 +268,11 @@
 	if err != nil || r != dispatch.ResultAccepted {
 		o.Logger.Warn().Err(err).Str("Task", x.String()).Int("Run", x.Run).Str("Worker", x.Worker).Str("Order", string(x.Kind)).Str("Answer", r.String()).Dur("Took", time.Since(now)).Msg("order was not confirmed")
 	}
+	if r != dispatch.ResultUnknown {
+		o.mu.Lock()
+		o.planner.LeaseCallAnswered(x.Worker, leaseCall, time.Now())
+		o.mu.Unlock()
+	}
 	o.handleOrderResult(x, r)
 }
 
@@ -284,20 +292,19 @@
 	return d
 }
 
-// prepareStart records the lease that a start is about to grant. It returns why the start must not be sent, empty if it may be.
-func (o *Owner) prepareStart(x dispatch.Order, now time.Time) string {
+// prepareStart records the lease that a start is about to grant, and returns the ID of the call, or why the start must not be sent.
+func (o *Owner) prepareStart(x dispatch.Order, now time.Time) (leaseCall uint64, reason string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
 	case x.IsTooLate(now):
-		return "lists are too old"
+		return 0, "lists are too old"
 	case !o.mayGrantLeases():
-		return "latest commit is too long ago"
+		return 0, "latest commit is too long ago"
 	case o.planner.IsLeaseWithheld(x.Worker):
-		return "lease is withheld"
+		return 0, "lease is withheld"
 	}
-	o.planner.LeaseGranted(x.Worker, now)
-	return ""
+	return o.planner.GrantLease(x.Worker, lease.ReasonStart, x.Incarnation, now), ""
 }
 
 // handleOrderResult passes a worker's result for an order to the planner.
--- a/internal/jobserve/workers.go
+++ b/internal/jobserve/workers.go
@@ -21,6 +21,8 @@
 	Acknowledged int64
 	// LeaseUntil is the expiry of the lease on this instance's clock, zero if the request grants no lease.
 	LeaseUntil time.Time
+	// LeaseCall is the planner's ID of the request if it grants a lease.
+	LeaseCall uint64
 	// LongPollUntil is the time until which the worker may wait for an attempt to finish before it responds.
 	LongPollUntil time.Time
 }
