All members of a gang resume from one checkpoint

Cause: a report set the checkpoint of the one member that it names, and workers that crash report no ends, which set it for the whole gang; the workers are asked at different times. Change: a checkpoint in a report is that of the whole gang, and a gang that starts takes one for all members.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -190,7 +190,7 @@
 		a.confirmedAt = now
 	}
 	if x.Checkpoint != "" && x.Checkpoint != a.task.Checkpoint {
-		a.task.Checkpoint = x.Checkpoint
+		a.job.RecordCheckpoint(a.task, x.Checkpoint)
 	}
 	a.sample, a.progressPercent, a.sampledAt = x.Sample, min(max(x.ProgressPercent, 0), fullSpeed), now
 	p.clearSuspicion(w, a, now)
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -205,6 +205,7 @@
 		}
 		run = max(run, t.Run)
 	}
+	shareCheckpoint(a)
 	for i, t := range a {
 		t.Run = run
 		if !j.Assign(t, workers[i], incarnations[i], now) {
@@ -214,6 +215,18 @@
 	return true
 }
 
+// shareCheckpoint gives all tasks of a gang the checkpoint of one of them: all members of a run have to resume from the same one, and
+// earlier versions stored one for each.
+func shareCheckpoint(gang []*Task) {
+	i := slices.IndexFunc(gang, func(t *Task) bool { return t.Checkpoint != "" })
+	if i < 0 {
+		return
+	}
+	for _, t := range gang {
+		t.Checkpoint = gang[i].Checkpoint
+	}
+}
+
 // Release returns a task to the waiting state; the assigned attempt must be known neither to run nor to start later.
 func (j *Job) Release(t *Task) {
 	if t.State != TaskAssigned {
@@ -231,7 +244,7 @@
 	}
 	j.Started = true
 	if checkpoint != "" {
-		j.recordCheckpoint(t, checkpoint)
+		j.RecordCheckpoint(t, checkpoint)
 	}
 	w := t.Worker
 	j.Release(t)
@@ -244,8 +257,8 @@
 	return true
 }
 
-// recordCheckpoint records a checkpoint of a task; the checkpoint of a gang member applies to the whole gang.
-func (j *Job) recordCheckpoint(t *Task, checkpoint string) {
+// RecordCheckpoint records a checkpoint of a task; the checkpoint of a gang member applies to the whole gang.
+func (j *Job) RecordCheckpoint(t *Task, checkpoint string) {
 	if !t.Spec.Gang {
 		t.Checkpoint = checkpoint
 		return
