Failures of attempts that were released count once they are known

Cause: a new owner that takes over after the leases releases the attempts of the former one before the first reports of their workers, and acknowledged the failed ends that these then list without counting them. Change: an attempt that is released since a lease has expired is unresolved until its end is reported or its task is over; a failure counts then, once. The list is stored with the job, so that later owners know it.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -38,6 +38,16 @@
 	return now.Add(time.Duration(float64(lease)*ClockDriftFactor) + leaseMargin)
 }
 
+// recordUnresolved records that the outcomes of the attempts at a worker are not known, which is about to lose them: it may list them
+// once it responds again.
+func (p *Planner) recordUnresolved(w *worker) {
+	for _, a := range w.attemptList {
+		if a.phase != phasePlanned {
+			a.job.RecordUnresolved(a.task)
+		}
+	}
+}
+
 // ExpireLeases releases the attempts of unreachable workers whose leases have expired, except planned attempts, whose
 // starts are not sent yet. It drops those of these workers that are unlisted and hold no attempts.
 func (p *Planner) ExpireLeases(now time.Time) {
@@ -48,6 +58,7 @@
 		if slices.ContainsFunc(w.attemptList, func(a *attempt) bool { return a.phase != phasePlanned }) {
 			p.recordLoss(w, lossLeaseExpired, now)
 		}
+		p.recordUnresolved(w)
 		p.releaseLost(w, "worker lease expired", now)
 		w.synced = w.isResponding(now)
 		if w.isRemovable() {
--- a/internal/dispatch/releasedends.go
+++ b/internal/dispatch/releasedends.go
@@ -11,17 +11,35 @@
 // A success completes the task, so that it does not run again. An attempt of the
 // task that is assigned by then is stopped first, since it may start after the
 // task is done. The worker repeats the end until that is over, so that a later
-// owner gets it as well.
+// owner gets it as well. A failure counts if the attempt was released before its
+// outcome was known.
 func (p *Planner) handleReleasedEnd(w *worker, e FinishedAttempt, now time.Time) bool {
 	j := p.jobs[e.Job]
-	if j == nil || e.Outcome != jobs.OutcomeDone || p.aside[e.Job] {
+	if j == nil || p.aside[e.Job] {
 		return true
 	}
 	handled := true
-	p.guard(j, func() { handled = p.applyReleasedEnd(w, j, e, now) })
+	p.guard(j, func() {
+		p.resolve(w, j, e, now)
+		if e.Outcome == jobs.OutcomeDone {
+			handled = p.applyReleasedEnd(w, j, e, now)
+		}
+	})
 	return handled
 }
 
+// resolve records the outcome of an attempt that was released before it was known.
+func (p *Planner) resolve(w *worker, j *jobs.Job, e FinishedAttempt, now time.Time) {
+	t := j.Task(e.Ref)
+	if t == nil || !j.Resolve(t, e.Run, w.ID, e.Outcome) {
+		return
+	}
+	p.dirty[j.ID] = j
+	p.Logger.Info().Str("Task", e.String()).Int("Run", e.Run).Str("Worker", w.ID).Int64("End", e.Number).Str("How", string(e.Outcome)).Int("Failures", t.Failures).Int("LatestRun", t.Run).
+		Str("Decision", "ReleasedEnd").Msg("the outcome of a released attempt has become known")
+	p.finalizeJob(j, now)
+}
+
 func (p *Planner) applyReleasedEnd(w *worker, j *jobs.Job, e FinishedAttempt, now time.Time) bool {
 	t := j.Task(e.Ref)
 	if t == nil || !j.HadAttempt(t, e.Run) {
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -26,8 +26,10 @@
 	suspicions int
 	// failedGangRuns holds the number of the latest run of each gang in which a member failed.
 	failedGangRuns map[gang]int
-	// suspicionsChanged means that FailureReason, failedGangRuns or the suspicion of a task changed since the latest
-	// EncodeSuspicions.
+	// unresolved counts the unresolved attempts of the tasks.
+	unresolved int
+	// suspicionsChanged means that FailureReason, failedGangRuns, or the suspicion or the unresolved attempts of a task changed since
+	// the latest EncodeSuspicions.
 	suspicionsChanged bool
 }
 
@@ -318,6 +320,7 @@
 	}
 	j.completed = j.State() == StateCompleted
 	j.Tasks = nil
+	j.unresolved = 0
 	j.failedGangRuns = nil
 }
 
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -164,6 +164,8 @@
 	FailureReason string          `msgpack:",omitempty"`
 	Tasks         []taskSuspicion `msgpack:",omitempty"`
 	Gangs         []gangFailure   `msgpack:",omitempty"`
+	// Unresolved holds the attempts whose outcomes are not known; earlier versions neither write nor read it.
+	Unresolved []taskUnresolved `msgpack:",omitempty"`
 }
 
 // taskSuspicion is the stored suspicion of a task.
@@ -177,16 +179,16 @@
 // maxSuspicionBytes bounds the suspicions in the record of a job.
 const maxSuspicionBytes = 512 << 10
 
-// EncodeSuspicions encodes the record of the suspicions, the failed runs of gangs and the failure of a job, nil if there is nothing to record. It reports
+// EncodeSuspicions encodes the record of the suspicions, the unresolved attempts, the failed runs of gangs and the failure of a job, nil if there is nothing to record. It reports
 // whether they changed since the latest call. Of the suspicions, the record has those of most weight, up to maxSuspicionBytes.
 func (j *Job) EncodeSuspicions() ([]byte, bool, error) {
 	changed := j.suspicionsChanged
 	j.suspicionsChanged = false
-	r := suspicionRecord{FailureReason: j.FailureReason, Gangs: j.gangFailures()}
+	r := suspicionRecord{FailureReason: j.FailureReason, Gangs: j.gangFailures(), Unresolved: j.unresolvedRecords()}
 	j.ForEachSuspicion(func(t *Task) {
 		r.Tasks = append(r.Tasks, taskSuspicion{t.Occurrence, t.Step, t.Index, t.Suspicion})
 	})
-	if r.FailureReason == "" && len(r.Tasks) == 0 && len(r.Gangs) == 0 {
+	if r.FailureReason == "" && len(r.Tasks)+len(r.Gangs)+len(r.Unresolved) == 0 {
 		return nil, changed, nil
 	}
 	b, err := r.encode()
@@ -226,6 +228,7 @@
 	}
 	j.FailureReason = r.FailureReason
 	j.restoreGangFailures(r.Gangs)
+	j.restoreUnresolved(r.Unresolved)
 	for _, x := range r.Tasks {
 		if t := j.Task(Ref{j.ID, x.Occurrence, x.Step, x.Index}); t != nil {
 			t.Suspicion = x.Suspicion
--- a/internal/jobs/task.go
+++ b/internal/jobs/task.go
@@ -84,6 +84,8 @@
 	Incarnation int64
 	// FailedAt lists the workers on which the latest attempts failed, so that the next attempt avoids these workers.
 	FailedAt []string
+	// Unresolved lists the latest attempts that were released before their outcome was known, at most maxUnresolved.
+	Unresolved []UnresolvedAttempt
 	// Suspicion is what counts against the task after workers were lost under it.
 	Suspicion Suspicion
 }
