A task stays at the worker of a lost start for as long as that may be executed

Cause: the task was bound to the worker for 5 s, where the platform names up to 12 s. Change: the binding lasts until 12 s after the sending, or until the next incarnation has responded. The bound of TestTaskOfALostStartWaitsForItsWorker was the 5 s; it is the platform's 12 s now, in which nothing may start elsewhere.

--- a/internal/dispatch/binding.go
+++ b/internal/dispatch/binding.go
@@ -22,10 +22,11 @@
 
 // bind keeps the task of an attempt that is released at its worker while the worker's next incarnation may execute the start.
 func (p *Planner) bind(w *worker, a *attempt, now time.Time) {
-	if p.mayStartLate(a, now) {
+	until := p.bindingEnd(a)
+	if a.phase != phaseRunning && !a.job.IsTerminal() && now.Before(until) {
 		// The call may be on its way still, so that its token has not been exceeded yet.
 		p.raiseFence(w)
-		p.bindings[a.task.Ref] = binding{worker: w.ID, incarnation: w.Incarnation, since: now, until: p.lateStartEnd(a)}
+		p.bindings[a.task.Ref] = binding{worker: w.ID, incarnation: w.Incarnation, since: now, until: until}
 	}
 }
 
--- a/internal/dispatch/latestart.go
+++ b/internal/dispatch/latestart.go
@@ -1,10 +1,15 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"currantknot.dev/currantknot/internal/lease"
+)
 
 const (
-	// maxStartLateness is the time after the sending of a start in which its worker's next incarnation may still execute it, if that
-	// has not seen a higher fencing token.
+	// maxStartLateness is the time after the sending of a start for which its attempt is kept where workers start again under their
+	// IDs. The next incarnation may execute the start for longer, until lease.MaxLateness; for the rest of that time, the task is bound
+	// to the worker, where it may run.
 	maxStartLateness = 5 * time.Second
 )
 
@@ -31,6 +36,15 @@
 	return a.sentAt.Add(maxStartLateness)
 }
 
+// bindingEnd returns the time until which a task is bound to the worker of a start without a response: from then on no incarnation
+// executes the start. A start of an earlier owner is older than what is known of its sending, and is bound no longer than it is kept.
+func (p *Planner) bindingEnd(a *attempt) time.Time {
+	if a.restored {
+		return p.lateStartEnd(a)
+	}
+	return a.sentAt.Add(lease.MaxLateness)
+}
+
 // ReportDueAt returns from when on a report of a worker decides whether a start without a response is over, zero if there is no such
 // start or if another condition has to be met before. It may have passed.
 func (p *Planner) ReportDueAt(worker string) time.Time {
--- a/internal/dispatch/latestart_test.go
+++ b/internal/dispatch/latestart_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantknot.dev/currantknot/internal/jobs"
+	"currantknot.dev/currantknot/internal/lease"
 )
 
 // A start got no response, and its worker accepted the stop, which released the task. The worker crashed, and its next incarnation,
@@ -86,7 +87,7 @@
 	s.advance(100 * time.Millisecond)
 	s.report(o.Worker, nil)
 	s.p.SyncFailed(o.Worker, true, s.now)
-	for s.advance(500 * time.Millisecond); s.now.Sub(sentAt) < maxStartLateness; s.advance(500 * time.Millisecond) {
+	for s.advance(500 * time.Millisecond); s.now.Sub(sentAt) < lease.MaxLateness; s.advance(500 * time.Millisecond) {
 		s.reportOthers(o.Worker)
 		require.Empty(t, s.plan()[OrderStart], "%v after the start was sent", s.now.Sub(sentAt))
 	}
