--- a/internal/dispatch/inheritedlease.go
+++ b/internal/dispatch/inheritedlease.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// maxInheritedLeases bounds the workers that a commit names, so that its size is bounded. A planner with more names anyWorker alone.
-	maxInheritedLeases = 2048
+	// maxInheritedLeases and maxInheritedIDBytes bound the workers that a commit names and the size of their IDs, so that its size is
+	// bounded. A planner with more names anyWorker alone.
+	maxInheritedLeases  = 2048
+	maxInheritedIDBytes = 64 << 10
 	// anyWorker stands for all workers in a commit, with the longest of their leases. It is the ID of none, so that versions that don't
 	// know it ignore it.
 	anyWorker = ""
@@ -24,12 +26,14 @@
 // stored.
 func (p *Planner) InheritedLeases(now time.Time) map[string]int64 {
 	m := make(map[string]int64)
+	size := 0
 	for _, w := range p.workerList {
 		if w.hasInheritedLease() {
 			m[w.ID] = max(0, w.leaseUntil.Sub(now).Milliseconds()+1)
+			size += len(w.ID)
 		}
 	}
-	if len(m) > maxInheritedLeases {
+	if len(m) > maxInheritedLeases || size > maxInheritedIDBytes {
 		m = map[string]int64{anyWorker: slices.Max(slices.Collect(maps.Values(m)))}
 	}
 	for id := range m {
--- a/internal/dispatch/inheritedlease_test.go
+++ b/internal/dispatch/inheritedlease_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -104,6 +105,20 @@
 	require.True(t, s.p.NeedsLease(testWorker(0).ID), "the commit names no worker that is to be granted none")
 }
 
+// A commit that names workers with long IDs was larger than a record may be, so that the store refused every commit of the owner.
+func TestCommitHasOneEntryForSilentWorkersWithLongIDs(t *testing.T) {
+	const workers = 300
+	s := newSimulation(t, 0)
+	j := testJob(testID(1), s.now, plainStep(workers))
+	for i, x := range j.Tasks[0][0] {
+		require.True(t, j.Assign(x, fmt.Sprintf("i-%0250d", i), testIncarnation, s.now))
+	}
+	s.p.AddJob(j, s.now)
+	m := s.p.InheritedLeases(s.now)
+	require.Len(t, m, 1)
+	require.Contains(t, m, anyWorker)
+}
+
 // An owner with more silent workers than a commit names named none, as if it had granted all of them their leases, so that the next owner,
 // on the same instance, counted those of the owner before as ended with the process of this one.
 func TestLeasesOfMoreWorkersThanACommitNamesAreInherited(t *testing.T) {
--- a/internal/dispatch/interferencerecord_test.go
+++ b/internal/dispatch/interferencerecord_test.go
@@ -60,6 +60,7 @@
 	p.maintained[3] = []string{"m-3"}
 	p.WorkersRestart = true
 	p.ReduceSnapshots()
+	require.True(t, p.HasMaintenanceChanged(), "a snapshot is due at once")
 	b, err := p.PrepareSnapshot(now)
 	require.NoError(t, err)
 	o := New(Config{Logger: zerolog.Nop()}, now)
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -58,12 +58,12 @@
 // errEmptySnapshot means that the record of the snapshot has no value.
 var errEmptySnapshot = errors.New("decode planner snapshot: no value")
 
-// ReduceSnapshots leaves out of later snapshots what the next owner learns again, since the store refuses a whole one.
+// ReduceSnapshots leaves out of later snapshots what the next owner learns again, since the store refuses a whole one. One is due at once.
 func (p *Planner) ReduceSnapshots() {
 	if p.snapshotsReduced {
 		return
 	}
-	p.snapshotsReduced = true
+	p.snapshotsReduced, p.maintenanceChanged, p.overlongChanged = true, true, true
 	p.Logger.Warn().Str("Decision", "ReduceSnapshots").Msg("the store refuses the snapshot; from now on it has no learned estimates")
 }
 
--- a/internal/jobserve/batcher.go
+++ b/internal/jobserve/batcher.go
@@ -68,6 +68,8 @@
 	mu      sync.Mutex
 	waiting []*pendingRecord
 	running bool
+	// lastGroup is the highest group of any record so far.
+	lastGroup int
 }
 
 // pendingRecord is a record whose caller waits for the append.
@@ -78,8 +80,9 @@
 	// append may have had an effect.
 	rejections   int
 	maybeApplied bool
-	// alone means that the store refuses a batch with the record for a reason that will not pass, so that it is sent by itself.
-	alone bool
+	// group is not 0 if the store has refused a batch with the record for a reason that will not pass: it is sent only with others of
+	// the same group.
+	group int
 	// taken means that the record is being sent or was sent, and withdrawn that its caller has left before that. The mutex of the
 	// batcher guards both.
 	taken     bool
@@ -272,7 +275,7 @@
 		if suspect && len(l) > 0 && l[0].maybeApplied && !p.maybeApplied {
 			break
 		}
-		if len(l) > 0 && (p.alone || l[0].alone) {
+		if len(l) > 0 && p.group != l[0].group {
 			break
 		}
 		b.waiting = b.waiting[1:]
@@ -370,8 +373,8 @@
 	return len(retry) > 0
 }
 
-// separate handles a batch that the store refuses for a reason that will not pass: one of its records is at fault, so that each is sent
-// by itself, and one that is refused by itself is given up. It reports whether there are records to send.
+// separate handles a batch that the store refuses for a reason that will not pass: one of its records is at fault, so that its halves are
+// sent by themselves, and a record that is refused by itself is given up. It reports whether there are records to send.
 func (b *batcher) separate(l []*pendingRecord, err error) bool {
 	if len(l) == 1 {
 		b.logger.Error().Err(err).Str("Key", l[0].record.Key).Int("Bytes", len(l[0].record.Value)).Str("Decision", "RecordRefused").Msg("the store refuses a record for a reason that will not pass")
@@ -380,9 +383,13 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, p := range l {
-		p.alone = true
+	for i, p := range l {
+		p.group = b.lastGroup + 1
+		if i >= len(l)/2 {
+			p.group++
+		}
 	}
+	b.lastGroup += 2
 	b.waiting = append(l, b.waiting...)
 	return true
 }
--- a/internal/jobserve/refusal_test.go
+++ b/internal/jobserve/refusal_test.go
@@ -152,17 +152,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newLimitedStore()
 		b := &batcher{store: s, logger: zerolog.Nop()}
+		const records, refusedRecord = 100, 37
 		var l []*pendingRecord
-		for n := range 5 {
+		for n := range records {
 			size := 1
-			if n == 2 {
+			if n == refusedRecord {
 				size = limitedRecordBytes
 			}
 			l = append(l, b.enqueue(t.Context(), Record{Key: fmt.Sprintf("%s%016x", submissionPrefix, n), Value: make([]byte, size)}))
 		}
 		for n, p := range l {
 			err := b.await(t.Context(), p)
-			if n != 2 {
+			if n != refusedRecord {
 				require.NoError(t, err)
 				continue
 			}
@@ -170,7 +171,8 @@
 			require.ErrorAs(t, err, &refused)
 			require.ErrorIs(t, err, ErrNotAccepted)
 		}
-		require.Len(t, s.records[PartitionRequests], 4)
+		require.Len(t, s.records[PartitionRequests], records-1)
+		require.Less(t, s.refusals, 10, "the record at fault is found by halves")
 	})
 }
 
