--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -81,11 +81,11 @@
 	if !p.snapshotsReduced {
 		r.RunTimes, r.Interrupted, r.Images = p.runTimes.Factors(), p.interruptions.encode(now), p.interference.records(maxStoredEstimateBytes)
 	}
-	l, late, excluded, overlong := p.maintenanceRecords(), p.lateStartRecords(now), p.exclusions.exclusionRecords(now), p.overlongRecords(now)
-	if r.isEmpty() && len(l)+len(late)+len(excluded)+len(overlong) == 0 && !p.unresponsiveChanged && !p.maintenanceChanged {
+	l, late, excluded, overlong, bound := p.maintenanceRecords(), p.lateStartRecords(now), p.exclusions.exclusionRecords(now), p.overlongRecords(now), p.bindingRecords(now)
+	if r.isEmpty() && len(l)+len(late)+len(excluded)+len(overlong)+len(bound) == 0 && !p.unresponsiveChanged && !p.maintenanceChanged {
 		return nil, nil
 	}
-	b, err := encodeSnapshot(&r, extension(l), extension(late), extension(excluded), extension(overlong))
+	b, err := encodeSnapshot(&r, extension(l), extension(late), extension(excluded), extension(overlong), extension(bound))
 	if err != nil {
 		return nil, fmt.Errorf("encode planner snapshot: %w", err)
 	}
@@ -181,10 +181,11 @@
 	var late []lateStartRecord
 	var excluded []exclusionRecord
 	var overlong []overlongRecord
+	var bound []bindingRecord
 	if len(b) == 0 {
 		return errEmptySnapshot
 	}
-	if err := msgpackcheck.UnmarshalSequence(b, &r, &l, &late, &excluded, &overlong); err != nil {
+	if err := msgpackcheck.UnmarshalSequence(b, &r, &l, &late, &excluded, &overlong, &bound); err != nil {
 		return fmt.Errorf("decode planner snapshot: %w", err)
 	}
 	for q, x := range r.RunTimes {
@@ -207,6 +208,7 @@
 		w.leaseWithheld, w.failedCalls = true, unresponsiveCalls
 	}
 	p.restoreOverlong(overlong)
+	p.restoreBindings(bound)
 	p.WorkersRestart = p.WorkersRestart || r.WorkersRestart
 	p.interruptions.restore(r.Interrupted, p.LastCommitAt)
 	if r.Demand > 0 {
--- a/internal/jobserve/owner.go
+++ b/internal/jobserve/owner.go
@@ -434,7 +434,7 @@
 		return true
 	case o.planner.DetectUnresponsiveChange():
 		return age >= unresponsiveSnapshotInterval
-	case o.planner.HasUnexpiredLeases(), o.planner.HasLateStarts(now):
+	case o.planner.HasUnexpiredLeases(), o.planner.HasLateStarts(now), o.planner.HasBindings():
 		return age >= leaseSnapshotInterval
 	}
 	return hasRecords && age >= snapshotInterval
