Crowds of clients that do not behave, with bounds on what a process uses

These tests let one kind of such clients loose on one listener of `jobs` or `serve`, with limits of memory and descriptors in the processes' settings that a small crowd passes (96 MB; 500 and 300 descriptors). They check that the process lives, that memory with the received bytes that were not read and descriptors stay under these limits, that one ordinary request is answered while the clients keep their connections, and that connections of clients that stopped are not kept. No time and no share of served requests is checked.

They run without the race detector, which takes several times the memory, one at a time: `make crowds`.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(shell go env GOPATH)/bin/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build test race lint docs demo bench fuzz
+.PHONY: build test race crowds lint docs demo bench fuzz
 
 build:
 	go build -o bin/currantknot ./cmd/currantknot
@@ -15,6 +15,10 @@
 
 race: test
 
+# The crowds measure the memory of processes: without the race detector, one at a time, and beside nothing else.
+crowds:
+	go test -tags crowd -count=1 -p 1 -timeout 40m -run '^TestCrowd' $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./platform ./internal/integration
+
 $(GOLANGCI):
 	GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 	mkdir -p $(dir $(GOLANGCI))
--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -32,7 +32,7 @@
 // eventTimeout bounds the wait for an expected event; it is generous and not a bound that the system guarantees.
 const eventTimeout = 90 * time.Second
 
-// binary is the path of the program, built with the race detector.
+// binary is the path of the program, built with buildFlags.
 var binary string
 
 func TestMain(m *testing.M) {
@@ -42,7 +42,7 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "currantknot")
-	build := exec.Command("go", "build", "-race", "-o", binary, "currantknot.dev/currantknot/cmd/currantknot")
+	build := exec.Command("go", append(append([]string{"build"}, buildFlags...), "-o", binary, "currantknot.dev/currantknot/cmd/currantknot")...)
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
@@ -58,8 +58,9 @@
 	platform        *standin.Platform
 	platformAddress string
 	instances       []*instanceProcess
-	// flags are passed to each instance in addition to its own.
-	flags []string
+	// flags are passed to each instance in addition to its own, and environment is added to its environment.
+	flags       []string
+	environment []string
 }
 
 // instanceProcess is an instance, run as a process, with its proxies.
@@ -120,10 +121,16 @@
 // newCluster starts a stand-in and n instances, and waits until the six replicas of fleetText run and every instance
 // routes requests to them.
 func newCluster(t *testing.T, n int, flags ...string) *cluster {
+	t.Helper()
+	return newClusterWithEnvironment(t, n, nil, flags...)
+}
+
+// newClusterWithEnvironment starts a cluster as newCluster does, with variables in the environment of its instances.
+func newClusterWithEnvironment(t *testing.T, n int, environment []string, flags ...string) *cluster {
 	t.Helper()
 	ss, err := document.Parse([]byte(fleetText))
 	require.NoError(t, err)
-	c := &cluster{t: t, flags: flags}
+	c := &cluster{t: t, flags: flags, environment: environment}
 	c.platform = standin.New(standin.Config{
 		Workers: standin.WorkersOf(ss), AppendsPerSecond: 400, Retention: time.Hour,
 		ListLag: 300 * time.Millisecond, ServiceTime: 2 * time.Millisecond, Seed: 7, Logger: zerolog.Nop(),
@@ -219,6 +226,7 @@
 		"--list-every", "200ms", "--drain-delay", "1s", "--log-level", "info",
 	}, p.cluster.flags...)
 	p.process = exec.Command(binary, args...)
+	p.process.Env = append(os.Environ(), p.cluster.environment...)
 	p.stderr = &logBuffer{}
 	p.process.Stderr = p.stderr
 	require.NoError(t, p.process.Start())
