The findings of a job are bounded

Callers saw an instance end, out of memory. A body of legal size may have 87,000 empty steps, or 131,000 predecessors that are no steps. Spec.Check had a finding for each, and the list, its text, the response and the log line held them at once; a fit against the cap of an account had as many.

A SpecError has the first 20 findings and the number of the others.

TestFindingsAreBounded fails with the bound out (5,000 findings where 20 are allowed).

--- a/internal/account/fit.go
+++ b/internal/account/fit.go
@@ -6,7 +6,7 @@
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
-// CheckFit returns a *jobs.SpecError with each step of a job of which a task, or the gang, never fits a cap, nil if all fit.
+// CheckFit returns a *jobs.SpecError with the steps of a job of which a task, or the gang, never fits a cap, nil if all fit.
 //
 // An invalid cap is a mistake that operators will correct, so that the job waits
 // for it instead of being rejected for good.
@@ -17,7 +17,7 @@
 	var e jobs.SpecError
 	for i := range s.Steps {
 		if f := fitFault(capacity, &s.Steps[i]); f != "" {
-			e.Findings = append(e.Findings, jobs.Finding{Place: fmt.Sprintf("Steps[%d]", i), Reason: f})
+			e.Add(fmt.Sprintf("Steps[%d]", i), "%s", f)
 		}
 	}
 	if len(e.Findings) > 0 {
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -136,29 +137,44 @@
 	Reason string
 }
 
-// SpecError lists all findings of an invalid job spec.
+// maxFindings is the maximum number of findings in a SpecError. A job may have more of them than bytes would fit into a response.
+const maxFindings = 20
+
+// SpecError lists the first findings of an invalid job spec.
 type SpecError struct {
 	Findings []Finding
+	// Omitted is the number of further findings.
+	Omitted int
+}
+
+// Add adds a finding, or counts it if there are many.
+func (e *SpecError) Add(place, format string, a ...any) {
+	if len(e.Findings) == maxFindings {
+		e.Omitted++
+		return
+	}
+	e.Findings = append(e.Findings, Finding{place, fmt.Sprintf(format, a...)})
 }
 
-// Error returns all findings on one line.
+// Error returns the findings on one line.
 func (e *SpecError) Error() string {
 	a := make([]string, len(e.Findings))
 	for i, f := range e.Findings {
 		a[i] = f.Place + ": " + f.Reason
 	}
+	if e.Omitted > 0 {
+		a = append(a, fmt.Sprintf("and %d more", e.Omitted))
+	}
 	return "job: " + strings.Join(a, "; ")
 }
 
 // IsID reports whether s is a well-formed job ID.
 func IsID(s string) bool { return idPattern.MatchString(s) }
 
-// Check validates the spec and returns a *SpecError with all findings, or nil.
+// Check validates the spec and returns a *SpecError with the findings, or nil.
 func (s *Spec) Check() error {
 	var e SpecError
-	add := func(place, format string, a ...any) {
-		e.Findings = append(e.Findings, Finding{place, fmt.Sprintf(format, a...)})
-	}
+	add := e.Add
 	if !IsID(s.ID) {
 		add("ID", "is not 16 hexadecimal digits")
 	}
@@ -188,7 +204,7 @@
 }
 
 func (s *Step) check(i int, add func(place, format string, a ...any)) {
-	p := fmt.Sprintf("Steps[%d]", i)
+	p := "Steps[" + strconv.Itoa(i) + "]"
 	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		add(p+".Tasks", "%d is not between 1 and %d", s.Tasks, MaxTasks)
 	}
--- a/internal/jobs/spec_test.go
+++ b/internal/jobs/spec_test.go
@@ -42,3 +42,14 @@
 		require.Error(t, s.Check(), p)
 	}
 }
+
+// The findings of a legal body took tens of megabytes, in the response and in the log too.
+func TestFindingsAreBounded(t *testing.T) {
+	s := jobs.Spec{ID: "0123456789abcdef", Steps: make([]jobs.Step, 5000)}
+	var e *jobs.SpecError
+	require.ErrorAs(t, s.Check(), &e)
+	require.Len(t, e.Findings, 20)
+	require.Equal(t, 4980, e.Omitted)
+	require.Contains(t, e.Error(), "; and 4980 more")
+	require.Less(t, len(e.Error()), 4<<10)
+}
