Connections of clients that stop are closed, and their number is bounded

Callers saw an instance end, or answer nobody. A client that stopped in the middle of a body kept its connection for ever, and what had arrived with it; so did one that read no answers, and one that another listener had accepted. Nothing bounded the number: 800 silent connections took 826 descriptors where the settings allow 500, and a descriptor that cannot be had for a caller cannot be had for the store. A failed accept ended the listener for relays.

All listeners of `jobs` and `serve` are opened by a Guard (package inbound), which applies package limits: callers, readiness, metrics, operators, peers and relays. A listener has a share of the descriptors; beyond it the connection with the least progress is closed, after a second without any, or the new one is refused. Heads, bodies, answers and idle connections have an end: 5 s without a byte of a body, 1 KiB/s after that, 10 s in all for a submission, 10 s for an answer, also if the kernel holds it. A caller's deadline is about 3 s, so that none inside the limits meets these. The timeouts of the configuration were decoded and not used; they are in force. The kernel's buffers of a client's connection are 16 and 64 KiB.

Each is a setting with a default (docs/SETTINGS.md), and each refusal or closed connection is counted by listener and reason, and logged, three lines a second at most.

The crowds of bodies still fail for their memory (120 MB where 96 are allowed).

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/jobserve"
+	"currantknot.dev/currantknot/internal/limits"
 	"currantknot.dev/currantknot/internal/locality"
 	"currantknot.dev/currantknot/internal/relay"
 	"currantknot.dev/currantknot/internal/settings"
@@ -37,6 +38,9 @@
 	if c.File == "" {
 		return &argumentError{"--settings is empty"}
 	}
+	if err := c.Check(); err != nil {
+		return err
+	}
 	s, err := platform.ReadSettings(c.File)
 	if err != nil {
 		return err
@@ -57,13 +61,15 @@
 // the top-level package platform adapts the one of the jobs command, and internal/platform the one of serve and demo.
 func newJobsInstance(s *platform.Settings, id jobserve.Identity, c *settings.Jobs, platformStore *platform.Store, w *jobserve.LogWriter, l zerolog.Logger) *jobserve.Instance {
 	m := jobserve.NewMetrics()
+	plan := c.Plan(limits.Machine{MemoryBytes: s.MemoryLimitMB << 20, Descriptors: s.MaxDescriptors})
+	guards := jobserve.NewGuards(plan, m, l)
 	monitor := jobserve.NewStoreMonitor(m, l)
 	store := monitor.Watch(jobserve.InstrumentStore(platformStore, m))
 	state := &jobserve.OperatorState{}
 	replica := jobserve.NewReplica(store, l)
 	workers := platform.NewWorkers()
 	node := &relay.Node{
-		Listen: s.RelayListen, Pool: relay.NewPool(workers, s.Processors, l),
+		Listen: s.RelayListen, Listener: guards.Relays, Pool: relay.NewPool(workers, s.Processors, l),
 		Agent: relay.NewAgent(relay.Hello{Name: s.Name, FailureDomain: s.FailureDomain}, jobserve.InstrumentWorkers(workers, m), l),
 	}
 	node.Identity, node.FinishedPage = id.String(), platform.FinishedPageRows
@@ -75,7 +81,7 @@
 	service.SetMonitor(monitor)
 	node.Pool.Append, node.Agent.Append = service.AppendFor, service.AppendFor
 	return jobserve.NewInstance(jobserve.InstanceConfig{
-		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, ShutdownTimeout: s.ShutdownTimeout,
+		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, Guards: guards, ShutdownTimeout: s.ShutdownTimeout,
 		Lease: min(s.MaxLease, maxLease), MaxLease: s.MaxLease, FinishedJobRetention: s.FinishedJobRetention, MaintenanceDelay: s.MaintenanceDelay, StartBounds: s.StartBounds, OffRackFactor: locality.Factor(s.OffRackFactor), AppendLimits: s.AppendLimits, Identity: id,
 		Store: store, Replica: replica, Commits: commits, Monitor: monitor, State: state,
 		Workers: jobserve.InstrumentWorkers(node, m), Relays: node, Directory: platform.NewDirectory(platformStore, l),
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +11,8 @@
 	"github.com/rs/zerolog"
 
 	"currantknot.dev/currantknot/internal/dispatch"
+	"currantknot.dev/currantknot/internal/inbound"
+	"currantknot.dev/currantknot/internal/limits"
 	"currantknot.dev/currantknot/internal/locality"
 )
 
@@ -30,9 +30,6 @@
 	balancerDrainDuration = 2500 * time.Millisecond
 	// shutdownMargin is the time at the end of the shutdown timeout that is reserved for flushing the log and exiting.
 	shutdownMargin = 1200 * time.Millisecond
-	// readHeaderTimeout and idleTimeout bound slow and idle connections of callers.
-	readHeaderTimeout = 3 * time.Second
-	idleTimeout       = 30 * time.Second
 )
 
 // Operators reads the settings and requests of operators.
@@ -46,6 +43,8 @@
 	Name         string
 	CallerListen string
 	ReadyListen  string
+	// Guards bounds what clients of the listeners may use.
+	Guards Guards
 	// ShutdownTimeout is the time from the termination signal until the platform kills the process.
 	ShutdownTimeout time.Duration
 	// Lease is the duration of each lease that an owner grants to a worker.
@@ -133,6 +132,7 @@
 	i.Metrics.Gauge(metricJobs, func() float64 { return float64(len(i.Replica.IDs())) })
 	i.Metrics.Gauge(series(metricMalformed, label("kind", "Job")), func() float64 { return float64(i.Replica.Malformed()) })
 	i.Metrics.Gauge(series(metricMalformed, label("kind", "Operator")), func() float64 { return float64(i.State.Malformed()) })
+	i.Guards.registerGauges(i.Metrics)
 	i.Metrics.Gauge(metricLinesDropped, func() float64 { return float64(i.Log.Dropped()) })
 	i.Metrics.Gauge(metricVersion, func() float64 {
 		if c := i.State.Configuration(); c != nil {
@@ -167,16 +167,16 @@
 
 // Run serves until the context ends, and then shuts down gracefully; it returns an error if it cannot listen.
 func (i *Instance) Run(ctx context.Context) error {
-	callers, err := i.listen(ctx, i.CallerListen, i.CallerHandler)
+	callers, err := i.listen(ctx, i.Guards.Callers, i.CallerListen, i.CallerHandler)
 	if err != nil {
 		return err
 	}
-	ready, err := i.listen(ctx, i.ReadyListen, http.HandlerFunc(i.serveReadiness))
+	ready, err := i.listen(ctx, i.Guards.Readiness, i.ReadyListen, http.HandlerFunc(i.serveReadiness))
 	if err != nil {
 		return err
 	}
 	if i.MetricsListen != "" {
-		if _, err := i.listen(ctx, i.MetricsListen, i.metricsHandler()); err != nil {
+		if _, err := i.listen(ctx, i.Guards.Metrics, i.MetricsListen, i.metricsHandler()); err != nil {
 			return err
 		}
 	}
@@ -187,6 +187,7 @@
 	memberCtx, leaveGroup := context.WithCancel(background)
 	var o sync.WaitGroup
 	o.Go(func() { i.member.Run(memberCtx) })
+	go inbound.Run(background, i.Guards.all()...)
 	go i.runRelays(background)
 	go i.followOperators(background)
 	go i.refreshReplica(background)
@@ -228,13 +229,13 @@
 	}
 }
 
-// listen starts an HTTP server at an address.
-func (i *Instance) listen(ctx context.Context, address string, h http.Handler) (*http.Server, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+// listen starts an HTTP server at an address, within the limits of a guard.
+func (i *Instance) listen(ctx context.Context, g *inbound.Guard, address string, h http.Handler) (*http.Server, error) {
+	l, err := g.Listen(ctx, address, limits.PhaseHead)
 	if err != nil {
-		return nil, fmt.Errorf("listen at %s: %w", address, err)
+		return nil, err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	s := g.Server(h)
 	go func() {
 		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			i.Logger.Error().Err(err).Str("Address", address).Msg("HTTP server failed")
@@ -290,6 +291,7 @@
 		switch {
 		case err == nil:
 			i.recordStoreResponse()
+			i.Guards.configure(i.State.Configuration())
 		case ctx.Err() == nil:
 			wait = 0
 			silent.Warn().Err(err).Dur("StoreAge", i.storeAge()).Str("Decision", "StoreSilent").Msg("changes by operators were not read")
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"currantknot.dev/currantknot/internal/limits"
 )
 
 // The names of the metrics; docs/JOBMETRICS.md describes them.
@@ -42,6 +44,9 @@
 	metricOperatorsAge     = "currantknot_operators_age_seconds"
 	metricRequestsAge      = "currantknot_requests_age_seconds"
 	metricRefusedCalls     = "currantknot_refused_calls_total"
+	metricLimited          = "currantknot_limited_total"
+	metricConnections      = "currantknot_client_connections"
+	metricRequestMemory    = "currantknot_request_memory_bytes"
 	metricStorePath        = "currantknot_store_path_state"
 	metricStorePathChanges = "currantknot_store_path_changes_total"
 	metricStorePathRecords = "currantknot_store_path_records_total"
@@ -119,6 +124,11 @@
 	m.Add(metricRefusedCalls, label("reason", string(c)), 1)
 }
 
+// Limited implements inbound.Observer.
+func (m *Metrics) Limited(listener string, r limits.Reason) {
+	m.Add(metricLimited, label("listener", listener, "reason", string(r)), 1)
+}
+
 // Observe adds the time since the given time to a histogram.
 func (m *Metrics) Observe(name, label string, since time.Time) {
 	d := time.Since(since)
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"sync"
+
+	"currantknot.dev/currantknot/internal/limits"
 )
 
 // Node combines both roles of an instance: it calls workers through relays and is a relay for other instances.
@@ -12,8 +14,15 @@
 	*Pool
 	*Agent
 	// Listen is the address to which relays connect, empty where none may.
-	Listen  string
-	avoided avoided
+	Listen string
+	// Listener opens the listener for relays.
+	Listener Listener
+	avoided  avoided
+}
+
+// Listener listens for the connections of other instances, which send the first frame.
+type Listener interface {
+	Listen(ctx context.Context, address string, p limits.Phase) (net.Listener, error)
 }
 
 // Run serves both roles until the context is cancelled.
@@ -24,7 +33,7 @@
 	if n.Listen == "" {
 		return nil
 	}
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.Listen)
+	l, err := n.Listener.Listen(ctx, n.Listen, limits.PhaseBody)
 	if err != nil {
 		return fmt.Errorf("listen for relays at %s: %w", n.Listen, err)
 	}
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -18,6 +18,8 @@
 	"currantknot.dev/currantknot/internal/caller"
 	"currantknot.dev/currantknot/internal/decision"
 	"currantknot.dev/currantknot/internal/docstore"
+	"currantknot.dev/currantknot/internal/inbound"
+	"currantknot.dev/currantknot/internal/limits"
 	"currantknot.dev/currantknot/internal/peer"
 	"currantknot.dev/currantknot/internal/placement"
 	"currantknot.dev/currantknot/internal/platform"
@@ -36,12 +38,6 @@
 	pollTimeout = 300 * time.Millisecond
 	// maxDecisions is the maximum number of decisions that are stored for explain requests.
 	maxDecisions = 20_000
-	// readHeaderTimeout is the maximum time in which a client sends the header of a request.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is the time after which an idle client connection is closed.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes is the maximum size of a request's header.
-	maxHeaderBytes = 64 << 10
 	// shutdownTimeout is the maximum time that a shutdown waits for requests in flight.
 	shutdownTimeout = 5 * time.Minute
 	// expireInterval is the time between two checks of the deadlines of waiting requests.
@@ -66,6 +62,7 @@
 	upstreamClient *upstream.Client
 	mesh           *peer.Mesh
 	metrics        *instanceMetrics
+	guards         guards
 	// leaving means that the graceful shutdown has begun. killed is closed by Kill.
 	leaving  atomic.Bool
 	killed   chan struct{}
@@ -117,6 +114,7 @@
 		Router: i.router, Sender: i.upstreamClient, Keys: i.newIdempotencyKeys(), Decisions: i.decisions, Metrics: i.metrics.caller(),
 		Services: i.services, RequestIDPrefix: i.ID,
 	}
+	i.guards = newGuards(s.Plan(), i.metrics, l)
 	i.metrics.publish(i)
 	return i, nil
 }
@@ -143,16 +141,17 @@
 	for _, x := range []struct {
 		to      *net.Listener
 		address string
-		name    string
+		guard   *inbound.Guard
+		phase   limits.Phase
 	}{
-		{&l.caller, i.CallerListen, "callers"},
-		{&l.operator, i.OperatorListen, "operators"},
-		{&l.peer, i.PeerListen, "peers"},
+		{&l.caller, i.CallerListen, i.guards.callers, limits.PhaseHead},
+		{&l.operator, i.OperatorListen, i.guards.operators, limits.PhaseHead},
+		{&l.peer, i.PeerListen, i.guards.peers, limits.PhaseBody},
 	} {
 		var err error
-		*x.to, err = (&net.ListenConfig{}).Listen(ctx, "tcp", x.address)
+		*x.to, err = x.guard.Listen(ctx, x.address, x.phase)
 		if err != nil {
-			errs = append(errs, fmt.Errorf("listen for %s at %s: %w", x.name, x.address, err))
+			errs = append(errs, fmt.Errorf("listen for %s: %w", x.guard.Name, err))
 		}
 	}
 	return &l, errors.Join(errs...)
@@ -168,8 +167,9 @@
 	x, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g, x := errgroup.WithContext(x)
-	callers := newServer(i.callerHandler.HTTPHandler())
-	operators := newServer(i.operatorHandler())
+	callers := i.guards.callers.Server(i.callerHandler.HTTPHandler())
+	operators := i.guards.operators.Server(i.operatorHandler())
+	go inbound.Run(x, i.guards.all()...)
 	g.Go(func() error { return serveHTTP(callers, l.caller) })
 	g.Go(func() error { return serveHTTP(operators, l.operator) })
 	g.Go(func() error { return i.mesh.Run(x, l.peer) })
@@ -218,12 +218,6 @@
 // Kill stops the instance without a graceful shutdown, as a crash of its process would.
 func (i *Instance) Kill() { i.killOnce.Do(func() { close(i.killed) }) }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-}
-
 func serveHTTP(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve at %s: %w", l.Addr(), err)
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -3,13 +3,16 @@
 import (
 	"expvar"
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	kitexpvar "github.com/go-kit/kit/metrics/expvar"
 
 	"currantknot.dev/currantknot/internal/caller"
+	"currantknot.dev/currantknot/internal/limits"
 	"currantknot.dev/currantknot/internal/stream"
 )
 
@@ -47,6 +50,9 @@
 		{"PeerSentBytes", "bytes sent to other instances", func(i *Instance) any { return i.mesh.Counters.SentBytes.Load() }},
 		{"PeerReceivedBytes", "bytes received from other instances", func(i *Instance) any { return i.mesh.Counters.ReceivedBytes.Load() }},
 		{"PeerBadFrames", "frames that did not decode; each closed its connection", func(i *Instance) any { return i.mesh.Counters.BadFrames.Load() }},
+		{"Limited", "connections of clients that were closed, and requests that were refused, by listener and reason: `connections` and `memory` (no room), `displaced` (the least progress while there was no room), `large_head`, `slow_head`, `idle`, `stalled_body`, `slow_body`, `unread_answer`", func(i *Instance) any { return i.metrics.limitedCounts() }},
+		{"ClientConnections", "open connections of clients, by listener", func(i *Instance) any { return i.guards.connections() }},
+		{"RequestMemoryBytes", "memory that the requests in progress take by their limits, by listener", func(i *Instance) any { return i.guards.requestMemory() }},
 		{"OwnedShards", "placement shards that the instance owns", func(i *Instance) any { return len(i.ownedPlacement().Shards) }},
 	}
 }
@@ -54,6 +60,27 @@
 // instanceMetrics holds the metrics of one instance.
 type instanceMetrics struct {
 	prefix string
+
+	mu sync.Mutex
+	// limited counts what guards closed and refused, by listener and reason.
+	limited map[string]int64
+}
+
+// Limited implements inbound.Observer.
+func (m *instanceMetrics) Limited(listener string, r limits.Reason) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.limited == nil {
+		m.limited = make(map[string]int64)
+	}
+	m.limited[listener+"."+string(r)]++
+}
+
+// limitedCounts returns what guards closed and refused, by listener and reason.
+func (m *instanceMetrics) limitedCounts() map[string]int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.limited)
 }
 
 func newMetrics() *instanceMetrics {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -90,6 +90,12 @@
 	}
 }
 
+func (c *checker) checkNotNegative(field string, v int) {
+	if v < 0 {
+		c.addFinding(field, "%d is negative", v)
+	}
+}
+
 // Check returns an *Error with all invalid settings, or nil.
 func (s *Serve) Check() error {
 	c := &checker{settings: s}
@@ -116,6 +122,9 @@
 	c.checkRange("SyncEvery", s.SyncEvery, 50*time.Millisecond, 10*time.Second)
 	c.checkRange("Lease", s.Lease, 3*s.SyncEvery, time.Hour)
 	c.checkRange("DrainDelay", s.DrainDelay, 0, time.Minute)
+	s.checkLimits(c)
+	c.checkNotNegative("MemoryMB", s.MemoryMB)
+	c.checkNotNegative("MaxDescriptors", s.MaxDescriptors)
 	c.checkOneOf("RoutingPolicy", s.RoutingPolicy, routing.PolicyNames())
 	c.checkOneOf("PlacementPolicy", s.PlacementPolicy, placement.PolicyNames())
 	s.checkCredentials(c)
@@ -142,6 +151,30 @@
 	slices.SortFunc(c.findings, func(a, b Finding) int { return strings.Compare(a.Flag, b.Flag) })
 }
 
+// Check returns an *Error with all invalid settings, or nil.
+func (s *Jobs) Check() error {
+	c := &checker{settings: s}
+	c.checkLevel(s.LogLevel)
+	s.checkLimits(c)
+	c.checkRange("BodyTimeout", s.BodyTimeout, 0, maxLimitTimeout)
+	return c.err()
+}
+
+// maxLimitTimeout is the longest time that a limit may give a client.
+const maxLimitTimeout = 24 * time.Hour
+
+// checkLimits adds findings on the limits; 0 stands for the default of each.
+func (l *Limits) checkLimits(c *checker) {
+	c.checkNotNegative("MaxCallerConnections", l.MaxCallerConnections)
+	c.checkNotNegative("RequestMemoryMB", l.RequestMemoryMB)
+	c.checkNotNegative("MaxHeadBytes", l.MaxHeadBytes)
+	c.checkNotNegative("MinBodyRate", l.MinBodyRate)
+	c.checkRange("HeadTimeout", l.HeadTimeout, 0, maxLimitTimeout)
+	c.checkRange("IdleTimeout", l.IdleTimeout, 0, maxLimitTimeout)
+	c.checkRange("BodyStallTimeout", l.BodyStallTimeout, 0, maxLimitTimeout)
+	c.checkRange("AnswerTimeout", l.AnswerTimeout, 0, maxLimitTimeout)
+}
+
 // Check returns an *Error with all invalid settings, or nil.
 func (s *Platform) Check() error {
 	c := &checker{settings: s}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,9 +15,23 @@
 	JSON     bool          `arg:"--json" help:"print JSON instead of a table"`
 }
 
+// Limits holds the limits of what the clients of an instance may use. A request or connection beyond a limit is refused or closed,
+// and counted by reason.
+type Limits struct {
+	MaxCallerConnections int           `arg:"--max-caller-connections,env:CURRANTKNOT_MAX_CALLER_CONNECTIONS" default:"0" placeholder:"N" help:"maximum number of open connections of callers; 0 for three eighths of the descriptors beside 200 for files, and as many as a quarter of the memory allows at 56 KiB each (1,298 on a machine of 284 MB and 4,100 descriptors). Beyond it, the connection with the least progress is closed. Counted as connections and displaced"`
+	RequestMemoryMB      int           `arg:"--request-memory-mb,env:CURRANTKNOT_REQUEST_MEMORY_MB" default:"0" placeholder:"MB" help:"memory of all requests of callers in progress, in MiB; 0 for a fifth of the memory. Beyond it, requests are refused with 503 and Retry-After. Counted as memory and displaced"`
+	MaxHeadBytes         int           `arg:"--max-head-bytes,env:CURRANTKNOT_MAX_HEAD_BYTES" default:"65536" placeholder:"BYTES" help:"maximum size of the head of a request; four times the limit of the configuration if that is more. Counted as large_head"`
+	HeadTimeout          time.Duration `arg:"--head-timeout,env:CURRANTKNOT_HEAD_TIMEOUT" default:"10s" placeholder:"TIME" help:"time for the head of a request, unless the configuration has one. Counted as slow_head"`
+	IdleTimeout          time.Duration `arg:"--idle-timeout,env:CURRANTKNOT_IDLE_TIMEOUT" default:"2m" placeholder:"TIME" help:"time between two requests on a connection, unless the configuration has one. Counted as idle"`
+	BodyStallTimeout     time.Duration `arg:"--body-stall-timeout,env:CURRANTKNOT_BODY_STALL_TIMEOUT" default:"5s" placeholder:"TIME" help:"time without a byte of a body that the instance waits for; after as long, the minimum rate holds. Counted as stalled_body"`
+	MinBodyRate          int           `arg:"--min-body-rate,env:CURRANTKNOT_MIN_BODY_RATE" default:"1024" placeholder:"BYTES" help:"minimum rate of a body in bytes per second, over the time that the instance waits for it. Counted as slow_body"`
+	AnswerTimeout        time.Duration `arg:"--answer-timeout,env:CURRANTKNOT_ANSWER_TIMEOUT" default:"10s" placeholder:"TIME" help:"time for a client to read what the instance writes at once, and to end its request after the answer. Counted as unread_answer"`
+}
+
 // Serve holds the settings of the daemon, which is one instance of the system.
 type Serve struct {
 	Log
+	Limits
 	Name            string        `arg:"--name,env:CURRANTKNOT_NAME" placeholder:"NAME" help:"name of this instance, unique among all"`
 	FailureDomain   string        `arg:"--failure-domain,env:CURRANTKNOT_FAILURE_DOMAIN" placeholder:"NAME" help:"failure domain of this instance"`
 	CallerListen    string        `arg:"--caller-listen,env:CURRANTKNOT_CALLER_LISTEN" default:"127.0.0.1:7401" placeholder:"ADDRESS" help:"address that serves callers"`
@@ -38,6 +52,8 @@
 	TLSKey          string        `arg:"--tls-key,env:CURRANTKNOT_TLS_KEY" placeholder:"FILE" help:"private key of the certificate, in PEM"`
 	TLSAuthority    string        `arg:"--tls-authority,env:CURRANTKNOT_TLS_AUTHORITY" placeholder:"FILE" help:"certificates of the authorities that sign the certificates of all instances, in PEM"`
 	OperatorTokens  string        `arg:"--operator-tokens,env:CURRANTKNOT_OPERATOR_TOKENS" placeholder:"FILE" help:"file with lines of TOKEN TEAM; a team may edit its own sections, the team * all sections; read again when it changes"`
+	MemoryMB        int           `arg:"--memory-mb,env:CURRANTKNOT_MEMORY_MB" default:"284" placeholder:"MB" help:"memory that the process may use, in MiB, with what the kernel has received for it; its limits are parts of it"`
+	MaxDescriptors  int           `arg:"--max-descriptors,env:CURRANTKNOT_MAX_DESCRIPTORS" default:"4100" placeholder:"N" help:"descriptors that the process may open; its limits are parts of it"`
 	Insecure        bool          `arg:"--insecure,env:CURRANTKNOT_INSECURE" help:"accept instances without certificates and operators without tokens"`
 }
 
@@ -57,8 +73,11 @@
 // its settings file.
 type Jobs struct {
 	Log
+	Limits
 	File          string `arg:"--settings,env:CURRANTKNOT_SETTINGS" placeholder:"FILE" help:"settings file that the platform provides; read again when it changes"`
 	MetricsListen string `arg:"--metrics-listen,env:CURRANTKNOT_METRICS_LISTEN" default:":9464" placeholder:"ADDRESS" help:"address that serves metrics in text format; empty to disable"`
+	// BodyTimeout bounds the wait for a body.
+	BodyTimeout time.Duration `arg:"--body-timeout,env:CURRANTKNOT_BODY_TIMEOUT" default:"10s" placeholder:"TIME" help:"time that the instance waits for the body of a submission in all. Counted as slow_body"`
 	// WorkersRestart means that workers start again under their IDs.
 	WorkersRestart bool `arg:"--workers-restart,env:CURRANTKNOT_WORKERS_RESTART" help:"workers start again under their IDs, so that a start without a response may be executed by the next process of its worker; without it an owner learns it from the first that does"`
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -10,6 +10,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/stretchr/testify/require"
 
+	"currantknot.dev/currantknot/internal/limits"
 	"currantknot.dev/currantknot/internal/settings"
 )
 
@@ -63,3 +64,25 @@
 	require.ErrorAs(t, (&settings.Operator{Instance: "x", Timeout: time.Second}).Check(), &e)
 	require.Len(t, e.Findings, 1)
 }
+
+func TestPlanHasTheLimitsThatAreSet(t *testing.T) {
+	s := parse(t, "--max-caller-connections", "77", "--head-timeout", "4s", "--memory-mb", "96", "--max-descriptors", "500")
+	p := s.Plan()
+	require.Equal(t, 77, p.Callers.Connections)
+	require.Equal(t, 4*time.Second, p.Callers.HeadTimeout)
+	require.Equal(t, 96<<20/5, p.Callers.Bytes)
+	require.Equal(t, 37, p.Instances.Connections)
+	require.Zero(t, p.Callers.BodyTimeout, "bodies that are passed on may be of any size")
+	j := &settings.Jobs{BodyTimeout: 7 * time.Second, Limits: settings.Limits{RequestMemoryMB: 3}}
+	p = j.Plan(limits.Machine{})
+	require.Equal(t, 7*time.Second, p.Callers.BodyTimeout)
+	require.Equal(t, 3<<20, p.Callers.Bytes)
+	require.Equal(t, limits.NewPlan(limits.Machine{}).Callers.Connections, p.Callers.Connections)
+}
+
+func TestLimitsAreChecked(t *testing.T) {
+	var e *settings.Error
+	require.ErrorAs(t, (&settings.Jobs{Log: settings.Log{LogLevel: "info"}, Limits: settings.Limits{MinBodyRate: -1, AnswerTimeout: -1}, BodyTimeout: -1}).Check(), &e)
+	require.Len(t, e.Findings, 3)
+	require.NoError(t, (&settings.Jobs{Log: settings.Log{LogLevel: "info"}}).Check())
+}
