Heads are bounded as they arrive

Callers saw an instance end, out of memory. The head of a request was compared with the limit of the configuration when all of it was in memory; until then the server's own limit held, 1 MB, and 64 KiB in `serve`. A head inside the limit takes many times its size if its fields are short: each is an entry of a map and a list.

A connection counts the bytes of a head as they arrive, answers 431 beyond 64 KiB, or four times the limit of the configuration if that is more (a field of one byte, which it counts, takes four), and takes room for the text twice and for each field before net/http sees them. Without room it answers 503 with Retry-After, and nothing of the request was done.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -1,12 +1,18 @@
 package inbound
 
 import (
+	"errors"
+	"io"
 	"net"
+	"strconv"
 	"time"
 
 	"currantknot.dev/currantknot/internal/limits"
 )
 
+// refusalTimeout bounds the write of the answer to a request whose head is refused.
+const refusalTimeout = 100 * time.Millisecond
+
 // Conn is a connection of a client within the limits of a guard.
 type Conn struct {
 	net.Conn
@@ -15,20 +21,53 @@
 	id    limits.ID
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails if what was read of a head is refused.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.receive(n)
+	if n == 0 {
+		return n, err
+	}
+	if r := c.receive(b[:n]); r != "" {
+		c.refuseHead(r)
+		// net/http writes nothing after such an error.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: &limits.RefusedError{Reason: r}}
 	}
 	return n, err
 }
 
-// receive records received bytes.
-func (c *Conn) receive(n int) {
-	c.guard.mu.Lock()
-	defer c.guard.mu.Unlock()
-	c.guard.ledger.Receive(c.id, n, time.Now())
+// receive records received bytes, and takes room for those of a head. It returns why a head is refused, empty if it is not.
+func (c *Conn) receive(b []byte) limits.Reason {
+	now := time.Now()
+	g := c.guard
+	g.mu.Lock()
+	g.ledger.Receive(c.id, len(b), now)
+	if g.ledger.Phase(c.id) != limits.PhaseHead {
+		g.mu.Unlock()
+		return ""
+	}
+	if g.ledger.HeadTooLarge(c.id) {
+		g.mu.Unlock()
+		return limits.ReasonLargeHead
+	}
+	l, err := g.ledger.Take(c.id, limits.HeadCost(b), now)
+	closing := g.detach(l)
+	g.mu.Unlock()
+	g.abort(closing, now)
+	if e := (*limits.RefusedError)(nil); errors.As(err, &e) {
+		return e.Reason
+	}
+	return ""
+}
+
+// refuseHead answers a request whose head is refused, as far as the client reads.
+func (c *Conn) refuseHead(r limits.Reason) {
+	c.guard.refuse(r, c.RemoteAddr())
+	status := "503 Service Unavailable\r\nRetry-After: " + strconv.Itoa(int(limits.RetryAfter.Seconds()))
+	if r == limits.ReasonLargeHead {
+		status = "431 Request Header Fields Too Large"
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 }
 
 // Write implements net.Conn.
