Bodies take room before they are read

Callers saw an instance end, out of memory. A body was read whole, into a slice that grows by copies, by as many requests at once as there were connections, whole or in chunks; a body short of its end held its bytes.

What collects a body takes room for the bytes, twice for the copies, before each read: a fifth of the memory for all callers, an eighth for each listener of operators. Without room the body that makes the least progress is displaced after a second without any; if all make progress, the request is refused at once with 503 and Retry-After, and its connection ends, since the rest of the body is not read. Nothing of it was done, so that the refusal promises what 503 promises. `serve` passes bodies on and takes none for them. The query for a placement reads its body before it keeps others out, and the operators' API answers 503. From three quarters of the memory the collector works harder, so that what is returned is soon free; the memory limit of the settings was decoded and not used.

--- a/cmd/currantknot/daemons.go
+++ b/cmd/currantknot/daemons.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime/debug"
 
 	"github.com/rs/zerolog"
 
@@ -32,6 +33,7 @@
 	if err := c.Check(); err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(c.Plan().HeapBytes))
 	i, err := serve.New(c.Serve, newLogger(c.LogLevel, c.Name))
 	if err != nil {
 		return err
--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -62,6 +63,7 @@
 func newJobsInstance(s *platform.Settings, id jobserve.Identity, c *settings.Jobs, platformStore *platform.Store, w *jobserve.LogWriter, l zerolog.Logger) *jobserve.Instance {
 	m := jobserve.NewMetrics()
 	plan := c.Plan(limits.Machine{MemoryBytes: s.MemoryLimitMB << 20, Descriptors: s.MaxDescriptors})
+	debug.SetMemoryLimit(int64(plan.HeapBytes))
 	guards := jobserve.NewGuards(plan, m, l)
 	monitor := jobserve.NewStoreMonitor(m, l)
 	store := monitor.Watch(jobserve.InstrumentStore(platformStore, m))
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -107,3 +107,25 @@
 	defer c.guard.mu.Unlock()
 	c.guard.ledger.Enter(c.id, p, time.Now())
 }
+
+// Take reserves n bytes for the request in progress. It returns a *limits.RefusedError if there is no room.
+func (c *Conn) Take(n int) error {
+	now := time.Now()
+	g := c.guard
+	g.mu.Lock()
+	l, err := g.ledger.Take(c.id, n, now)
+	closing := g.detach(l)
+	g.mu.Unlock()
+	g.abort(closing, now)
+	if e := (*limits.RefusedError)(nil); errors.As(err, &e) {
+		g.refuse(e.Reason, c.RemoteAddr())
+	}
+	return err
+}
+
+// Give returns n bytes that Take has reserved.
+func (c *Conn) Give(n int) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.ledger.Give(c.id, n)
+}
--- a/internal/inbound/guard_test.go
+++ b/internal/inbound/guard_test.go
@@ -67,7 +67,7 @@
 	x, err := s.guard.Listen(ctx, "127.0.0.1:0", limits.PhaseHead)
 	require.NoError(t, err)
 	s.address = x.Addr().String()
-	hs := s.guard.Server(h)
+	hs := s.guard.Server(h, true)
 	var w sync.WaitGroup
 	w.Go(func() { _ = hs.Serve(x) })
 	w.Go(func() { inbound.Run(ctx, s.guard) })
@@ -82,11 +82,14 @@
 // collect answers with the length of the body, or with the status for a body that is refused or cannot be read.
 func collect(w http.ResponseWriter, r *http.Request) {
 	b, err := io.ReadAll(r.Body)
-	if err != nil {
+	switch {
+	case inbound.IsRefused(err):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case err != nil:
 		w.WriteHeader(http.StatusBadRequest)
-		return
+	default:
+		_, _ = fmt.Fprint(w, len(b))
 	}
-	_, _ = fmt.Fprint(w, len(b))
 }
 
 // send opens a connection and sends the given text.
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -235,7 +235,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := g.Server(h)
+	s := g.Server(h, true)
 	go func() {
 		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			i.Logger.Error().Err(err).Str("Address", address).Msg("HTTP server failed")
--- a/internal/jobserve/where.go
+++ b/internal/jobserve/where.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"currantknot.dev/currantknot/internal/dispatch"
+	"currantknot.dev/currantknot/internal/inbound"
 	"currantknot.dev/currantknot/internal/jobs"
 )
 
@@ -67,6 +68,13 @@
 // body, and names its queue by the parameter queue, or by host and path.
 func (h *whereHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := WhereResponse{Instance: h.instance, At: time.Now()}
+	// A client that sends its body slowly does not keep others waiting.
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxWhereBytes))
+	if err != nil {
+		x.Error = err.Error()
+		writeWhere(w, whereStatus(err), &x)
+		return
+	}
 	if !h.busy.CompareAndSwap(false, true) {
 		x.Error = "another request is in progress"
 		writeWhere(w, http.StatusServiceUnavailable, &x)
@@ -84,7 +92,7 @@
 	case http.MethodGet:
 		writeWhere(w, h.whereJob(o, r, &x), &x)
 	case http.MethodPost:
-		writeWhere(w, h.where(o, r, &x), &x)
+		writeWhere(w, h.where(o, r, body, &x), &x)
 	default:
 		x.Error = "no such method"
 		writeWhere(w, http.StatusMethodNotAllowed, &x)
@@ -115,19 +123,22 @@
 	return http.StatusOK
 }
 
-// where answers for a job that was not submitted and returns the status.
-func (h *whereHandler) where(o *Owner, r *http.Request, x *WhereResponse) int {
-	b, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxWhereBytes))
-	if err != nil {
-		x.Error = err.Error()
-		return http.StatusBadRequest
+// whereStatus returns the status for a body that was not read.
+func whereStatus(err error) int {
+	if inbound.IsRefused(err) {
+		return http.StatusServiceUnavailable
 	}
+	return http.StatusBadRequest
+}
+
+// where answers for a job that was not submitted and returns the status.
+func (h *whereHandler) where(o *Owner, r *http.Request, body []byte, x *WhereResponse) int {
 	q := h.queue(r)
 	if q == nil {
 		x.Error = "no such queue"
 		return http.StatusNotFound
 	}
-	s, err := h.decode(whereID, b, q.Queue, x.At)
+	s, err := h.decode(whereID, body, q.Queue, x.At)
 	if err != nil {
 		x.Error = err.Error()
 		return http.StatusBadRequest
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -13,6 +13,8 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 
 	"currantknot.dev/currantknot/internal/docstore"
+	"currantknot.dev/currantknot/internal/inbound"
+	"currantknot.dev/currantknot/internal/limits"
 	"currantknot.dev/currantknot/internal/stream"
 	"currantknot.dev/currantknot/pkg/document"
 )
@@ -131,7 +133,11 @@
 func decodeJSON(r *http.Request, v any) error {
 	d := json.NewDecoder(r.Body)
 	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
+	err := d.Decode(v)
+	switch {
+	case inbound.IsRefused(err):
+		return err
+	case err != nil:
 		return &InputError{Reason: "body: " + err.Error()}
 	}
 	return nil
@@ -154,6 +160,7 @@
 		input     *InputError
 		forbidden *ForbiddenError
 		notFound  *NotFoundError
+		refused   *limits.RefusedError
 	)
 	switch {
 	case errors.As(err, &findings):
@@ -162,7 +169,7 @@
 		s = http.StatusConflict
 	case errors.As(err, &unknown):
 		s = http.StatusGatewayTimeout
-	case errors.As(err, &stale):
+	case errors.As(err, &stale), errors.As(err, &refused):
 		s = http.StatusServiceUnavailable
 	case errors.As(err, &input):
 		s = http.StatusBadRequest
