Frames of other instances take room as they arrive

Callers would have seen an instance end, out of memory: a connection to the listener for relays or peers that sends the beginning of a long frame makes the instance keep it, up to 64 MB each. Nothing bounded the sum.

The buffer for a message doubles as data arrives, and its memory is taken from the budget of the connection first, with as much for the decoded message: a quarter of the memory for all connections of other instances. A connection without room for its frame is closed; what was taken is returned when the frame is decoded or fails. The kernel's receive buffer of such a connection is 64 KiB.

TestFrameTakesRoomAsItArrives holds the parts.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 
@@ -54,7 +55,9 @@
 	if n > MaxBytes {
 		return lengthBytes, &Error{Reason: fmt.Sprintf("message of %d bytes exceeds the limit of %d bytes", n, MaxBytes)}
 	}
-	b, err := readBody(r, int(n))
+	a := allowance{budget: budgetOf(r)}
+	defer a.giveAll()
+	b, err := readBody(r, int(n), &a)
 	if err != nil {
 		return lengthBytes, err
 	}
@@ -64,15 +67,32 @@
 	return lengthBytes + len(b), nil
 }
 
+// firstBufferBytes is the size of the first buffer for a message.
+const firstBufferBytes = 4 << 10
+
 // readBody reads n bytes. The buffer grows as data arrives, so that a false length does not allocate memory for data
-// that never arrives.
-func readBody(r io.Reader, n int) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, int64(n)))
-	if err != nil {
-		return nil, fmt.Errorf("read frame: %w", err)
-	}
-	if len(b) < n {
-		return nil, fmt.Errorf("read frame: %w", io.ErrUnexpectedEOF)
+// that never arrives, and its memory is taken from the allowance first.
+func readBody(r io.Reader, n int, a *allowance) ([]byte, error) {
+	var b []byte
+	for len(b) < n {
+		size := min(n, max(firstBufferBytes, 2*len(b)))
+		if err := a.raise(messageCopies * size); err != nil {
+			return nil, fmt.Errorf("read frame of %d bytes: %w", n, err)
+		}
+		x := make([]byte, size)
+		copy(x, b)
+		if _, err := io.ReadFull(r, x[len(b):]); err != nil {
+			return nil, fmt.Errorf("read frame: %w", noEOF(err))
+		}
+		b = x
 	}
 	return b, nil
 }
+
+// noEOF returns the error for a message that is cut short.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
+	"io"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -72,3 +74,47 @@
 		require.Empty(t, x.Calls, name)
 	}
 }
+
+// budgetReader is a connection with a budget for the messages on it.
+type budgetReader struct {
+	*bytes.Reader
+	free int
+}
+
+// errNoRoom reports that a budget is spent.
+var errNoRoom = errors.New("no room")
+
+// Take implements frame.Budget.
+func (r *budgetReader) Take(n int) error {
+	if n > r.free {
+		return errNoRoom
+	}
+	r.free -= n
+	return nil
+}
+
+// Give implements frame.Budget.
+func (r *budgetReader) Give(n int) { r.free += n }
+
+// Connections that sent long frames and stopped took the memory of the process.
+func TestFrameTakesRoomAsItArrives(t *testing.T) {
+	const free = 1 << 20
+	long, err := io.ReadAll(newFrame(unknownField(append([]byte{0xc6, 0, 4, 0, 0}, make([]byte, 1<<18)...))))
+	require.NoError(t, err)
+	for name, c := range map[string]struct {
+		frame []byte
+		free  int
+		err   error
+	}{
+		"fits":            {long, free, nil},
+		"does not fit":    {long, 1 << 18, errNoRoom},
+		"cut short":       {long[:1<<17], free, io.ErrUnexpectedEOF},
+		"only the length": {long[:4], 8 << 10, io.ErrUnexpectedEOF},
+	} {
+		r := &budgetReader{Reader: bytes.NewReader(c.frame), free: c.free}
+		var x message
+		_, err := frame.Read(r, &x)
+		require.ErrorIs(t, err, c.err, name)
+		require.Equal(t, c.free, r.free, "%s: all room is returned", name)
+	}
+}
--- a/internal/limits/plan.go
+++ b/internal/limits/plan.go
@@ -57,6 +57,7 @@
 	instancePatience      = 2 * time.Second
 	defaultReceiveBuffer  = 16 << 10
 	defaultSendBuffer     = 64 << 10
+	instanceReceiveBuffer = 64 << 10
 	minConnections        = 4
 	reservedDescriptors   = 200
 	connectionMemoryBytes = 56 << 10
@@ -111,6 +112,7 @@
 	p.Instances = Limits{
 		Connections: share(instanceSocketParts), Bytes: m.MemoryBytes / instanceMemoryPart,
 		StallTimeout: instanceStallTimeout, AnswerTimeout: defaultAnswerTimeout, Patience: instancePatience,
+		ReceiveBufferBytes: instanceReceiveBuffer,
 	}
 	return p
 }
