Jobs that are accepted are bounded by the memory of their owner

Callers saw an instance end, out of memory, after it had accepted jobs inside all limits: 1,000 steps that no worker has capacity for. Such jobs stay, each task takes some hundred bytes at the owner, and any instance may become it. Nothing bounded the sum; a body of 30 bytes may ask for 10,000 tasks.

A replica measures each job, with its tasks, until it is finished; those that other instances accepted are measured in the background. A submission beyond a sixth of the memory is refused with 503 and Retry-After before it is stored. A small job may take half as much again, so that large ones keep no ordinary one out. A job that any instance has accepted before stays accepted: a refusal reads the store first, as one for the cap of an account does.

--- a/cmd/currantknot/jobs.go
+++ b/cmd/currantknot/jobs.go
@@ -81,6 +81,7 @@
 	monitor.SetPeers(node)
 	service := jobserve.NewService(store, replica, node, l)
 	service.SetMonitor(monitor)
+	service.SetJobLimit(plan.JobBytes, m)
 	node.Pool.Append, node.Agent.Append = service.AppendFor, service.AppendFor
 	return jobserve.NewInstance(jobserve.InstanceConfig{
 		Name: s.Name, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, Guards: guards, ShutdownTimeout: s.ShutdownTimeout,
--- a/internal/jobserve/instance.go
+++ b/internal/jobserve/instance.go
@@ -130,6 +130,7 @@
 	i.Metrics.Gauge(metricOperatorsAge, func() float64 { return i.State.CurrentAt().Age().Seconds() })
 	i.Metrics.Gauge(metricRequestsAge, func() float64 { return i.Replica.RequestsCurrentAt().Age().Seconds() })
 	i.Metrics.Gauge(metricJobs, func() float64 { return float64(len(i.Replica.IDs())) })
+	i.Metrics.Gauge(metricJobMemory, func() float64 { return float64(i.Replica.JobMemory()) })
 	i.Metrics.Gauge(series(metricMalformed, label("kind", "Job")), func() float64 { return float64(i.Replica.Malformed()) })
 	i.Metrics.Gauge(series(metricMalformed, label("kind", "Operator")), func() float64 { return float64(i.State.Malformed()) })
 	i.Guards.registerGauges(i.Metrics)
@@ -319,6 +320,7 @@
 			i.Logger.Warn().Err(err).Msg("job records were not read")
 		}
 		if i.Replica.IsLoaded() {
+			i.Replica.measureJobs()
 			sleep(ctx, replicaRefreshInterval)
 			continue
 		}
--- a/internal/jobserve/metricdoc.go
+++ b/internal/jobserve/metricdoc.go
@@ -9,9 +9,10 @@
 var metricHelp = []struct{ name, kind, help string }{
 	{metricRequests, "histogram", "duration of callers' requests, by method and status"},
 	{metricRefusedCalls, "counter", "calls that were refused for their API key, by reason: `missing` (none, or malformed), `unknown`, and `outdated` (the configuration of this instance is too old to tell)"},
-	{metricLimited, "counter", "connections of clients that were closed, and requests that were refused, by listener and reason: `connections` and `memory` (no room), `displaced` (the least progress while there was no room), `large_head`, `slow_head`, `idle`, `stalled_body`, `slow_body`, `unread_answer`"},
+	{metricLimited, "counter", "connections of clients that were closed, and requests that were refused, by listener and reason: `connections` and `memory` (no room), `jobs` (the jobs that are not finished leave no room), `displaced` (the least progress while there was no room), `large_head`, `slow_head`, `idle`, `stalled_body`, `slow_body`, `unread_answer`"},
 	{metricConnections, "gauge", "open connections of clients, by listener"},
 	{metricRequestMemory, "gauge", "memory that the requests in progress take by their limits, in bytes, by listener"},
+	{metricJobMemory, "gauge", "memory of all jobs at their owner by their limit, in bytes"},
 	{metricStoreCalls, "histogram", "duration of calls to the store, by call and outcome; reads include the long poll for a record"},
 	{metricWorkerCalls, "histogram", "duration of calls to workers, by call and outcome; sync includes the long poll for a finished attempt"},
 	{metricOrders, "counter", "orders to which workers responded, by order and result (label `answer`)"},
--- a/internal/jobserve/metrics.go
+++ b/internal/jobserve/metrics.go
@@ -47,6 +47,7 @@
 	metricLimited          = "currantknot_limited_total"
 	metricConnections      = "currantknot_client_connections"
 	metricRequestMemory    = "currantknot_request_memory_bytes"
+	metricJobMemory        = "currantknot_job_memory_bytes"
 	metricStorePath        = "currantknot_store_path_state"
 	metricStorePathChanges = "currantknot_store_path_changes_total"
 	metricStorePathRecords = "currantknot_store_path_records_total"
--- a/internal/jobserve/replica.go
+++ b/internal/jobserve/replica.go
@@ -63,6 +63,8 @@
 	// progress record that was.
 	malformed   map[string]bool
 	malformedAt map[string]int64
+	// memory is the memory of the jobs.
+	memory jobMemory
 	// partitions holds the state of the reads of each partition.
 	partitions [partitions]*partitionState
 	// confirmation is the confirmation in progress, nil if there is none, confirmAt the earliest beginning of the next one, and
@@ -77,7 +79,7 @@
 	return &Replica{
 		store: s, logger: l, catchUpInterval: replicaRefreshInterval,
 		specs: make(map[string][]byte), cancelled: make(map[string]bool), accepted: make(map[string]acceptedJob), progress: make(map[string]Record),
-		states: make(map[string]jobs.State), reasons: make(map[string]string), committed: make(map[string]jobs.State), queues: make(map[string]string), accounts: make(map[string]string), contested: make(map[string]bool), malformed: make(map[string]bool), malformedAt: make(map[string]int64),
+		states: make(map[string]jobs.State), reasons: make(map[string]string), committed: make(map[string]jobs.State), queues: make(map[string]string), accounts: make(map[string]string), contested: make(map[string]bool), malformed: make(map[string]bool), malformedAt: make(map[string]int64), memory: newJobMemory(),
 		partitions: [partitions]*partitionState{newPartitionState(), newPartitionState(), newPartitionState()},
 	}
 }
@@ -211,6 +213,7 @@
 		delete(r.accounts, id)
 		delete(r.contested, id)
 		delete(r.malformed, id)
+		r.memory.forget(id)
 		return
 	}
 	if _, ok := r.specs[id]; ok {
--- a/internal/jobserve/service.go
+++ b/internal/jobserve/service.go
@@ -69,6 +69,7 @@
 	forwarded *batcher
 	replica   *Replica
 	undecided undecidedJobs
+	room      jobRoom
 	// monitor judges whether this instance reaches the store; it may be nil.
 	monitor *StoreMonitor
 	logger  zerolog.Logger
@@ -95,16 +96,21 @@
 }
 
 // Submit stores a job as the caller's; a further submission with the same ID has no effect. It returns ErrOtherAccount if the first
-// submission with the ID is of another account, a *jobs.SpecError if the job never fits the cap of the account, and ErrNotAccepted
-// or ErrOutcomeUnknown if the store fails.
+// submission with the ID is of another account, a *jobs.SpecError if the job never fits the cap of the account, a *FullError if there
+// is no room for it, and ErrNotAccepted or ErrOutcomeUnknown if the store fails.
 func (s *Service) Submit(ctx context.Context, c account.Caller, p *jobs.Spec) error {
 	p.Account = c.Account
 	if s.replica.Contains(p.ID) {
 		return s.acceptRepeat(c, p.ID)
 	}
 	if err := account.CheckFit(c.Cap, p); err != nil {
-		return s.rejectMisfit(ctx, c, p.ID, err)
+		return s.rejectUnlessKnown(ctx, c, p.ID, err)
 	}
+	release, err := s.reserve(p)
+	if err != nil {
+		return s.rejectUnlessKnown(ctx, c, p.ID, err)
+	}
+	defer release()
 	b, err := jobs.EncodeSpec(p)
 	if err != nil {
 		return err
@@ -124,6 +130,7 @@
 	}
 	if err == nil {
 		s.replica.RecordAccepted(p.ID, p.Account)
+		s.replica.recordMemory(p.ID, p.MemoryBytes())
 	}
 	return err
 }
@@ -137,16 +144,16 @@
 	return nil
 }
 
-// rejectMisfit returns the error with which a job is rejected that never fits the cap of its account. A job that was accepted
-// under an earlier cap stays accepted.
-func (s *Service) rejectMisfit(ctx context.Context, c account.Caller, id string, misfit error) error {
+// rejectUnlessKnown returns the error with which a job is rejected that never fits the cap of its account, or that there is no room
+// for. A job that was accepted before, by any instance, stays accepted.
+func (s *Service) rejectUnlessKnown(ctx context.Context, c account.Caller, id string, rejection error) error {
 	if err := s.replica.Confirm(ctx, time.Now()); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
 	}
 	if s.replica.Contains(id) {
 		return s.acceptRepeat(c, id)
 	}
-	return misfit
+	return rejection
 }
 
 // checkFirst returns ErrOtherAccount if the first submission of a job that was just appended is of another account, which submitted
--- a/internal/limits/plan.go
+++ b/internal/limits/plan.go
@@ -74,6 +74,7 @@
 	instanceMemoryPart   = 4
 	operatorMemoryPart   = 8
 	connectionMemoryPart = 4
+	jobMemoryPart        = 6
 	heapParts            = 3 // of 4
 	heapPartsOf          = 4
 )
@@ -84,6 +85,8 @@
 	Operators Limits
 	// Instances is for the connections of other instances.
 	Instances Limits
+	// JobBytes is the memory of all jobs that are not finished, as their owner has them.
+	JobBytes int
 	// HeapBytes is the memory from which the collector works harder, so that what is returned is soon free.
 	HeapBytes int
 }
@@ -104,7 +107,7 @@
 		AnswerTimeout: defaultAnswerTimeout, Patience: defaultPatience,
 		ReceiveBufferBytes: defaultReceiveBuffer, SendBufferBytes: defaultSendBuffer,
 	}
-	p := Plan{Callers: l, Operators: l, HeapBytes: m.MemoryBytes / heapPartsOf * heapParts}
+	p := Plan{Callers: l, Operators: l, JobBytes: m.MemoryBytes / jobMemoryPart, HeapBytes: m.MemoryBytes / heapPartsOf * heapParts}
 	p.Callers.Connections = min(share(callerSocketParts), max(m.MemoryBytes/connectionMemoryPart/connectionMemoryBytes, minConnections))
 	p.Callers.Bytes = m.MemoryBytes / callerMemoryPart
 	p.Operators.Connections = share(operatorSocketParts)
--- a/internal/limits/reason.go
+++ b/internal/limits/reason.go
@@ -11,6 +11,8 @@
 	ReasonConnections Reason = "connections"
 	// ReasonMemory means that the requests in progress take as much memory as they may.
 	ReasonMemory Reason = "memory"
+	// ReasonJobs means that the jobs that are not finished take as much memory as they may.
+	ReasonJobs Reason = "jobs"
 	// ReasonDisplaced means that a connection made the least progress while there was no room for another request.
 	ReasonDisplaced Reason = "displaced"
 	// ReasonLargeHead means that a head is larger than HeadBytes.
@@ -29,7 +31,7 @@
 // Reasons lists all reasons.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonConnections, ReasonMemory, ReasonDisplaced, ReasonLargeHead, ReasonSlowHead, ReasonIdle, ReasonStalledBody, ReasonSlowBody, ReasonUnreadAnswer,
+		ReasonConnections, ReasonMemory, ReasonJobs, ReasonDisplaced, ReasonLargeHead, ReasonSlowHead, ReasonIdle, ReasonStalledBody, ReasonSlowBody, ReasonUnreadAnswer,
 	}
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -156,6 +156,7 @@
 	c := &checker{settings: s}
 	c.checkLevel(s.LogLevel)
 	s.checkLimits(c)
+	c.checkNotNegative("JobMemoryMB", s.JobMemoryMB)
 	c.checkRange("BodyTimeout", s.BodyTimeout, 0, maxLimitTimeout)
 	return c.err()
 }
--- a/internal/settings/plan.go
+++ b/internal/settings/plan.go
@@ -34,6 +34,7 @@
 func (s *Jobs) Plan(m limits.Machine) limits.Plan {
 	p := s.Limits.Plan(m)
 	setPositive(&p.Callers.BodyTimeout, s.BodyTimeout)
+	setPositive(&p.JobBytes, s.JobMemoryMB<<20)
 	return p
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,8 @@
 	Limits
 	File          string `arg:"--settings,env:CURRANTKNOT_SETTINGS" placeholder:"FILE" help:"settings file that the platform provides; read again when it changes"`
 	MetricsListen string `arg:"--metrics-listen,env:CURRANTKNOT_METRICS_LISTEN" default:":9464" placeholder:"ADDRESS" help:"address that serves metrics in text format; empty to disable"`
+	// JobMemoryMB bounds the jobs that are accepted.
+	JobMemoryMB int `arg:"--job-memory-mb,env:CURRANTKNOT_JOB_MEMORY_MB" default:"0" placeholder:"MB" help:"memory of all jobs that are not finished, as their owner has them, in MiB; 0 for a sixth of the memory. Beyond it, submissions are refused with 503 and Retry-After; jobs of up to a 256th of it may take half as much again. Counted as jobs"`
 	// BodyTimeout bounds the wait for a body.
 	BodyTimeout time.Duration `arg:"--body-timeout,env:CURRANTKNOT_BODY_TIMEOUT" default:"10s" placeholder:"TIME" help:"time that the instance waits for the body of a submission in all. Counted as slow_body"`
 	// WorkersRestart means that workers start again under their IDs.
