--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -142,10 +142,15 @@
 	return r
 }
 
-// abort closes connections that the ledger has removed. What the kernel holds for them is discarded.
+// abort closes connections that the ledger has removed. What the kernel holds for them is discarded, but for idle ones, whose end is
+// ordinary.
 func (g *Guard) abort(l []detached, now time.Time) {
 	for _, x := range l {
 		g.observer.Limited(g.Name, x.Reason)
+		if x.Reason == limits.ReasonIdle {
+			_ = x.conn.Conn.Close()
+			continue
+		}
 		g.logger.Warn().Str("Listener", g.Name).Str("Reason", string(x.Reason)).Str("Phase", string(x.Phase)).Int("Received", x.Received).
 			Dur("Age", now.Sub(x.Since)).Str("From", x.conn.RemoteAddr().String()).Str("Decision", "CloseConnection").Msg("connection of a client is closed")
 		x.conn.discard()
