Methods that clients make up are one series of the metrics

An instance's memory grew for good with each method that a client made up: the method of a request is a label of the histogram of requests, and a method may have any name, of any length that a head may have.

Found by reading the paths of a refused request; nobody has reported it. TestMethodsOfClientsMakeNoSeries fails with the fix out: 1,001 series where 2 are allowed.

--- a/internal/jobserve/instrument.go
+++ b/internal/jobserve/instrument.go
@@ -138,6 +138,15 @@
 		t := time.Now()
 		s := &statusWriter{ResponseWriter: w, status: http.StatusOK}
 		h.ServeHTTP(s, r)
-		m.Observe(metricRequests, label("method", r.Method, "status", strconv.Itoa(s.status)), t)
+		m.Observe(metricRequests, label("method", methodLabel(r.Method), "status", strconv.Itoa(s.status)), t)
 	})
 }
+
+// methodLabel returns a method as the value of a label. A client may send any method, and each value of a label takes memory for good.
+func methodLabel(method string) string {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete, http.MethodPut, http.MethodHead:
+		return method
+	}
+	return "other"
+}
--- a/internal/jobserve/metrics_test.go
+++ b/internal/jobserve/metrics_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -38,3 +39,14 @@
 	require.Contains(t, b, `currantknot_store_call_seconds_bucket{call="append",outcome="ok",le="0.05"} 1`)
 	require.Contains(t, b, `currantknot_store_call_seconds_count{call="append",outcome="ok"} 1`)
 }
+
+// Each method that a client made up was a series of its own, for which memory was taken for good.
+func TestMethodsOfClientsMakeNoSeries(t *testing.T) {
+	m := NewMetrics()
+	h := instrumentHandler(m, http.NotFoundHandler())
+	for n := range 1000 {
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("M"+strconv.Itoa(n), "/", http.NoBody))
+	}
+	h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", http.NoBody))
+	require.Len(t, m.histograms, 2)
+}
