Lists of an edit are bounded while they are decoded

An element that is null is refused, and unknown fields of a section still are.

TestEditOfManySectionsIsRefused fails with the bound out (the edit is decoded).

--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/go-kit/kit/endpoint"
 
 	"currantknot.dev/currantknot/internal/docstore"
+	"currantknot.dev/currantknot/internal/jsonlist"
 	"currantknot.dev/currantknot/internal/record"
 	"currantknot.dev/currantknot/pkg/document"
 )
@@ -41,11 +43,27 @@
 
 // EditRequest replaces or removes sections. Either all of its edits are applied or none.
 type EditRequest struct {
-	Sections []SectionEdit
+	Sections SectionEdits
 	Author   string
 	Reason   string
 }
 
+// maxSectionEdits is the maximum number of sections in one edit.
+const maxSectionEdits = 10_000
+
+// SectionEdits is the sections of an edit. It refuses a list that is too long before it takes the memory for it.
+type SectionEdits []SectionEdit
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *SectionEdits) UnmarshalJSON(b []byte) error {
+	x, err := jsonlist.Decode[SectionEdit](b, maxSectionEdits, true)
+	if err != nil {
+		return fmt.Errorf("sections: %w", err)
+	}
+	*l = x
+	return nil
+}
+
 // SectionEdit replaces one section, or removes it if Text is empty.
 type SectionEdit struct {
 	Section string
