Idempotency keys are bounded in memory

`serve` keeps the key of each request for ten minutes, with up to 16 KB of its response, and a client chooses the key. Nothing bounded the sum: at 1 KB a response, 284 MB are some 200,000 requests, or 350 a second.

The table counts the memory of its entries. From a quarter of the memory it records no responses, so that the outcome is unknown to duplicates, as it is for responses that are too large; and requests with a new key are refused as not run, with the time to retry, and counted as `keys`. Keys that are known stay known, so that no request runs twice.

TestRequestWithoutRoomForItsKeyIsRefused fails with the check out (no error).

--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -50,10 +50,16 @@
 
 // Table stores the idempotency keys that one instance knows.
 type Table struct {
+	// Limit is the memory of the keys, in bytes, from which no responses are recorded and the table is full; 0 is no limit. It is set
+	// before the first key.
+	Limit int
+
 	// mu guards the fields below.
 	mu          sync.Mutex
 	entries     map[string]*keyEntry
 	lastSweepAt time.Time
+	// bytes is the memory of all entries.
+	bytes int
 }
 
 // NewTable returns an empty table.
@@ -71,7 +77,7 @@
 	if deadline.After(u) {
 		u = deadline
 	}
-	t.entries[key] = &keyEntry{state: Claimed, instance: instance, expiresAt: u}
+	t.put(key, &keyEntry{state: Claimed, instance: instance, expiresAt: u})
 	return New, nil
 }
 
@@ -94,7 +100,7 @@
 	if e := t.entries[key]; e != nil && e.state == Done {
 		return
 	}
-	t.entries[key] = &keyEntry{state: Running, instance: instance, expiresAt: deadline}
+	t.put(key, &keyEntry{state: Running, instance: instance, expiresAt: deadline})
 }
 
 // Release removes a key whose request was not run, if the named instance received the request. A key in state Done is
@@ -103,15 +109,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[key]; e != nil && e.instance == instance && e.state != Done {
-		delete(t.entries, key)
+		t.remove(key)
 	}
 }
 
-// Finish records that a request has finished or that its outcome is unknown. The response is nil if it is not known.
+// Finish records that a request has finished or that its outcome is unknown. The response is nil if it is not known. A full table
+// records no response, so that the outcome is unknown to duplicates.
 func (t *Table) Finish(key, instance string, response *RecordedResponse, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.entries[key] = &keyEntry{state: Done, instance: instance, expiresAt: now.Add(Retention), response: response}
+	if t.isFull() {
+		response = nil
+	}
+	t.put(key, &keyEntry{state: Done, instance: instance, expiresAt: now.Add(Retention), response: response})
 }
 
 // KeyRecord is a key in state Running or Done.
@@ -160,6 +170,57 @@
 	return append(running, done...)
 }
 
+// IsFull reports whether the keys take more memory than they may.
+func (t *Table) IsFull(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeExpired(now)
+	return t.isFull()
+}
+
+// isFull reports whether the keys take more memory than they may; the caller holds mu.
+func (t *Table) isFull() bool { return t.Limit > 0 && t.bytes >= t.Limit }
+
+// Bytes returns the memory of the keys in the table.
+func (t *Table) Bytes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bytes
+}
+
+// entryBytes is the memory of an entry beside its texts.
+const entryBytes = 256
+
+// memory returns the memory of an entry.
+func (e *keyEntry) memory(key string) int {
+	n := entryBytes + len(key) + len(e.instance)
+	if e.response == nil {
+		return n
+	}
+	n += entryBytes + len(e.response.Body)
+	for k, l := range e.response.Header {
+		for _, v := range l {
+			n += len(k) + len(v)
+		}
+	}
+	return n
+}
+
+// put stores an entry; the caller holds mu.
+func (t *Table) put(key string, e *keyEntry) {
+	t.remove(key)
+	t.entries[key] = e
+	t.bytes += e.memory(key)
+}
+
+// remove removes an entry, if there is one; the caller holds mu.
+func (t *Table) remove(key string) {
+	if e := t.entries[key]; e != nil {
+		t.bytes -= e.memory(key)
+		delete(t.entries, key)
+	}
+}
+
 // Len returns the number of keys in the table, including expired keys that have not been removed yet.
 func (t *Table) Len() int {
 	t.mu.Lock()
@@ -178,7 +239,7 @@
 	}
 	e.completeIfOverdue(now)
 	if now.After(e.expiresAt) {
-		delete(t.entries, key)
+		t.remove(key)
 		return nil
 	}
 	return e
@@ -201,7 +262,7 @@
 	for k, e := range t.entries {
 		e.completeIfOverdue(now)
 		if now.After(e.expiresAt) {
-			delete(t.entries, k)
+			t.remove(k)
 		}
 	}
 }
--- a/internal/idempotency/table_test.go
+++ b/internal/idempotency/table_test.go
@@ -71,3 +71,40 @@
 	require.Equal(t, idempotency.Done, s)
 	require.Equal(t, []idempotency.KeyRecord{{Key: "k", Instance: "a"}}, x.RunningAndDoneKeys(n))
 }
+
+// Clients that send a new key with each request made the table take all memory: it keeps each for ten minutes, with its response.
+func TestFullTableRecordsNoResponses(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	x := idempotency.NewTable()
+	x.Limit = 10_000
+	response := func() *idempotency.RecordedResponse {
+		return &idempotency.RecordedResponse{Status: 200, Header: map[string][]string{"A": {"b"}}, Body: make([]byte, 4000)}
+	}
+	for _, k := range []string{"a", "b", "c"} {
+		require.False(t, x.IsFull(now))
+		x.MarkRunning(k, "i", now.Add(time.Second))
+		x.Finish(k, "i", response(), now)
+	}
+	require.True(t, x.IsFull(now))
+	x.MarkRunning("d", "i", now.Add(time.Second))
+	x.Finish("d", "i", response(), now)
+	s, r := x.Lookup("d", now)
+	require.Equal(t, idempotency.Done, s, "a key is kept although its response is not")
+	require.Nil(t, r)
+	_, r = x.Lookup("a", now)
+	require.NotNil(t, r)
+	require.False(t, x.IsFull(now.Add(idempotency.Retention+2*time.Second)))
+	require.Zero(t, x.Bytes())
+}
+
+func TestMemoryOfReplacedAndReleasedKeysIsReturned(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	x := idempotency.NewTable()
+	for range 3 {
+		x.Claim("a", "i", now.Add(time.Second), now)
+		x.MarkRunning("a", "i", now.Add(time.Second))
+	}
+	require.Less(t, x.Bytes(), 300)
+	x.Release("a", "i")
+	require.Zero(t, x.Bytes())
+}
--- a/internal/limits/plan.go
+++ b/internal/limits/plan.go
@@ -75,6 +75,7 @@
 	operatorMemoryPart   = 8
 	connectionMemoryPart = 4
 	jobMemoryPart        = 6
+	keyMemoryPart        = 4
 	heapParts            = 3 // of 4
 	heapPartsOf          = 4
 )
@@ -87,6 +88,8 @@
 	Instances Limits
 	// JobBytes is the memory of all jobs that are not finished, as their owner has them.
 	JobBytes int
+	// KeyBytes is the memory of idempotency keys.
+	KeyBytes int
 	// HeapBytes is the memory from which the collector works harder, so that what is returned is soon free.
 	HeapBytes int
 }
@@ -107,7 +110,7 @@
 		AnswerTimeout: defaultAnswerTimeout, Patience: defaultPatience,
 		ReceiveBufferBytes: defaultReceiveBuffer, SendBufferBytes: defaultSendBuffer,
 	}
-	p := Plan{Callers: l, Operators: l, JobBytes: m.MemoryBytes / jobMemoryPart, HeapBytes: m.MemoryBytes / heapPartsOf * heapParts}
+	p := Plan{Callers: l, Operators: l, JobBytes: m.MemoryBytes / jobMemoryPart, KeyBytes: m.MemoryBytes / keyMemoryPart, HeapBytes: m.MemoryBytes / heapPartsOf * heapParts}
 	p.Callers.Connections = min(share(callerSocketParts), max(m.MemoryBytes/connectionMemoryPart/connectionMemoryBytes, minConnections))
 	p.Callers.Bytes = m.MemoryBytes / callerMemoryPart
 	p.Operators.Connections = share(operatorSocketParts)
--- a/internal/limits/reason.go
+++ b/internal/limits/reason.go
@@ -13,6 +13,8 @@
 	ReasonMemory Reason = "memory"
 	// ReasonJobs means that the jobs that are not finished take as much memory as they may.
 	ReasonJobs Reason = "jobs"
+	// ReasonKeys means that the idempotency keys take as much memory as they may.
+	ReasonKeys Reason = "keys"
 	// ReasonDisplaced means that a connection made the least progress while there was no room for another request.
 	ReasonDisplaced Reason = "displaced"
 	// ReasonLargeHead means that a head is larger than HeadBytes.
@@ -31,7 +33,7 @@
 // Reasons lists all reasons.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonConnections, ReasonMemory, ReasonJobs, ReasonDisplaced, ReasonLargeHead, ReasonSlowHead, ReasonIdle, ReasonStalledBody, ReasonSlowBody, ReasonUnreadAnswer,
+		ReasonConnections, ReasonMemory, ReasonJobs, ReasonKeys, ReasonDisplaced, ReasonLargeHead, ReasonSlowHead, ReasonIdle, ReasonStalledBody, ReasonSlowBody, ReasonUnreadAnswer,
 	}
 }
 
--- a/internal/serve/keys.go
+++ b/internal/serve/keys.go
@@ -12,6 +12,7 @@
 
 	"currantknot.dev/currantknot/internal/caller"
 	"currantknot.dev/currantknot/internal/idempotency"
+	"currantknot.dev/currantknot/internal/limits"
 	"currantknot.dev/currantknot/internal/peer"
 	"currantknot.dev/currantknot/pkg/outcome"
 )
@@ -19,6 +20,8 @@
 const (
 	// keyRetryDelay is the time after which a caller is told to retry a request whose key could not be checked.
 	keyRetryDelay = time.Second
+	// keysFullRetry is the time after which a caller is told to retry while there is no room for its key.
+	keysFullRetry = 10 * time.Second
 	// keyHandOverTimeout is the maximum time in which an instance sends its keys to others, when it shuts down or when
 	// another instance is lost.
 	keyHandOverTimeout = 10 * time.Second
@@ -45,6 +48,7 @@
 
 func (i *Instance) newIdempotencyKeys() *idempotencyKeys {
 	i.keys = &idempotencyKeys{instance: i, table: idempotency.NewTable(), instanceSetSince: time.Now()}
+	i.keys.table.Limit = i.Plan().KeyBytes
 	return i.keys
 }
 
@@ -97,6 +101,10 @@
 	if s, r := k.table.Lookup(key, now); s != idempotency.New {
 		return keyError(newKeyResponse(q, s, r), now)
 	}
+	if k.table.IsFull(now) {
+		i.metrics.Limited("callers", limits.ReasonKeys)
+		return &caller.KeyError{Outcome: outcome.NotRun, Reason: "this instance keeps as many idempotency keys as it may", RetryAt: now.Add(keysFullRetry)}
+	}
 	hs, _ := k.rankedHolders(key, now)
 	r := k.beginAtPrimary(ctx, hs, q, now)
 	if r.State != peer.KeyNew {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -17,9 +17,12 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"currantknot.dev/currantknot/internal/caller"
+	"currantknot.dev/currantknot/internal/idempotency"
 	"currantknot.dev/currantknot/internal/peer"
 	"currantknot.dev/currantknot/internal/platform"
 	"currantknot.dev/currantknot/internal/settings"
+	"currantknot.dev/currantknot/pkg/outcome"
 )
 
 var update = flag.Bool("update", false, "write docs/METRICS.md")
@@ -258,3 +261,21 @@
 	t.Cleanup(func() { _ = l.Close() })
 	return l
 }
+
+// A request with a new key is refused without being run while there is no room for its key; a duplicate of a known one still gets its
+// answer.
+func TestRequestWithoutRoomForItsKeyIsRefused(t *testing.T) {
+	i := newInstance(t)
+	i.keys.table.Limit = 1
+	d := time.Now().Add(time.Minute)
+	i.keys.table.Finish("known", i.Name, nil, time.Now())
+	var e *caller.KeyError
+	require.ErrorAs(t, i.keys.Begin(t.Context(), "new", d), &e)
+	require.Equal(t, outcome.NotRun, e.Outcome)
+	require.True(t, e.RetryAt.After(time.Now()))
+	s, _ := i.keys.table.Lookup("new", time.Now())
+	require.Equal(t, idempotency.New, s)
+	require.Equal(t, int64(1), i.metrics.limitedCounts()["callers.keys"])
+	require.ErrorAs(t, i.keys.Begin(t.Context(), "known", d), &e)
+	require.Equal(t, outcome.Unknown, e.Outcome)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -123,6 +123,7 @@
 	c.checkRange("Lease", s.Lease, 3*s.SyncEvery, time.Hour)
 	c.checkRange("DrainDelay", s.DrainDelay, 0, time.Minute)
 	s.checkLimits(c)
+	c.checkNotNegative("KeyMemoryMB", s.KeyMemoryMB)
 	c.checkNotNegative("MemoryMB", s.MemoryMB)
 	c.checkNotNegative("MaxDescriptors", s.MaxDescriptors)
 	c.checkOneOf("RoutingPolicy", s.RoutingPolicy, routing.PolicyNames())
--- a/internal/settings/plan.go
+++ b/internal/settings/plan.go
@@ -27,6 +27,7 @@
 	p := s.Limits.Plan(limits.Machine{MemoryBytes: s.MemoryMB << 20, Descriptors: s.MaxDescriptors})
 	// Bodies are passed on as they arrive, and may be of any size.
 	p.Callers.BodyTimeout = 0
+	setPositive(&p.KeyBytes, s.KeyMemoryMB<<20)
 	return p
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,7 @@
 	TLSKey          string        `arg:"--tls-key,env:CURRANTKNOT_TLS_KEY" placeholder:"FILE" help:"private key of the certificate, in PEM"`
 	TLSAuthority    string        `arg:"--tls-authority,env:CURRANTKNOT_TLS_AUTHORITY" placeholder:"FILE" help:"certificates of the authorities that sign the certificates of all instances, in PEM"`
 	OperatorTokens  string        `arg:"--operator-tokens,env:CURRANTKNOT_OPERATOR_TOKENS" placeholder:"FILE" help:"file with lines of TOKEN TEAM; a team may edit its own sections, the team * all sections; read again when it changes"`
+	KeyMemoryMB     int           `arg:"--key-memory-mb,env:CURRANTKNOT_KEY_MEMORY_MB" default:"0" placeholder:"MB" help:"memory of idempotency keys and recorded responses, in MiB; 0 for a quarter of the memory. Beyond it, no responses are recorded, and requests with a new key are refused without being run. Counted as keys"`
 	MemoryMB        int           `arg:"--memory-mb,env:CURRANTKNOT_MEMORY_MB" default:"284" placeholder:"MB" help:"memory that the process may use, in MiB, with what the kernel has received for it; its limits are parts of it"`
 	MaxDescriptors  int           `arg:"--max-descriptors,env:CURRANTKNOT_MAX_DESCRIPTORS" default:"4100" placeholder:"N" help:"descriptors that the process may open; its limits are parts of it"`
 	Insecure        bool          `arg:"--insecure,env:CURRANTKNOT_INSECURE" help:"accept instances without certificates and operators without tokens"`
