Limits of clients: what stopped a reader of the change

The beginning of a body that is read with the end of a head does not count against the limit of the head, so that a head just below it is served. net/http has no limit of its own below those of the guards, and the defaults of package limits are those of the settings. The shares are named for what they share; Conn takes room in one place; a reason list that nobody used is gone.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -37,26 +37,35 @@
 
 // receive records received bytes, and takes room for those of a head. It returns why a head is refused, empty if it is not.
 func (c *Conn) receive(b []byte) limits.Reason {
-	now := time.Now()
 	g := c.guard
 	g.mu.Lock()
-	g.ledger.Receive(c.id, len(b), now)
-	if g.ledger.Phase(c.id) != limits.PhaseHead {
-		g.mu.Unlock()
+	g.ledger.Receive(c.id, len(b), time.Now())
+	isHead := g.ledger.Phase(c.id) == limits.PhaseHead
+	tooLarge := g.ledger.HeadTooLarge(c.id)
+	g.mu.Unlock()
+	if tooLarge {
+		return limits.ReasonLargeHead
+	}
+	if !isHead {
 		return ""
 	}
-	if g.ledger.HeadTooLarge(c.id) {
-		g.mu.Unlock()
-		return limits.ReasonLargeHead
+	var e *limits.RefusedError
+	if errors.As(c.take(limits.HeadCost(b)), &e) {
+		return e.Reason
 	}
-	l, err := g.ledger.Take(c.id, limits.HeadCost(b), now)
+	return ""
+}
+
+// take reserves n bytes, and closes the connections that are displaced for them.
+func (c *Conn) take(n int) error {
+	now := time.Now()
+	g := c.guard
+	g.mu.Lock()
+	l, err := g.ledger.Take(c.id, n, now)
 	closing := g.detach(l)
 	g.mu.Unlock()
 	g.abort(closing, now)
-	if e := (*limits.RefusedError)(nil); errors.As(err, &e) {
-		return e.Reason
-	}
-	return ""
+	return err
 }
 
 // refuseHead answers a request whose head is refused, as far as the client reads.
@@ -110,15 +119,10 @@
 
 // Take reserves n bytes for the request in progress. It returns a *limits.RefusedError if there is no room.
 func (c *Conn) Take(n int) error {
-	now := time.Now()
-	g := c.guard
-	g.mu.Lock()
-	l, err := g.ledger.Take(c.id, n, now)
-	closing := g.detach(l)
-	g.mu.Unlock()
-	g.abort(closing, now)
-	if e := (*limits.RefusedError)(nil); errors.As(err, &e) {
-		g.refuse(e.Reason, c.RemoteAddr())
+	err := c.take(n)
+	var e *limits.RefusedError
+	if errors.As(err, &e) {
+		c.guard.refuse(e.Reason, c.RemoteAddr())
 	}
 	return err
 }
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -107,9 +107,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-t.C:
+		case <-t.C:
 			for _, g := range guards {
-				g.sweep(now)
+				g.sweep(time.Now())
 			}
 		}
 	}
@@ -157,10 +157,10 @@
 	}
 }
 
-// refuse counts and logs a connection or a request for which there is no room.
+// refuse counts and logs a connection or a request that is refused.
 func (g *Guard) refuse(r limits.Reason, from net.Addr) {
 	g.observer.Limited(g.Name, r)
-	g.logger.Warn().Str("Listener", g.Name).Str("Reason", string(r)).Str("From", from.String()).Str("Decision", "RefuseClient").Msg("no room for a client")
+	g.logger.Warn().Str("Listener", g.Name).Str("Reason", string(r)).Str("From", from.String()).Str("Decision", "RefuseClient").Msg("client is refused")
 }
 
 // listener admits connections.
--- a/internal/inbound/http.go
+++ b/internal/inbound/http.go
@@ -13,8 +13,8 @@
 
 const (
 	// serverHeadTimeout and serverHeadBytes are above what guards allow, so that guards decide.
-	serverHeadTimeout = time.Minute
-	serverHeadBytes   = 1 << 20
+	serverHeadTimeout = 24 * time.Hour
+	serverHeadBytes   = 1 << 30
 	// bodyCopies is how often a body is in memory while a handler collects it: a buffer grows by copies.
 	bodyCopies = 2
 )
--- a/internal/jobserve/guards.go
+++ b/internal/jobserve/guards.go
@@ -13,6 +13,9 @@
 // values: a field of one byte takes four.
 const headBytesPerConfigured = 4
 
+// callersListener is the name of the listener for callers in metrics.
+const callersListener = "callers"
+
 // Guards bounds what the clients of each listener of an instance may use.
 type Guards struct {
 	Callers   *inbound.Guard
@@ -26,7 +29,7 @@
 // NewGuards returns the guards for the limits of a plan.
 func NewGuards(p limits.Plan, m *Metrics, l zerolog.Logger) Guards {
 	return Guards{
-		Callers:   inbound.NewGuard("callers", p.Callers, m, l),
+		Callers:   inbound.NewGuard(callersListener, p.Callers, m, l),
 		Readiness: inbound.NewGuard("readiness", p.Operators, m, l),
 		Metrics:   inbound.NewGuard("metrics", p.Operators, m, l),
 		Relays:    inbound.NewGuard("relays", p.Instances, m, l),
--- a/internal/jobserve/jobmemory.go
+++ b/internal/jobserve/jobmemory.go
@@ -104,6 +104,7 @@
 
 // LimitObserver counts requests that are refused for a limit.
 type LimitObserver interface {
+	// Limited counts a request of a listener.
 	Limited(listener string, r limits.Reason)
 }
 
@@ -130,7 +131,7 @@
 	release = func() { s.room.storing.Add(-int64(n)) }
 	if s.room.limit > 0 && held+n > limit {
 		release()
-		s.room.observer.Limited("callers", limits.ReasonJobs)
+		s.room.observer.Limited(callersListener, limits.ReasonJobs)
 		return nil, &FullError{n, held}
 	}
 	return release, nil
--- a/internal/limits/ledger.go
+++ b/internal/limits/ledger.go
@@ -20,6 +20,9 @@
 	held int
 }
 
+// readAheadBytes is how much of what follows a head may be read with its end.
+const readAheadBytes = 4 << 10
+
 // NewLedger returns a ledger without connections.
 func NewLedger(l Limits) *Ledger {
 	return &Ledger{Limits: l, connections: make(map[ID]*connection)}
@@ -95,7 +98,7 @@
 // HeadTooLarge reports whether the head that a connection sends is larger than HeadBytes.
 func (l *Ledger) HeadTooLarge(id ID) bool {
 	c := l.connections[id]
-	return c != nil && c.phase == PhaseHead && l.HeadBytes > 0 && c.received > l.HeadBytes
+	return c != nil && c.phase == PhaseHead && l.HeadBytes > 0 && c.received > l.HeadBytes+readAheadBytes
 }
 
 // Phase returns the phase of a connection, empty if it is closed.
@@ -169,6 +172,7 @@
 	return &x
 }
 
+// remove removes a connection and its room.
 func (l *Ledger) remove(c *connection, r Reason) Closing {
 	delete(l.connections, c.id)
 	l.held -= c.held
--- a/internal/limits/plan.go
+++ b/internal/limits/plan.go
@@ -45,39 +45,46 @@
 // Default timeouts and sizes. The deadlines of callers are seconds, so that a caller has given up long before a timeout for its body
 // passes.
 const (
-	defaultHeadBytes      = 64 << 10
-	defaultHeadTimeout    = 3 * time.Second
-	defaultIdleTimeout    = 30 * time.Second
-	defaultStallTimeout   = 5 * time.Second
-	defaultMinRate        = 1 << 10
-	defaultBodyTimeout    = 10 * time.Second
-	defaultAnswerTimeout  = 10 * time.Second
-	defaultPatience       = time.Second
+	defaultHeadBytes     = 64 << 10
+	defaultHeadTimeout   = 10 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+	defaultStallTimeout  = 5 * time.Second
+	defaultMinRate       = 1 << 10
+	defaultBodyTimeout   = 10 * time.Second
+	defaultAnswerTimeout = 10 * time.Second
+	defaultPatience      = time.Second
+	defaultReceiveBuffer = 16 << 10
+	defaultSendBuffer    = 64 << 10
+	// Other instances send pings and heartbeats several times a second, and large frames.
 	instanceStallTimeout  = 15 * time.Second
 	instancePatience      = 2 * time.Second
-	defaultReceiveBuffer  = 16 << 10
-	defaultSendBuffer     = 64 << 10
 	instanceReceiveBuffer = 64 << 10
-	minConnections        = 4
-	reservedDescriptors   = 200
-	connectionMemoryBytes = 56 << 10
 )
 
-// The shares of the sockets and of the memory. What is left of the sockets is for the connections that the process opens itself;
-// what is left of the memory is for its own state.
+// The shares of the sockets, in parts of socketParts. What is left is for the connections that the process opens itself.
 const (
-	callerSocketParts    = 12 // of 32
-	instanceSocketParts  = 4
-	operatorSocketParts  = 1
-	socketParts          = 32
-	callerMemoryPart     = 5 // a fifth
-	instanceMemoryPart   = 4
-	operatorMemoryPart   = 8
-	connectionMemoryPart = 4
-	jobMemoryPart        = 6
-	keyMemoryPart        = 4
-	heapParts            = 3 // of 4
-	heapPartsOf          = 4
+	callerSockets   = 12
+	instanceSockets = 4
+	operatorSockets = 1
+	socketParts     = 32
+	// fileDescriptors is the number of descriptors that are not for sockets.
+	fileDescriptors = 200
+	// minConnections is the least number of connections of a listener.
+	minConnections = 4
+)
+
+// The shares of the memory, as divisors of it. What is left is for the state of the process.
+const (
+	callerMemory     = 5
+	instanceMemory   = 4
+	operatorMemory   = 8
+	connectionMemory = 4
+	jobMemory        = 6
+	keyMemory        = 4
+	// heapReserve is the share beyond the collector's limit: the kernel's buffers, and what the collector does not count.
+	heapReserve = 4
+	// connectionBytes is the memory of an open connection without its request: buffers of net/http, two stacks and the kernel's buffer.
+	connectionBytes = 56 << 10
 )
 
 // Plan divides a machine among the listeners of a process.
@@ -102,7 +109,7 @@
 	if m.Descriptors <= 0 {
 		m.Descriptors = DefaultDescriptors
 	}
-	sockets := max(m.Descriptors-reservedDescriptors, m.Descriptors/2)
+	sockets := max(m.Descriptors-fileDescriptors, m.Descriptors/2)
 	share := func(parts int) int { return max(sockets*parts/socketParts, minConnections) }
 	l := Limits{
 		HeadBytes: defaultHeadBytes, HeadTimeout: defaultHeadTimeout, IdleTimeout: defaultIdleTimeout,
@@ -110,13 +117,16 @@
 		AnswerTimeout: defaultAnswerTimeout, Patience: defaultPatience,
 		ReceiveBufferBytes: defaultReceiveBuffer, SendBufferBytes: defaultSendBuffer,
 	}
-	p := Plan{Callers: l, Operators: l, JobBytes: m.MemoryBytes / jobMemoryPart, KeyBytes: m.MemoryBytes / keyMemoryPart, HeapBytes: m.MemoryBytes / heapPartsOf * heapParts}
-	p.Callers.Connections = min(share(callerSocketParts), max(m.MemoryBytes/connectionMemoryPart/connectionMemoryBytes, minConnections))
-	p.Callers.Bytes = m.MemoryBytes / callerMemoryPart
-	p.Operators.Connections = share(operatorSocketParts)
-	p.Operators.Bytes = m.MemoryBytes / operatorMemoryPart
+	p := Plan{
+		Callers: l, Operators: l, JobBytes: m.MemoryBytes / jobMemory, KeyBytes: m.MemoryBytes / keyMemory,
+		HeapBytes: m.MemoryBytes - m.MemoryBytes/heapReserve,
+	}
+	p.Callers.Connections = min(share(callerSockets), max(m.MemoryBytes/connectionMemory/connectionBytes, minConnections))
+	p.Callers.Bytes = m.MemoryBytes / callerMemory
+	p.Operators.Connections = share(operatorSockets)
+	p.Operators.Bytes = m.MemoryBytes / operatorMemory
 	p.Instances = Limits{
-		Connections: share(instanceSocketParts), Bytes: m.MemoryBytes / instanceMemoryPart,
+		Connections: share(instanceSockets), Bytes: m.MemoryBytes / instanceMemory,
 		StallTimeout: instanceStallTimeout, AnswerTimeout: defaultAnswerTimeout, Patience: instancePatience,
 		ReceiveBufferBytes: instanceReceiveBuffer,
 	}
--- a/internal/limits/reason.go
+++ b/internal/limits/reason.go
@@ -30,13 +30,6 @@
 	ReasonUnreadAnswer Reason = "unread_answer"
 )
 
-// Reasons lists all reasons.
-func Reasons() []Reason {
-	return []Reason{
-		ReasonConnections, ReasonMemory, ReasonJobs, ReasonKeys, ReasonDisplaced, ReasonLargeHead, ReasonSlowHead, ReasonIdle, ReasonStalledBody, ReasonSlowBody, ReasonUnreadAnswer,
-	}
-}
-
 // RetryAfter is the time after which a refused client may try again: room is found then, if only by closing connections that make no
 // progress.
 const RetryAfter = time.Second
--- a/internal/serve/guards.go
+++ b/internal/serve/guards.go
@@ -7,6 +7,9 @@
 	"currantknot.dev/currantknot/internal/limits"
 )
 
+// callersListener is the name of the listener for callers in metrics.
+const callersListener = "callers"
+
 // guards bounds what the clients of each listener of an instance may use.
 type guards struct {
 	callers   *inbound.Guard
@@ -16,7 +19,7 @@
 
 func newGuards(p limits.Plan, o inbound.Observer, l zerolog.Logger) guards {
 	return guards{
-		callers:   inbound.NewGuard("callers", p.Callers, o, l),
+		callers:   inbound.NewGuard(callersListener, p.Callers, o, l),
 		operators: inbound.NewGuard("operators", p.Operators, o, l),
 		peers:     inbound.NewGuard("peers", p.Instances, o, l),
 	}
--- a/internal/serve/keys.go
+++ b/internal/serve/keys.go
@@ -102,7 +102,7 @@
 		return keyError(newKeyResponse(q, s, r), now)
 	}
 	if k.table.IsFull(now) {
-		i.metrics.Limited("callers", limits.ReasonKeys)
+		i.metrics.Limited(callersListener, limits.ReasonKeys)
 		return &caller.KeyError{Outcome: outcome.NotRun, Reason: "this instance keeps as many idempotency keys as it may", RetryAt: now.Add(keysFullRetry)}
 	}
 	hs, _ := k.rankedHolders(key, now)
