Clients are not late while the process is paused

After a pause of the process, the first look for connections whose phase has lasted too long would close those of clients whose bytes had arrived and were not read yet. The first look after 2 s without one closes nothing; the next, half a second later, finds what was read meanwhile as progress.

Found by reading; clients of today have given up before 5 s have passed. TestClientIsNotLateAfterAPause fails with the check out (both connections are closed).

--- a/internal/limits/ledger.go
+++ b/internal/limits/ledger.go
@@ -18,10 +18,17 @@
 	lastID      ID
 	// held is the room that all requests take.
 	held int
+	// checkedAt is the time of the latest call of Due, zero before the first.
+	checkedAt time.Time
 }
 
-// readAheadBytes is how much of what follows a head may be read with its end.
-const readAheadBytes = 4 << 10
+const (
+	// pausedAfter is the time between two calls of Due from which the process has been paused. What has arrived meanwhile has to be
+	// read before a client can be late.
+	pausedAfter = 2 * time.Second
+	// readAheadBytes is how much of what follows a head may be read with its end.
+	readAheadBytes = 4 << 10
+)
 
 // NewLedger returns a ledger without connections.
 func NewLedger(l Limits) *Ledger {
@@ -137,8 +144,13 @@
 	}
 }
 
-// Due removes the connections whose phase has lasted too long, and returns them.
+// Due removes the connections whose phase has lasted too long, and returns them; none at the first call after a pause.
 func (l *Ledger) Due(now time.Time) []Closing {
+	last := l.checkedAt
+	l.checkedAt = now
+	if !last.IsZero() && now.Sub(last) >= pausedAfter {
+		return nil
+	}
 	var closing []Closing
 	for _, c := range l.connections {
 		if r := c.due(&l.Limits, now); r != "" {
--- a/internal/limits/ledger_test.go
+++ b/internal/limits/ledger_test.go
@@ -236,6 +236,23 @@
 	require.False(t, l.HeadTooLarge(id), "the head was complete")
 }
 
+// A process that was paused closed the connections of clients whose bytes it had not read yet.
+func TestClientIsNotLateAfterAPause(t *testing.T) {
+	l := limits.NewLedger(testLimits())
+	stopped, sending := open(t, l, at(0)), open(t, l, at(0))
+	for _, id := range []limits.ID{stopped, sending} {
+		serve(l, id)
+		l.Enter(id, limits.PhaseBody, at(0))
+		l.Receive(id, 1000, at(0.9))
+	}
+	require.Empty(t, l.Due(at(1)))
+	require.Empty(t, l.Due(at(7)), "the process was paused for 6 s")
+	l.Receive(sending, 1000, at(7.1))
+	d := l.Due(at(7.5))
+	require.Len(t, d, 1)
+	require.Equal(t, stopped, d[0].ID)
+}
+
 // Many short fields take far more memory than their text.
 func TestCostOfAHeadCountsItsFields(t *testing.T) {
 	short := limits.HeadCost([]byte(strings.Repeat("a:\r\n", 100)))
