--- a/review/standin3/cloud.go
+++ b/review/standin3/cloud.go
@@ -120,7 +120,7 @@
 
 // comeBack brings a machine up with a new executor.
 func (c *cloud) comeBack(m *machine, old *executor) {
-	e, err := newExecutor(c.fleet.world, old.id+"-new", old.zone, old.rack, old.cpu, old.memMB)
+	e, err := newExecutor(c.fleet.world, old.id+"-new", old.zone, old.rack)
 	if err != nil {
 		return
 	}
--- a/review/standin3/executor.go
+++ b/review/standin3/executor.go
@@ -77,15 +77,16 @@
 	Acked   int64  `json:"acked_upto"`
 	WaitMs  int64  `json:"wait_ms"`
 	Percent int    `json:"percent"`
+	Ticket  string `json:"ticket"`
 }
 
 // newExecutor starts an executor at a free loopback address.
-func newExecutor(w *world, id, zone, rack string, cpu, memMB int) (*executor, error) {
+func newExecutor(w *world, id, zone, rack string) (*executor, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	e := &executor{id: id, zone: zone, rack: rack, kind: "a", cpu: cpu, memMB: memMB, world: w, address: l.Addr().String()}
+	e := &executor{id: id, zone: zone, rack: rack, kind: "a", cpu: executorCPU, memMB: executorMemMB, world: w, address: l.Addr().String()}
 	e.reset()
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
@@ -100,6 +101,28 @@
 	e.changed = make(chan struct{})
 }
 
+// crash ends the life of the executor with all that it runs. After the given time, it starts again under its ID.
+func (e *executor) crash(downFor time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return
+	}
+	for t, r := range e.running {
+		e.world.ended(e.id, t, r.number, "crashed")
+	}
+	e.running = make(map[string]*run)
+	e.down = true
+	e.world.record.printf("executor %s crashes", e.id)
+	time.AfterFunc(downFor, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.reset()
+		e.down = false
+		e.world.record.printf("executor %s starts again", e.id)
+	})
+}
+
 // leave ends the executor for good.
 func (e *executor) leave() {
 	e.mu.Lock()
@@ -227,6 +250,8 @@
 		return http.StatusConflict, "late"
 	case known && (usedCPU+cpu > e.cpu || usedMem+mem > e.memMB):
 		return http.StatusConflict, "room"
+	case !e.world.mayStart(o.Task, e.id, o.Ticket):
+		return http.StatusConflict, "ticket"
 	}
 	r := &run{task: o.Task, number: o.Run, spec: o.Spec, began: time.Now(), pace: fullPercent}
 	e.running[o.Task] = r
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -23,6 +24,8 @@
 	service   = "ledger"
 	queueHost = "claims.example"
 	heartbeat = 500 * time.Millisecond
+	// instances is the number of instances of the program.
+	instances = 3
 	// readyTimeout bounds the wait until all instances are ready.
 	readyTimeout = 20 * time.Second
 )
@@ -31,6 +34,8 @@
 const (
 	shortQueue = "/short/"
 	longQueue  = "/long/"
+	// advisedQueue is the queue whose steps need advice, where there is a service that gives it.
+	advisedQueue = "/advised/"
 )
 
 var errNotReady = errors.New("instances are not ready in time")
@@ -44,9 +49,13 @@
 	address   string
 	executors []*executor
 	cloud     *cloud
-	nodes     []*node
-	stop      context.CancelFunc
-	next      int
+	// advice is the address of the service for advice, empty if there is none.
+	advice string
+	// ports holds the ports that freePort has returned.
+	ports map[int]bool
+	nodes []*node
+	stop  context.CancelFunc
+	next  int
 }
 
 // node is an instance of the program.
@@ -62,7 +71,12 @@
 }
 
 // newFleet starts the platform, the executors and the instances, and waits until all instances are ready.
-func newFleet(w *world, nodes, executors, cpu, memMB int) (*fleet, error) {
+func newFleet(w *world, executors int) (*fleet, error) {
+	return newFleetWithAdvice(w, executors, "")
+}
+
+// newFleetWithAdvice is newFleet with a service for advice at an address.
+func newFleetWithAdvice(w *world, executors int, advice string) (*fleet, error) {
 	d, err := os.MkdirTemp("", "review3")
 	if err != nil {
 		return nil, err
@@ -76,12 +90,12 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{world: w, folder: d, log: standin.NewLog(1), address: l.Addr().String(), stop: cancel, cloud: c}
+	f := &fleet{world: w, folder: d, log: standin.NewLog(1), address: l.Addr().String(), stop: cancel, cloud: c, advice: advice, ports: make(map[int]bool)}
 	f.server = &http.Server{Handler: f.log, ReadHeaderTimeout: time.Minute}
 	go func() { _ = f.server.Serve(l) }()
 	f.configure()
 	for i := range executors {
-		e, err := newExecutor(w, fmt.Sprintf("x-%02d", i), fmt.Sprintf("zone-%d", i%3), fmt.Sprintf("rack-%d", i/2), cpu, memMB)
+		e, err := newExecutor(w, fmt.Sprintf("x-%02d", i), fmt.Sprintf("zone-%d", i%3), fmt.Sprintf("rack-%d", i/2))
 		if err != nil {
 			return f, err
 		}
@@ -93,7 +107,7 @@
 	}
 	f.register()
 	go f.keepRegistered(ctx)
-	for i := range nodes {
+	for i := range instances {
 		n, err := f.newNode(i)
 		if err != nil {
 			return f, err
@@ -114,8 +128,14 @@
 			"priority": priority, "service": service, "max_attempts": 3, "stretch": 1.5,
 		}
 	}
+	routes := []any{route("short", shortQueue, 0), route("long", longQueue, 0)}
+	if f.advice != "" {
+		x := route("advised", advisedQueue, 0)
+		x["advice"] = map[string]any{"decide_ms": 0, "each_ms": adviceEach.Milliseconds(), "valid_ms": ticketLife.Milliseconds()}
+		routes = append(routes, x)
+	}
 	f.log.Put("keyed.op", "config", map[string]any{
-		"version": 1, "routes": []any{route("short", shortQueue, 0), route("long", longQueue, 0)}, "services": []any{map[string]any{"name": service, "enforces_capacity": true}},
+		"version": 1, "routes": routes, "services": []any{map[string]any{"name": service, "enforces_capacity": true}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
@@ -141,20 +161,34 @@
 	}
 }
 
-// freePort returns a free loopback port.
-func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+// The instances listen at ports below those that the system takes for outgoing connections.
+const (
+	firstPort = 20000
+	ports     = 10000
+)
+
+// freePort returns a loopback port that is free, and that it has not returned before.
+func (f *fleet) freePort() (int, error) {
+	for range ports {
+		p := firstPort + rand.IntN(ports)
+		if f.ports[p] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		f.ports[p] = true
+		return p, nil
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errNotReady
 }
 
 func (f *fleet) newNode(i int) (*node, error) {
 	var p [5]int
 	for k := range p {
-		n, err := freePort()
+		n, err := f.freePort()
 		if err != nil {
 			return nil, err
 		}
@@ -163,7 +197,7 @@
 	n := &node{name: fmt.Sprintf("frontend-%d", i), front: fmt.Sprintf("127.0.0.1:%d", p[0]), ready: fmt.Sprintf("127.0.0.1:%d", p[1])}
 	n.metrics = fmt.Sprintf("127.0.0.1:%d", p[4])
 	n.settings, n.output = filepath.Join(f.folder, n.name+".toml"), filepath.Join(f.folder, n.name+".log")
-	text := fmt.Sprintf(settingsText, n.name, i%3, p[2], p[2], n.front, n.ready, p[3], maxHold.Milliseconds(), f.address, f.cloud.address)
+	text := fmt.Sprintf(settingsText, n.name, i%3, p[2], p[2], f.advice, n.front, n.ready, p[3], maxHold.Milliseconds(), f.address, f.cloud.address)
 	return n, os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
@@ -239,7 +273,7 @@
 		_ = e.server.Close()
 	}
 	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(f.folder) //nolint:gosec // made by newFleet
+		_ = os.RemoveAll(f.folder) //nolint:gosec // made by newFleetWithAdvice
 		return
 	}
 	_, _ = fmt.Fprintln(os.Stderr, "logs in", f.folder)
--- a/review/standin3/relocated.go
+++ b/review/standin3/relocated.go
@@ -26,7 +26,7 @@
 func playRelocated(w *world, trouble bool) (string, error) {
 	var busy atomic.Bool
 	w.tail = func(e *executor, r *run) int { return w.sampleOf(e, r, busy.Load()) }
-	f, err := newFleet(w, 3, pairs, executorCPU, executorMemMB)
+	f, err := newFleet(w, pairs)
 	if f != nil {
 		defer f.close()
 	}
@@ -55,7 +55,7 @@
 
 // addExecutor adds an empty executor.
 func (f *fleet) addExecutor(i int) error {
-	e, err := newExecutor(f.world, fmt.Sprintf("x-%02d", i), fmt.Sprintf("zone-%d", i%3), fmt.Sprintf("rack-%d", i/2), executorCPU, executorMemMB)
+	e, err := newExecutor(f.world, fmt.Sprintf("x-%02d", i), fmt.Sprintf("zone-%d", i%3), fmt.Sprintf("rack-%d", i/2))
 	if err != nil {
 		return err
 	}
--- a/review/standin3/settings.go
+++ b/review/standin3/settings.go
@@ -13,6 +13,7 @@
 entry = "vip"
 heartbeat_ms = 500
 orders = "invoke"
+advice = %q
 [listen]
 front = %q
 ready = %q
--- a/review/standin3/starved.go
+++ b/review/standin3/starved.go
@@ -34,7 +34,7 @@
 
 // playStarved hands in short jobs, and jobs that last, of which one can never be done: its tasks fail soon after each start.
 func playStarved(w *world, trouble bool) (string, error) {
-	f, err := newFleet(w, 3, starvedExecutors, executorCPU, executorMemMB)
+	f, err := newFleet(w, starvedExecutors)
 	if f != nil {
 		defer f.close()
 	}
--- a/review/standin3/wave.go
+++ b/review/standin3/wave.go
@@ -22,7 +22,7 @@
 
 // playWave runs a job that lasts on the one machine of its kind, and requests the upkeep of all machines, one at a time.
 func playWave(w *world, trouble bool) (string, error) {
-	f, err := newFleet(w, 3, waveMachines, executorCPU, executorMemMB)
+	f, err := newFleet(w, waveMachines)
 	if f != nil {
 		defer f.close()
 	}
@@ -89,7 +89,7 @@
 	for _, e := range f.executors {
 		e.mu.Lock()
 		used, _ := e.used()
-		if !e.down && (s.Label == "" || s.Label == e.kind) && e.cpu-used > free {
+		if !e.down && (s.Label == "" || s.Label == e.kind || s.Label == e.rack) && e.cpu-used > free {
 			best, free = e.id, e.cpu-used
 		}
 		e.mu.Unlock()
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -42,6 +42,8 @@
 	Spec     string `json:"spec"`
 	Steps    []step `json:"phases"`
 	accepted time.Time
+	// advised means that the job is of the queue whose steps need advice.
+	advised bool
 }
 
 // event is the start or the end of a run.
@@ -67,9 +69,13 @@
 	mu     sync.Mutex
 	jobs   map[string]*job
 	events []event
+	// tickets holds until when each ticket is valid.
+	tickets map[string]time.Time
 }
 
-func newWorld(r *record) *world { return &world{record: r, jobs: make(map[string]*job)} }
+func newWorld(r *record) *world {
+	return &world{record: r, jobs: make(map[string]*job), tickets: make(map[string]time.Time)}
+}
 
 // add makes a job known before it is handed in.
 func (w *world) add(j *job) {
