--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -24,8 +24,9 @@
 	service   = "ledger"
 	queueHost = "claims.example"
 	heartbeat = 500 * time.Millisecond
-	// instances is the number of instances of the program.
+	// instances is the number of instances of the program, and executors that of the executors at first.
 	instances = 3
+	executors = 4
 	// readyTimeout bounds the wait until all instances are ready.
 	readyTimeout = 20 * time.Second
 )
@@ -71,12 +72,12 @@
 }
 
 // newFleet starts the platform, the executors and the instances, and waits until all instances are ready.
-func newFleet(w *world, executors int) (*fleet, error) {
-	return newFleetWithAdvice(w, executors, "")
+func newFleet(w *world) (*fleet, error) {
+	return newFleetWithAdvice(w, "")
 }
 
 // newFleetWithAdvice is newFleet with a service for advice at an address.
-func newFleetWithAdvice(w *world, executors int, advice string) (*fleet, error) {
+func newFleetWithAdvice(w *world, advice string) (*fleet, error) {
 	d, err := os.MkdirTemp("", "review3")
 	if err != nil {
 		return nil, err
